Put a real node round the module

The node binary serves clients over HTTP/1.1, feeds the module and carries out what it decides. Its parts: server (clients), driver (owns the module, timers, open requests), upstream (connections and attempts), discovery, and the start.

--- /dev/null
+++ b/src/bin/ivygate/clock.rs
@@ -0,0 +1,36 @@
+//! The node's one clock: monotonic, and anchored once to Unix time.
+
+use kitedale::Millis;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// Gives Unix time in milliseconds. It never steps: the system's clock is read at the start only.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    start_ms: Millis,
+}
+
+impl Clock {
+    /// A clock anchored now.
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), start_ms: unix.as_secs_f64() * 1000.0 }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Millis {
+        self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// The instant of a time; one that has passed before the start is the start.
+    pub fn instant(&self, at: Millis) -> Instant {
+        self.start + millis(at - self.start_ms)
+    }
+}
+
+/// A length of time; nothing if it is negative or no number, and a day at the most.
+pub fn millis(ms: Millis) -> Duration {
+    const DAY: Millis = 86_400_000.0;
+    Duration::from_secs_f64(ms.clamp(0.0, DAY).max(0.0) / 1000.0)
+}
--- /dev/null
+++ b/src/bin/ivygate/discovery.rs
@@ -0,0 +1,179 @@
+//! The list of app servers: starts from what is known, lists, watches, and comes back after failures.
+
+use crate::driver::Driver;
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+/// The list or a change of it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listing {
+    /// Its version.
+    pub rev: u64,
+    /// Whether what it lacks is gone.
+    pub all: bool,
+    /// The entries.
+    #[serde(default)]
+    pub targets: Vec<Target>,
+}
+
+/// One app server on the list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Target {
+    /// Its name, the same at every node.
+    pub uid: String,
+    /// Where it listens; one that is gone need not listen anywhere.
+    pub endpoint: Option<SocketAddr>,
+    /// Its zone.
+    #[serde(default)]
+    pub az: String,
+    /// Its cell.
+    #[serde(default)]
+    pub pod_group: u32,
+    /// Its state.
+    pub state: TargetState,
+    /// Its size against the others.
+    #[serde(default = "one")]
+    pub capacity_hint: f64,
+    /// When it last started, in Unix time; 0 for long ago.
+    #[serde(default)]
+    pub boot_ms: f64,
+}
+
+/// State of an app server on the list.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum TargetState {
+    /// Takes requests.
+    Serving,
+    /// Finishes what it has.
+    Draining,
+    /// Removed.
+    Deleted,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Longest time for a connection to the agent, which is on this machine.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Longest time for an answer's head and for a whole list.
+const ANSWER: Duration = Duration::from_secs(3);
+/// A watch has an empty line every 2 s; one that is silent for this long is dead without having said so.
+const SILENCE: Duration = Duration::from_secs(5);
+/// First wait after a failure; doubles up to the last.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Longest list or line that is believed; guards the memory against a peer that never ends its line.
+const LIST_MOST: usize = 4 << 20;
+
+/// What went wrong with a call. The cure is the same for all: wait, and call again.
+enum Trouble {
+    /// No connection, no answer, or the answer ended.
+    Lost,
+    /// An answer or a line that cannot be read: the list must be fetched anew.
+    Unreadable,
+}
+
+/// Keeps the driver informed for as long as the node runs.
+pub async fn follow(driver: Rc<Driver>, agent: SocketAddr, known: Option<u64>) {
+    let mut rev = known;
+    let mut whole = true;
+    let mut wait = BACK_OFF.0;
+    loop {
+        if whole {
+            if let Ok(listing) = list(agent).await {
+                rev = Some(listing.rev);
+                driver.list(listing);
+                whole = false;
+                wait = BACK_OFF.0;
+            }
+        }
+        // A watch brings the list too where fetching it failed, so it is tried all the same.
+        let mut heard = false;
+        if let Err(Trouble::Unreadable) = watch(agent, &driver, &mut rev, &mut heard).await {
+            whole = true;
+        }
+        // Only a watch that has brought a line counts as a success: an agent that accepts and hangs up,
+        // or answers nonsense, is not called in a tight loop.
+        wait = if heard { BACK_OFF.0 } else { (wait * 2).min(BACK_OFF.1) };
+        sleep(wait).await;
+    }
+}
+
+/// A connection of its own for each call; it ends with this.
+struct Call {
+    body: Incoming,
+    connection: AbortHandle,
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.connection.abort();
+    }
+}
+
+async fn call(agent: SocketAddr, path: &str) -> Option<Call> {
+    let stream = timeout(CONNECT, TcpStream::connect(agent)).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let connection = tokio::task::spawn_local(connection).abort_handle();
+    let request = Request::get(path).header("host", agent.to_string()).body(Empty::<Bytes>::new()).ok()?;
+    match timeout(ANSWER, sender.send_request(request)).await {
+        Ok(Ok(answer)) if answer.status() == StatusCode::OK => {
+            Some(Call { body: answer.into_body(), connection })
+        }
+        _ => {
+            connection.abort();
+            None
+        }
+    }
+}
+
+async fn list(agent: SocketAddr) -> Result<Listing, Trouble> {
+    let mut call = call(agent, "/discovery/hosts").await.ok_or(Trouble::Lost)?;
+    let body = http_body_util::Limited::new(&mut call.body, LIST_MOST).collect();
+    let body = timeout(ANSWER, body).await.map_err(|_| Trouble::Lost)?.map_err(|_| Trouble::Lost)?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|_| Trouble::Unreadable)
+}
+
+async fn watch(
+    agent: SocketAddr,
+    driver: &Rc<Driver>,
+    rev: &mut Option<u64>,
+    heard: &mut bool,
+) -> Result<(), Trouble> {
+    let path = format!("/discovery/hosts?stream=1&index={}", rev.unwrap_or(0));
+    let mut call = call(agent, &path).await.ok_or(Trouble::Lost)?;
+    let mut text = BytesMut::new();
+    loop {
+        let frame = timeout(SILENCE, call.body.frame()).await.map_err(|_| Trouble::Lost)?;
+        let frame = frame.ok_or(Trouble::Lost)?.map_err(|_| Trouble::Lost)?;
+        let Ok(data) = frame.into_data() else { continue };
+        let mut from = text.len();
+        text.extend_from_slice(&data);
+        while let Some(end) = text[from..].iter().position(|byte| *byte == b'\n') {
+            let line = text.split_to(from + end);
+            text.advance(1);
+            from = 0;
+            if !line.trim_ascii().is_empty() {
+                let listing: Listing = serde_json::from_slice(&line).map_err(|_| Trouble::Unreadable)?;
+                *rev = Some(listing.rev);
+                driver.list(listing);
+            }
+            *heard = true;
+        }
+        if text.len() > LIST_MOST {
+            return Err(Trouble::Unreadable);
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/ivygate/driver.rs
@@ -0,0 +1,489 @@
+//! The only owner of the [`Gateway`]: feeds events in, carries out actions, holds the timers and the table
+//! of open requests.
+//!
+//! All runs on one thread. What an action leads to is queued and handled in order, never from within.
+
+use crate::clock::Clock;
+use crate::discovery::{Listing, TargetState};
+use crate::upstream::{End, Progress, Upstream};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Method, Request, Uri};
+use kitedale::{
+    Action, Arrival, Done, Event, Gateway, ListKind, Member, Millis, Outcome, RequestId, ServerId,
+    ServerState,
+};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::{oneshot, Notify};
+use tokio::task::AbortHandle;
+use tokio::time::sleep_until;
+
+/// Kept before a client's deadline for the way there and back: the node decides as if it came that much
+/// earlier. In milliseconds.
+const WAY: Millis = 12.0;
+/// When the last guard answers, before the client's deadline: later than any decision, early enough to
+/// arrive. In milliseconds.
+const GUARD: Millis = 5.0;
+/// Period in which idle connections are looked through, in milliseconds.
+const SWEEP: Millis = 500.0;
+/// A header whose value this node alone sets.
+const DEADLINE: &str = "req-deadline";
+
+/// A client's request, read and checked.
+pub struct Ask {
+    /// Its id.
+    pub id: RequestId,
+    /// Its class.
+    pub class: Arc<str>,
+    /// The customer's plan.
+    pub plan: Arc<str>,
+    /// The customer.
+    pub customer: Arc<str>,
+    /// Units that it takes from the quota.
+    pub units: f64,
+    /// Nodes through which the customer's requests may come.
+    pub width: u32,
+    /// When the client gives up.
+    pub deadline: Millis,
+    /// What goes on to an app server, unchanged.
+    pub message: Message,
+}
+
+/// A request as it goes on to an app server.
+pub struct Message {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers, without those that belong to the client's connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Message {
+    fn request(&self, left: Millis) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = format!("{}u", (left * 1000.0) as u64);
+        if let Ok(left) = HeaderValue::try_from(left) {
+            request.headers_mut().insert(DEADLINE, left);
+        }
+        request
+    }
+}
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// Served, with the app server's body and its type.
+    Served(Bytes, Option<HeaderValue>),
+    /// Refused; the client should stay away this long, or is told nothing if it is 0.
+    Refused(Millis),
+    /// Failed.
+    Failed,
+    /// Failed because the time was up.
+    TimeUp,
+}
+
+/// A request that has arrived, until its answer is given and all its attempts have ended.
+struct Open {
+    message: Rc<Message>,
+    deadline: Millis,
+    /// Where the answer goes; empty once it is given.
+    answer: Option<oneshot::Sender<Answer>>,
+    attempts: Vec<Attempt>,
+    guard: TimerKey,
+}
+
+struct Attempt {
+    server: ServerId,
+    sent_at: Millis,
+    progress: Rc<Progress>,
+    task: AbortHandle,
+    timer: TimerKey,
+    ended: bool,
+}
+
+/// Timers in order: microseconds of Unix time, and a number that makes each unique.
+type TimerKey = (u64, u64);
+
+enum Timer {
+    /// The gateway's own.
+    Gateway(u64),
+    /// An attempt's time is up.
+    GiveUp(RequestId, u32),
+    /// A request's deadline is near.
+    Guard(RequestId),
+    /// Idle connections are to be looked through.
+    Sweep,
+}
+
+struct Listed {
+    uid: String,
+    address: SocketAddr,
+    state: TargetState,
+}
+
+struct State {
+    gateway: Gateway,
+    requests: HashMap<RequestId, Open>,
+    timers: BTreeMap<TimerKey, Timer>,
+    timer_number: u64,
+    servers: HashMap<ServerId, Listed>,
+    names: HashMap<String, ServerId>,
+    next_server: ServerId,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+}
+
+/// Ties the gateway to clients, app servers, discovery and the clock.
+pub struct Driver {
+    state: RefCell<State>,
+    upstream: Upstream,
+    clock: Clock,
+    /// A timer became the first.
+    sooner: Notify,
+}
+
+impl Driver {
+    /// A driver with nothing open.
+    pub fn new(gateway: Gateway, clock: Clock, upstream: Upstream) -> Rc<Self> {
+        let state = State {
+            gateway,
+            requests: HashMap::new(),
+            timers: BTreeMap::new(),
+            timer_number: 0,
+            servers: HashMap::new(),
+            names: HashMap::new(),
+            next_server: 0,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+        };
+        let driver = Rc::new(Self { state: RefCell::new(state), upstream, clock, sooner: Notify::new() });
+        driver.set_timer(&mut driver.state.borrow_mut(), clock.now() + SWEEP, Timer::Sweep);
+        driver
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Whether an app server is known that could serve.
+    pub fn ready(&self) -> bool {
+        self.state.borrow().servers.values().any(|s| s.state == TargetState::Serving)
+    }
+
+    /// Takes a request; its one answer comes through the receiver. `None` if a request of the same id is
+    /// still open: answering both by one run, or running both, would each break a promise.
+    pub fn arrive(self: &Rc<Self>, ask: Ask) -> Option<oneshot::Receiver<Answer>> {
+        let mut state = self.state.borrow_mut();
+        if state.requests.contains_key(&ask.id) {
+            return None;
+        }
+        let (answer, receiver) = oneshot::channel();
+        let guard = self.set_timer(&mut state, ask.deadline - GUARD, Timer::Guard(ask.id.clone()));
+        let deadline = ask.deadline - WAY;
+        let open = Open {
+            message: Rc::new(ask.message),
+            deadline,
+            answer: Some(answer),
+            attempts: Vec::new(),
+            guard,
+        };
+        state.requests.insert(ask.id.clone(), open);
+        state.events.push_back(Event::Arrival(Arrival {
+            request: ask.id,
+            class: ask.class,
+            plan: ask.plan,
+            customer: ask.customer,
+            deadline,
+            units: ask.units,
+            width: ask.width,
+        }));
+        self.work(&mut state);
+        Some(receiver)
+    }
+
+    /// The client has left: nothing is owed any more, and what is out for it is given up.
+    pub fn client_gone(self: &Rc<Self>, id: &RequestId) {
+        let mut state = self.state.borrow_mut();
+        let Some(open) = state.requests.get_mut(id) else { return };
+        if open.answer.take().is_some() {
+            self.leave(&mut state, id);
+        }
+    }
+
+    /// Tells the gateway that nothing is owed for a request any more.
+    fn leave(self: &Rc<Self>, state: &mut State, id: &RequestId) {
+        state.events.push_back(Event::ClientGone { request: id.clone() });
+        self.work(state);
+        state.drop_if_over(id);
+    }
+
+    /// News of the list of app servers.
+    pub fn list(self: &Rc<Self>, listing: Listing) {
+        let mut state = self.state.borrow_mut();
+        let kind = if listing.all { ListKind::Full } else { ListKind::Changes };
+        if listing.all {
+            let named: HashSet<&str> = listing.targets.iter().map(|t| t.uid.as_str()).collect();
+            let gone: Vec<_> = state
+                .servers
+                .iter()
+                .filter(|(_, s)| !named.contains(s.uid.as_str()))
+                .map(|(id, _)| *id)
+                .collect();
+            for server in gone {
+                self.remove(&mut state, server);
+            }
+        }
+        let mut members = Vec::with_capacity(listing.targets.len());
+        for target in listing.targets {
+            let known = state.names.get(&target.uid).copied();
+            let gone = target.state == TargetState::Deleted;
+            let server = match known {
+                Some(server) => server,
+                None if gone => continue,
+                None => {
+                    state.next_server += 1;
+                    state.next_server
+                }
+            };
+            members.push(Member {
+                server,
+                zone: target.az,
+                cell: target.pod_group,
+                state: match target.state {
+                    TargetState::Serving => ServerState::Ready,
+                    TargetState::Draining => ServerState::Draining,
+                    TargetState::Deleted => ServerState::Gone,
+                },
+                weight: target.capacity_hint,
+                started: Some(target.boot_ms).filter(|ms| *ms > 0.0),
+            });
+            match target.endpoint {
+                Some(address) if !gone => {
+                    if target.state == TargetState::Draining {
+                        self.upstream.forget(server);
+                    }
+                    state.names.insert(target.uid.clone(), server);
+                    let listed = Listed { uid: target.uid, address, state: target.state };
+                    state.servers.insert(server, listed);
+                }
+                _ => self.remove(&mut state, server),
+            }
+        }
+        state.events.push_back(Event::List { kind, members: members.into() });
+        self.work(&mut state);
+    }
+
+    fn remove(&self, state: &mut State, server: ServerId) {
+        self.upstream.forget(server);
+        if let Some(listed) = state.servers.remove(&server) {
+            state.names.remove(&listed.uid);
+        }
+    }
+
+    /// Fires timers for as long as the node runs.
+    pub async fn run_timers(self: Rc<Self>) {
+        loop {
+            let first = self.state.borrow().timers.keys().next().copied();
+            match first {
+                Some((at, _)) => {
+                    tokio::select! {
+                        () = sleep_until(self.clock.instant(at as f64 / 1000.0)) => self.fire(),
+                        () = self.sooner.notified() => {}
+                    }
+                }
+                None => self.sooner.notified().await,
+            }
+        }
+    }
+
+    fn fire(self: &Rc<Self>) {
+        let mut state = self.state.borrow_mut();
+        let now = micros(self.clock.now());
+        // Only what is due now: a timer set meanwhile for a time that has passed fires in the next round.
+        let later = state.timers.split_off(&(now + 1, 0));
+        for (_, timer) in std::mem::replace(&mut state.timers, later) {
+            match timer {
+                Timer::Gateway(token) => state.events.push_back(Event::Timer { token }),
+                Timer::GiveUp(id, number) => self.give_up(&mut state, &id, number, Outcome::Timeout),
+                Timer::Guard(id) => {
+                    // The last guard: whatever the gateway waits for, a client is answered in time.
+                    if state.answer(&id, Answer::TimeUp) {
+                        self.leave(&mut state, &id);
+                    }
+                }
+                Timer::Sweep => {
+                    self.upstream.sweep();
+                    self.set_timer(&mut state, self.clock.now() + SWEEP, Timer::Sweep);
+                }
+            }
+            self.work(&mut state);
+        }
+    }
+
+    fn set_timer(&self, state: &mut State, at: Millis, timer: Timer) -> TimerKey {
+        state.timer_number += 1;
+        let key = (micros(at), state.timer_number);
+        state.timers.insert(key, timer);
+        if state.timers.keys().next() == Some(&key) {
+            self.sooner.notify_one();
+        }
+        key
+    }
+
+    /// Feeds queued events to the gateway and carries out what it wants, until neither is left.
+    fn work(self: &Rc<Self>, state: &mut State) {
+        while let Some(event) = state.events.pop_front() {
+            let mut actions = std::mem::take(&mut state.actions);
+            state.gateway.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(state, action);
+            }
+            state.actions = actions;
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
+        match action {
+            Action::Send { request, server, give_up_at } => self.send(state, request, server, give_up_at),
+            Action::Refuse { request, retry_after } => {
+                state.answer(&request, Answer::Refused(retry_after));
+                state.drop_if_over(&request);
+            }
+            Action::Fail { request } => {
+                state.answer(&request, Answer::Failed);
+                state.drop_if_over(&request);
+            }
+            Action::Cancel { request, attempt } => self.give_up(state, &request, attempt, Outcome::Cancelled),
+            Action::Timer { token, at } => {
+                self.set_timer(state, at, Timer::Gateway(token));
+            }
+            Action::Log { text } => eprintln!("{text}"),
+            // This node's discovery is always subscribed to, and app servers are never probed: the protocol
+            // has no message for it.
+            Action::Subscribe | Action::Probe { .. } => {}
+        }
+    }
+
+    fn send(self: &Rc<Self>, state: &mut State, id: RequestId, server: ServerId, give_up_at: Millis) {
+        let now = self.clock.now();
+        let State { requests, servers, timer_number, timers, .. } = state;
+        let Some(open) = requests.get_mut(&id) else { return };
+        let number = open.attempts.len() as u32;
+        let give_up_at = if give_up_at > 0.0 { give_up_at.min(open.deadline) } else { open.deadline };
+        let progress = Rc::new(Progress::default());
+        let address = servers.get(&server).map(|s| s.address);
+        let attempt = {
+            let (driver, id, progress) = (self.clone(), id.clone(), progress.clone());
+            let message = open.message.clone();
+            async move {
+                let request = || driver.may_write(server, give_up_at).map(|left| message.request(left));
+                let end = match address {
+                    Some(address) => driver.upstream.attempt(server, address, &progress, request).await,
+                    None => End::bare(Outcome::Moot),
+                };
+                driver.attempt_ended(&id, number, end);
+            }
+        };
+        let task = tokio::task::spawn_local(attempt).abort_handle();
+        *timer_number += 1;
+        let timer = (micros(give_up_at), *timer_number);
+        timers.insert(timer, Timer::GiveUp(id, number));
+        if timers.keys().next() == Some(&timer) {
+            self.sooner.notify_one();
+        }
+        open.attempts.push(Attempt { server, sent_at: now, progress, task, timer, ended: false });
+    }
+
+    /// The time left for an attempt whose first byte is about to be written, unless it must not be: the
+    /// server drains or is gone by now, or its time is up. Where the client has left the attempt has been
+    /// given up, and never comes here.
+    fn may_write(&self, server: ServerId, give_up_at: Millis) -> Option<Millis> {
+        let left = give_up_at - self.clock.now();
+        let state = self.state.borrow();
+        let serving = state.servers.get(&server).is_some_and(|s| s.state == TargetState::Serving);
+        (serving && left > 0.0).then_some(left)
+    }
+
+    /// Stops waiting for an attempt and closes its connection.
+    fn give_up(&self, state: &mut State, id: &RequestId, number: u32, outcome: Outcome) {
+        let Some(attempt) = state.attempt(id, number) else { return };
+        attempt.task.abort();
+        // What was never written can't have run: an unsafe request may then be tried again or refused.
+        let outcome = if attempt.progress.may_have_run() { outcome } else { Outcome::Moot };
+        self.end(state, id, number, End::bare(outcome));
+    }
+
+    fn attempt_ended(self: &Rc<Self>, id: &RequestId, number: u32, end: End) {
+        let mut state = self.state.borrow_mut();
+        self.end(&mut state, id, number, end);
+        self.work(&mut state);
+    }
+
+    /// Takes in how an attempt ended, once for each.
+    fn end(&self, state: &mut State, id: &RequestId, number: u32, end: End) {
+        let now = self.clock.now();
+        let Some(attempt) = state.attempt(id, number) else { return };
+        attempt.ended = true;
+        let (server, sent_at, timer) = (attempt.server, attempt.sent_at, attempt.timer);
+        state.timers.remove(&timer);
+        if end.outcome == Outcome::Ok {
+            state.answer(id, Answer::Served(end.body, end.content_type));
+        }
+        let closed = state.requests.get(id).is_none_or(|open| open.answer.is_none());
+        state.events.push_back(Event::Done(Done {
+            request: id.clone(),
+            attempt: number,
+            server,
+            outcome: end.outcome,
+            elapsed: now - sent_at,
+            closed,
+            use_percent: end.use_percent,
+            load: end.load,
+        }));
+        state.drop_if_over(id);
+    }
+}
+
+impl State {
+    /// An attempt that has not ended.
+    fn attempt(&mut self, id: &RequestId, number: u32) -> Option<&mut Attempt> {
+        self.requests.get_mut(id)?.attempts.get_mut(number as usize).filter(|a| !a.ended)
+    }
+
+    /// The one place from which a final answer goes out; it fires once for a request.
+    fn answer(&mut self, id: &RequestId, answer: Answer) -> bool {
+        let Some(open) = self.requests.get_mut(id) else { return false };
+        let Some(sender) = open.answer.take() else { return false };
+        let guard = open.guard;
+        self.timers.remove(&guard);
+        // A client that has just left needs no answer; it is told to the gateway by whoever noticed.
+        let _ = sender.send(answer);
+        true
+    }
+
+    /// Forgets a request that is answered and has no attempt out.
+    fn drop_if_over(&mut self, id: &RequestId) {
+        let over = |open: &Open| open.answer.is_none() && open.attempts.iter().all(|a| a.ended);
+        if self.requests.get(id).is_some_and(over) {
+            if let Some(open) = self.requests.remove(id) {
+                self.timers.remove(&open.guard);
+            }
+        }
+    }
+}
+
+fn micros(at: Millis) -> u64 {
+    (at.max(0.0) * 1000.0) as u64
+}
--- /dev/null
+++ b/src/bin/ivygate/main.rs
@@ -0,0 +1,70 @@
+//! One edge node on real sockets: clients on one side, app servers on the other, and between them the
+//! decisions of the library.
+
+mod clock;
+mod config;
+mod discovery;
+mod driver;
+mod server;
+mod upstream;
+
+use clock::Clock;
+use config::Config;
+use driver::Driver;
+use kitedale::Gateway;
+use server::Server;
+use std::process::ExitCode;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::LocalSet;
+use upstream::Upstream;
+
+/// Descriptors that neither side may use: listener, discovery, the runtime's own, standard streams and
+/// sockets in the act of closing.
+fn reserve(sockets: usize) -> usize {
+    (sockets / 16).max(16)
+}
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ivygate: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), Box<dyn std::error::Error>> {
+    let config = Config::load()?;
+    let gateway = Gateway::new(config.settings.clone(), config.seed).map_err(|e| format!("settings: {e}"))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(config, gateway))
+}
+
+async fn serve(config: Config, gateway: Gateway) -> Result<(), Box<dyn std::error::Error>> {
+    let each = (config.sockets - reserve(config.sockets)) / 2;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let clock = Clock::new();
+    let classes = config.settings.classes.iter().map(|c| (c.name.as_str().into(), c.effect)).collect();
+    let plans = config.settings.plans.iter().map(|p| p.name.as_str().into()).collect();
+    let driver = Driver::new(gateway, clock, Upstream::new(config.links, each));
+    let rev = config.known.as_ref().map(|list| list.rev);
+    if let Some(known) = config.known {
+        driver.list(known);
+    }
+    let listener = TcpListener::bind(config.listen)
+        .await
+        .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+    tokio::task::spawn_local(driver.clone().run_timers());
+    tokio::task::spawn_local(discovery::follow(driver.clone(), config.discovery, rev));
+    let server = Server::new(driver, classes, plans, each);
+    let accepting = tokio::task::spawn_local(server.clone().accept(listener));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    server.wind_up(accepting).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/ivygate/upstream.rs
@@ -0,0 +1,380 @@
+//! Connections to app servers and the attempts on them. One request at a time on each connection.
+
+use crate::clock::millis;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{Connection, SendRequest};
+use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use kitedale::{Links, Load, Outcome, ServerId};
+use serde::Deserialize;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::{poll_fn, Future};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
+
+/// Longest body of a message.
+pub const BODY_MOST: usize = 64 << 10;
+/// Part of the time after which app servers close an idle connection for which one is kept here: a request
+/// written to a connection that the other side is just closing is a reset.
+const KEEP_PART: f64 = 0.6;
+/// Where the settings tell no such time.
+const KEEP_UNTOLD: Duration = Duration::from_secs(4);
+/// And where they tell no time for connecting.
+const CONNECT_UNTOLD: Duration = Duration::from_secs(1);
+
+/// What an attempt came to.
+pub struct End {
+    /// Its outcome, by the protocol's table.
+    pub outcome: Outcome,
+    /// The body that came with a good answer.
+    pub body: Bytes,
+    /// And that body's type.
+    pub content_type: Option<HeaderValue>,
+    /// The customer's use, in percent.
+    pub use_percent: Option<f64>,
+    /// The app server's load.
+    pub load: Load,
+}
+
+impl End {
+    /// An end that brought nothing along.
+    pub fn bare(outcome: Outcome) -> Self {
+        Self { outcome, body: Bytes::new(), content_type: None, use_percent: None, load: Load::default() }
+    }
+}
+
+/// How far an attempt has come, for whoever gives it up.
+#[derive(Default)]
+pub struct Progress {
+    /// The bytes that its connection has taken, and how many there were before this attempt.
+    written: RefCell<Option<(Rc<Cell<u64>>, u64)>>,
+}
+
+impl Progress {
+    /// Whether any byte has been written: from then on, in doubt, the request may have run. A request is
+    /// written in one piece, so knowing less than its last byte costs next to nothing.
+    pub fn may_have_run(&self) -> bool {
+        self.written.borrow().as_ref().is_some_and(|(written, before)| written.get() > *before)
+    }
+
+    fn begin(&self, written: &Rc<Cell<u64>>) {
+        *self.written.borrow_mut() = Some((written.clone(), written.get()));
+    }
+}
+
+/// All connections to app servers.
+pub struct Upstream {
+    idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+    keep: Duration,
+    connect: Duration,
+}
+
+struct Idle {
+    link: Link,
+    since: Instant,
+}
+
+/// One connection. It is driven by whoever uses it, so nothing is left running when it is dropped.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    connection: Connection<TokioIo<Counted>, Full<Bytes>>,
+    written: Rc<Cell<u64>>,
+    address: SocketAddr,
+}
+
+impl Link {
+    /// Whether another request may be written: the other side has not closed it, and all that it sent was
+    /// read. Looks without waiting.
+    async fn usable(&mut self) -> bool {
+        let ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready())).await;
+        !ended && self.sender.is_ready()
+    }
+}
+
+impl Upstream {
+    /// No connection yet, and never more than `most`.
+    pub fn new(links: Links, most: usize) -> Self {
+        Self {
+            idle: RefCell::default(),
+            open: Rc::default(),
+            most,
+            keep: links.keepalive.map_or(KEEP_UNTOLD, |ms| millis(ms * KEEP_PART)),
+            connect: links.connect_timeout.map_or(CONNECT_UNTOLD, millis),
+        }
+    }
+
+    /// Closes the idle connections to a server.
+    pub fn forget(&self, server: ServerId) {
+        self.idle.borrow_mut().remove(&server);
+    }
+
+    /// Closes what has been idle for too long.
+    pub fn sweep(&self) {
+        let keep = self.keep;
+        self.idle.borrow_mut().retain(|_, links| {
+            links.retain(|idle| idle.since.elapsed() < keep);
+            !links.is_empty()
+        });
+    }
+
+    /// One attempt. `request` is asked for the request when a connection stands and just before its first
+    /// byte is written; `None` means that it must not be sent any more.
+    ///
+    /// Dropping the future gives the attempt up and closes its connection.
+    pub async fn attempt(
+        &self,
+        server: ServerId,
+        address: SocketAddr,
+        progress: &Progress,
+        request: impl Fn() -> Option<Request<Full<Bytes>>>,
+    ) -> End {
+        loop {
+            let (mut link, reused) = match self.idle_link(server, address).await {
+                Some(link) => (link, true),
+                None => match self.connect(address).await {
+                    Ok(link) => (link, false),
+                    Err(outcome) => return End::bare(outcome),
+                },
+            };
+            // Guards against what happened while connecting: the client left, the server drains, time is up.
+            let Some(request) = request() else { return End::bare(Outcome::Moot) };
+            progress.begin(&link.written);
+            match exchange(&mut link, request).await {
+                Ok((answer, stands)) => {
+                    let end = read_answer(answer);
+                    if stands && link.usable().await {
+                        self.put_back(server, link);
+                    }
+                    return end;
+                }
+                Err(Broken::TooLong) => return End::bare(Outcome::Error),
+                Err(Broken::Lost) if progress.may_have_run() => return End::bare(Outcome::Reset),
+                // Not a byte was written, so taking another connection sends nothing again.
+                Err(Broken::Lost) if reused => continue,
+                Err(Broken::Lost) => return End::bare(Outcome::ConnectFailed),
+            }
+        }
+    }
+
+    /// The idle connection last used; the others get the rest that lets them go.
+    async fn idle_link(&self, server: ServerId, address: SocketAddr) -> Option<Link> {
+        loop {
+            let idle = self.idle.borrow_mut().get_mut(&server)?.pop()?;
+            let mut link = idle.link;
+            if idle.since.elapsed() < self.keep && link.address == address && link.usable().await {
+                return Some(link);
+            }
+        }
+    }
+
+    fn put_back(&self, server: ServerId, link: Link) {
+        let idle = Idle { link, since: Instant::now() };
+        self.idle.borrow_mut().entry(server).or_default().push(idle);
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Link, Outcome> {
+        if self.open.get() >= self.most && !self.close_oldest() {
+            // No descriptor to spare: a want of this node's own, which tells nothing of the server.
+            return Err(Outcome::Moot);
+        }
+        let slot = Slot::take(&self.open);
+        let stream = match timeout(self.connect, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if out_of_descriptors(&error) => return Err(Outcome::Moot),
+            Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
+        };
+        stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+        let written = Rc::new(Cell::new(0));
+        let io = TokioIo::new(Counted { stream, written: written.clone(), _slot: slot });
+        let (sender, connection) =
+            hyper::client::conn::http1::handshake(io).await.map_err(|_| Outcome::ConnectFailed)?;
+        Ok(Link { sender, connection, written, address })
+    }
+
+    /// Makes room by closing the connection that has been idle longest.
+    fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|links| !links.is_empty()).min_by_key(|links| links[0].since);
+        oldest.map(|links| links.remove(0)).is_some()
+    }
+}
+
+/// Whether an error says that this process or machine has no descriptor left (EMFILE, ENFILE).
+pub fn out_of_descriptors(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(23 | 24))
+}
+
+/// Why there was no whole answer.
+enum Broken {
+    /// The connection ended or broke.
+    Lost,
+    /// The answer was longer than any may be.
+    TooLong,
+}
+
+/// An answer that has come whole.
+struct Whole {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Writes a request and reads its answer; tells too whether the connection still stands.
+async fn exchange(link: &mut Link, request: Request<Full<Bytes>>) -> Result<(Whole, bool), Broken> {
+    let Link { sender, connection, .. } = link;
+    let answer = async {
+        let answer = sender.send_request(request).await.map_err(|_| Broken::Lost)?;
+        read_whole(answer).await
+    };
+    tokio::pin!(answer);
+    tokio::select! {
+        biased;
+        whole = &mut answer => return whole.map(|whole| (whole, true)),
+        _ = connection => {}
+    }
+    // The connection has ended, as one does whose answer said so. What it brought is still to be read.
+    answer.await.map(|whole| (whole, false))
+}
+
+async fn read_whole(answer: Response<Incoming>) -> Result<Whole, Broken> {
+    let (parts, body) = answer.into_parts();
+    // Guards against an answer cut short that looks whole: without a length or chunks only the
+    // connection's end would mark the body's, and a server that dies ends it too.
+    let framed = parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
+    if !framed && !body.is_end_stream() {
+        return Err(Broken::Lost);
+    }
+    let body = Limited::new(body, BODY_MOST).collect().await.map_err(|error| {
+        if error.is::<LengthLimitError>() {
+            Broken::TooLong
+        } else {
+            Broken::Lost
+        }
+    })?;
+    Ok(Whole { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+}
+
+fn read_answer(answer: Whole) -> End {
+    let headers = &answer.headers;
+    let declined = headers.get("srv-declined").is_some_and(|v| v.as_bytes() == b"1");
+    let outcome = match answer.status {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    // A header that cannot be read is as good as none: it is a hint, and the answer itself is whole.
+    let use_percent =
+        headers.get("api-usage").and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse().ok());
+    let load = headers.get("srv-load").and_then(|v| serde_json::from_slice(v.as_bytes()).ok());
+    End {
+        outcome,
+        use_percent: use_percent.filter(|u: &f64| u.is_finite() && *u >= 0.0),
+        load: load.map_or_else(Load::default, LoadReport::load),
+        content_type: headers.get(CONTENT_TYPE).cloned(),
+        body: answer.body,
+    }
+}
+
+/// The fields of a load report that a gateway takes in.
+#[derive(Deserialize)]
+struct LoadReport {
+    inflight: Option<f64>,
+    queue: Option<f64>,
+    util: Option<f64>,
+    latency_ms: Option<f64>,
+}
+
+impl LoadReport {
+    fn load(self) -> Load {
+        let sound = |v: Option<f64>| v.filter(|v| v.is_finite() && *v >= 0.0);
+        Load {
+            in_flight: sound(self.inflight),
+            queue: sound(self.queue),
+            utilization: sound(self.util),
+            service_time: sound(self.latency_ms),
+        }
+    }
+}
+
+/// Counts an open descriptor for as long as it lives.
+struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    fn take(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A stream that counts the bytes that it has taken for writing.
+struct Counted {
+    stream: TcpStream,
+    written: Rc<Cell<u64>>,
+    _slot: Slot,
+}
+
+impl Counted {
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.written.set(self.written.get() + *bytes as u64);
+        }
+        written
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.count(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/bin/kitedale-wirehost/main.rs
+++ b/src/bin/kitedale-wirehost/main.rs
@@ -1,7 +1,6 @@
 //! Hosts many gateways on the simulator's wire: batches of events on standard input, a reply of
 //! actions for each on standard output.
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufReader, BufWriter};
--- a/src/bin/kitedale-wirehost/wire.rs
+++ b/src/bin/kitedale-wirehost/wire.rs
@@ -1,7 +1,6 @@
 //! Lines of the wire to events, actions to lines.
 
-use crate::settings;
-use kitedale::{Action, Arrival, Done, Event, Gateway, ListKind, Load, Member, Outcome, ServerState};
+use kitedale::{Action, Arrival, Done, Event, Gateway, ListKind, Load, Member, Outcome, ServerState, Setup};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{self, BufRead, Write};
@@ -118,7 +117,9 @@
         let node = m.whole("node")?;
         match m.name {
             "enlist" => {
-                let settings = settings::parse(m.text("setup")?).map_err(|e| m.bad("setup", &e))?;
+                let settings = Setup::parse(m.text("setup")?)
+                    .and_then(Setup::settings)
+                    .map_err(|e| m.bad("setup", &e))?;
                 let gateway = Gateway::new(settings, m.whole("salt")?).map_err(|e| m.bad("setup", &e))?;
                 self.gateways.insert(node, gateway);
                 return Ok(());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,10 +5,12 @@
 mod interface;
 mod rules;
 mod settings;
+mod setup;
 mod sketch;
 mod state;
 
 pub use interface::*;
 pub use rules::Gateway;
 pub use settings::SettingsError;
+pub use setup::{Links, Setup};
 pub use sketch::CountMinSketch;
--- a/src/bin/kitedale-wirehost/settings.rs
+++ b/src/setup.rs
@@ -1,11 +1,12 @@
-//! The settings object of the wire.
+//! The settings object, as the simulator's wire and a node's configuration both give it.
 
-use kitedale::{Class, Effect, KeyScope, Plan, Settings};
+use crate::interface::{Class, Effect, KeyScope, Millis, Plan, Settings};
 use serde::Deserialize;
 
+/// The settings object as it is written; [`Setup::settings`] gives what a gateway acts on.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct Setup {
+pub struct Setup {
     allowed: Allowed,
     az: String,
     balancers: u32,
@@ -24,6 +25,10 @@
 struct Allowed {
     cancel: bool,
     #[serde(default)]
+    connect_timeout_ms: f64,
+    #[serde(default)]
+    keepalive_ms: f64,
+    #[serde(default)]
     max_retry_after_ms: f64,
     may_probe: bool,
     most_tries: u32,
@@ -91,33 +96,62 @@
     overload_for_ms: f64,
 }
 
-/// Reads the settings; the error names the key that is missing or malformed.
-pub fn parse(text: &str) -> Result<Settings, String> {
-    let setup: Setup = serde_json::from_str(text).map_err(|e| e.to_string())?;
-    let classes = setup.classes.into_iter().map(class).collect::<Result<_, _>>()?;
-    Ok(Settings {
-        gateways: setup.balancers,
-        rank: setup.rank,
-        zone: setup.az,
-        classes,
-        plans: setup.contracts.into_iter().map(plan).collect(),
-        max_attempts: setup.allowed.most_tries,
-        hedging: setup.allowed.second_copies,
-        probing: setup.allowed.may_probe,
-        cancelling: setup.allowed.cancel,
-        list_on_request: match setup.discovery.as_str() {
-            "automatic" => false,
-            "subscribe" => true,
-            other => return Err(format!("unknown discovery '{other}'")),
-        },
-        max_retry_after: setup.allowed.retry_after.then_some(setup.allowed.max_retry_after_ms),
-        meter_period: (setup.domain.use_period_ms > 0.0).then_some(setup.domain.use_period_ms),
-        cross_zone_price: setup.prices.cross_zone,
-        cold_from: setup.rules.cold_from,
-        warm_after: setup.rules.warm_after_ms,
-        fall_multiple: setup.rules.fall_multiple,
-        fall_window: setup.rules.overload_for_ms,
-    })
+/// What the settings tell of connections to app servers; a decision needs none of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Links {
+    /// A connection not established by then has failed; `None` where the settings do not tell.
+    pub connect_timeout: Option<Millis>,
+    /// App servers close a connection that has stood idle for this long; `None` if they do not tell.
+    pub keepalive: Option<Millis>,
+}
+
+impl Setup {
+    /// Reads a settings object.
+    ///
+    /// # Errors
+    /// Names the key that is missing or malformed.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        serde_json::from_str(text).map_err(|e| e.to_string())
+    }
+
+    /// The part about connections.
+    pub fn links(&self) -> Links {
+        let given = |ms: f64| Some(ms).filter(|ms| ms.is_finite() && *ms > 0.0);
+        Links {
+            connect_timeout: given(self.allowed.connect_timeout_ms),
+            keepalive: given(self.allowed.keepalive_ms),
+        }
+    }
+
+    /// What a gateway acts on.
+    ///
+    /// # Errors
+    /// Names the key whose value is unknown.
+    pub fn settings(self) -> Result<Settings, String> {
+        Ok(Settings {
+            gateways: self.balancers,
+            rank: self.rank,
+            zone: self.az,
+            classes: self.classes.into_iter().map(class).collect::<Result<_, _>>()?,
+            plans: self.contracts.into_iter().map(plan).collect(),
+            max_attempts: self.allowed.most_tries,
+            hedging: self.allowed.second_copies,
+            probing: self.allowed.may_probe,
+            cancelling: self.allowed.cancel,
+            list_on_request: match self.discovery.as_str() {
+                "automatic" => false,
+                "subscribe" => true,
+                other => return Err(format!("unknown discovery '{other}'")),
+            },
+            max_retry_after: self.allowed.retry_after.then_some(self.allowed.max_retry_after_ms),
+            meter_period: (self.domain.use_period_ms > 0.0).then_some(self.domain.use_period_ms),
+            cross_zone_price: self.prices.cross_zone,
+            cold_from: self.rules.cold_from,
+            warm_after: self.rules.warm_after_ms,
+            fall_multiple: self.rules.fall_multiple,
+            fall_window: self.rules.overload_for_ms,
+        })
+    }
 }
 
 fn class(c: WireClass) -> Result<Class, String> {
