--- a/src/bin/kitedale-wirehost/main.rs
+++ b/src/bin/ivygate-adapter/main.rs
@@ -12,7 +12,7 @@
     match wire::Host::default().run(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("kitedale-wirehost: {error}");
+            eprintln!("ivygate-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/kitedale-wirehost/wire.rs
+++ b/src/bin/ivygate-adapter/wire.rs
@@ -1,6 +1,6 @@
 //! Lines of the wire to events, actions to lines.
 
-use kitedale::{Action, Arrival, Done, Event, Gateway, ListKind, Load, Member, Outcome, ServerState, Setup};
+use ivygate::{Action, Arrival, Done, Event, Gateway, ListKind, Load, Member, Outcome, ServerState, Setup};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{self, BufRead, Write};
--- a/src/bin/ivygate/clock.rs
+++ b/src/bin/ivygate/clock.rs
@@ -1,6 +1,6 @@
 //! The node's one clock: monotonic, and anchored once to Unix time.
 
-use kitedale::Millis;
+use ivygate::Millis;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
--- a/src/bin/ivygate/config.rs
+++ b/src/bin/ivygate/config.rs
@@ -1,7 +1,7 @@
 //! What a node is told at its start.
 
 use crate::discovery::Listing;
-use kitedale::{Links, Settings, Setup};
+use ivygate::{Links, Settings, Setup};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Uri};
-use kitedale::{
+use ivygate::{
     Action, Arrival, Done, Event, Gateway, ListKind, Member, Millis, Outcome, RequestId, ServerId,
     ServerState,
 };
--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -11,7 +11,7 @@
 use clock::Clock;
 use config::Config;
 use driver::Driver;
-use kitedale::Gateway;
+use ivygate::Gateway;
 use server::Server;
 use std::process::ExitCode;
 use tokio::net::TcpListener;
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -12,7 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use kitedale::{Effect, Millis, RequestId};
+use ivygate::{Effect, Millis, RequestId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use kitedale::{Links, Load, Outcome, ServerId};
+use ivygate::{Links, Load, Outcome, ServerId};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! kitedale makes the decisions of a gateway that holds customers to their quotas before a shared
+//! ivygate makes the decisions of a gateway that holds customers to their quotas before a shared
 //! back end. It opens no connection and reads no clock: the caller feeds [`Event`]s to a [`Gateway`]
 //! and carries out the [`Action`]s that come back.
 
--- a/tests/wirehost.rs
+++ b/tests/adapter.rs
@@ -11,7 +11,7 @@
     "inbound node=0 requestId=t/a cls=c gradeOfService=p holder=h deadlineMs=3001 priceUnits=1 width=1";
 
 fn run(input: &str) -> Output {
-    let mut host = Command::new(env!("CARGO_BIN_EXE_kitedale-wirehost"))
+    let mut host = Command::new(env!("CARGO_BIN_EXE_ivygate-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,6 +1,6 @@
 //! The module's behaviour, driven by made-up events.
 
-use kitedale::*;
+use ivygate::*;
 use std::sync::Arc;
 
 fn settings() -> Settings {
