Test the node over loopback sockets; let idle clients go at once at the bound

Seen: with 40 descriptors and 60 clients that send nothing or half a request, a good request got no answer within 20 s. Cause: Server::serve waited a second for each connection it closed, since hyper's graceful_shutdown does not end a connection on which no request has ever come whole; at one a second the queue did not move. Ruled out: the accept loop (it woke for each freed slot) and the bound itself (descriptors stayed under it). A connection that has never had a request is now dropped at once; one that was answered still gets its second to write.

The node now prints one line with its address at the start, from which the tests learn the port.

--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -57,6 +57,7 @@
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+    eprintln!("ivygate: listening on {}", listener.local_addr()?);
     tokio::task::spawn_local(driver.clone().run_timers());
     tokio::task::spawn_local(discovery::follow(driver.clone(), config.discovery, rev));
     let server = Server::new(driver, classes, plans, each);
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -38,6 +38,8 @@
 const WIND_UP_IDLE: Duration = Duration::from_millis(500);
 /// And new ones are taken for this much longer, for requests that crossed the end of an idle one.
 const WIND_UP_ACCEPT: Duration = Duration::from_millis(150);
+/// A request that is only now coming in on a connection just accepted is given this long then.
+const FIRST_REQUEST: Duration = Duration::from_millis(50);
 
 /// Accepts clients and serves them.
 pub struct Server {
@@ -59,6 +61,8 @@
 struct Client {
     /// A request is being read or served.
     busy: Cell<bool>,
+    /// A request has been answered.
+    served: Cell<bool>,
     /// Since when it is, or is not.
     since: Cell<Instant>,
     /// It is to close as soon as nothing is under way on it.
@@ -119,7 +123,7 @@
     pub async fn wind_up(&self, accepting: JoinHandle<()>) {
         self.ending.set(true);
         sleep(WIND_UP_IDLE).await;
-        self.close_idle(Duration::ZERO);
+        self.close_idle(FIRST_REQUEST);
         sleep(WIND_UP_ACCEPT).await;
         self.stop.notify_one();
         // It ends by itself; a failure of its own changes nothing about the end.
@@ -128,9 +132,8 @@
             if self.clients.borrow().is_empty() {
                 return;
             }
-            // A request that is only now coming in on a connection just accepted is given some time.
-            self.close_idle(WIND_UP_ACCEPT);
-            let _ = timeout(WIND_UP_ACCEPT / 4, self.freed.notified()).await;
+            self.close_idle(FIRST_REQUEST);
+            let _ = timeout(FIRST_REQUEST / 2, self.freed.notified()).await;
         }
     }
 
@@ -153,6 +156,7 @@
         self.next.set(number + 1);
         let client = Rc::new(Client {
             busy: Cell::new(false),
+            served: Cell::new(false),
             since: Cell::new(Instant::now()),
             close: Notify::new(),
         });
@@ -185,6 +189,11 @@
                 _ = connection.as_mut() => return,
                 () = client.close.notified() => {}
             }
+            // Guards the descriptors against clients that connect and send nothing, or never the rest:
+            // there is no answer that could still be on its way to them.
+            if !client.busy.get() && !client.served.get() {
+                return;
+            }
             connection.as_mut().graceful_shutdown();
             if timeout(CLOSING, connection.as_mut()).await.is_ok() || !client.busy.get() {
                 return;
@@ -403,6 +412,7 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.busy.set(false);
+        self.0.served.set(true);
         self.0.since.set(Instant::now());
     }
 }
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,392 @@
+//! A node as a process of its own, and what stands round it: clients, app servers, discovery. All on
+//! loopback, on ports that the system chooses.
+
+#![allow(dead_code, reason = "each test file uses a part of this")]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How long a condition may take before a test fails. No test depends on how much of it is used.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until a condition holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A message as it was read: its first line, its headers in lower case, and its body.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// Whether it tells a client that trying again is harmless.
+    pub fn refuses(&self) -> bool {
+        matches!(self.status(), 429 | 503)
+    }
+
+    /// Whether it is a failure, which promises nothing.
+    pub fn fails(&self) -> bool {
+        self.status() >= 400 && !self.refuses()
+    }
+}
+
+/// Reads one message; `None` if the connection ends or breaks before it is whole.
+pub fn read_message(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut message = Message::default();
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).ok()? == 0 || !line.ends_with('\n') {
+            return None;
+        }
+        let line = line.trim_end();
+        if message.start.is_empty() {
+            message.start = line.to_owned();
+        } else if line.is_empty() {
+            break;
+        } else {
+            let (name, value) = line.split_once(':')?;
+            message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+        }
+    }
+    let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+    message.body = vec![0; length];
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// What an app server does with the request that it has read.
+pub enum Reply {
+    /// Answers with this status, further headers and body.
+    Answer(&'static str, &'static str, Vec<u8>),
+    /// Writes these bytes and closes.
+    Bytes(&'static [u8]),
+    /// Says nothing and waits until the other side closes.
+    Silence,
+    /// Closes with no answer.
+    Close,
+    /// Answers 200 after this time.
+    Slow(Duration),
+}
+
+impl Reply {
+    pub fn ok(body: &str) -> Self {
+        Reply::Answer("200 OK", "", body.as_bytes().to_vec())
+    }
+}
+
+/// An app server; it holds what it was sent and counts its connections.
+#[derive(Clone)]
+pub struct App {
+    pub address: SocketAddr,
+    pub requests: Arc<Mutex<Vec<Message>>>,
+    pub accepted: Arc<AtomicUsize>,
+    pub open: Arc<AtomicUsize>,
+}
+
+impl App {
+    pub fn start(reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let app = Self {
+            address: listener.local_addr().expect("an address"),
+            requests: Arc::default(),
+            accepted: Arc::default(),
+            open: Arc::default(),
+        };
+        let (served, reply) = (app.clone(), Arc::new(reply));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (app, reply) = (served.clone(), reply.clone());
+                app.accepted.fetch_add(1, Ordering::SeqCst);
+                app.open.fetch_add(1, Ordering::SeqCst);
+                std::thread::spawn(move || {
+                    app.serve(stream, &*reply);
+                    app.open.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        app
+    }
+
+    fn serve(&self, stream: TcpStream, reply: &dyn Fn(&Message) -> Reply) {
+        let mut stream = BufReader::new(stream);
+        while let Some(request) = read_message(&mut stream) {
+            self.requests.lock().expect("no panic").push(request.clone());
+            let (status, headers, body) = match reply(&request) {
+                Reply::Answer(status, headers, body) => (status, headers, body),
+                Reply::Bytes(bytes) => {
+                    let _ = stream.get_mut().write_all(bytes);
+                    return;
+                }
+                Reply::Silence => {
+                    let _ = stream.read(&mut [0]);
+                    return;
+                }
+                Reply::Close => return,
+                Reply::Slow(time) => {
+                    std::thread::sleep(time);
+                    ("200 OK", "", b"late".to_vec())
+                }
+            };
+            let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n", body.len());
+            if stream.get_mut().write_all(&[head.as_bytes(), &body].concat()).is_err() {
+                return;
+            }
+        }
+    }
+
+    pub fn seen(&self) -> usize {
+        self.requests.lock().expect("no panic").len()
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+}
+
+/// One entry of the list, as discovery words it.
+pub fn target(uid: &str, address: SocketAddr, zone: &str, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"{zone}","model":"m","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+    )
+}
+
+pub fn listing(rev: u64, all: bool, targets: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, targets.join(","))
+}
+
+/// Discovery; it gives the list that it has been set to and pushes lines to those who watch.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    list: Arc<Mutex<String>>,
+    watches: Arc<Mutex<Vec<TcpStream>>>,
+    /// How often the list was asked for.
+    pub lists: Arc<AtomicUsize>,
+    /// How often a watch was opened.
+    pub watched: Arc<AtomicUsize>,
+}
+
+impl Discovery {
+    pub fn start(list: String) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let discovery = Self {
+            address: listener.local_addr().expect("an address"),
+            list: Arc::new(Mutex::new(list)),
+            watches: Arc::default(),
+            lists: Arc::default(),
+            watched: Arc::default(),
+        };
+        let served = discovery.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                served.answer(stream);
+            }
+        });
+        discovery
+    }
+
+    fn answer(&self, stream: TcpStream) {
+        let mut stream = BufReader::new(stream);
+        let Some(request) = read_message(&mut stream) else { return };
+        if request.start.contains("stream=1") {
+            let _ = stream
+                .get_mut()
+                .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+            self.watches.lock().expect("no panic").push(stream.into_inner());
+            self.watched.fetch_add(1, Ordering::SeqCst);
+        } else {
+            self.lists.fetch_add(1, Ordering::SeqCst);
+            let list = self.list.lock().expect("no panic").clone();
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+            let _ = stream.get_mut().write_all(text.as_bytes());
+        }
+    }
+
+    pub fn set(&self, list: String) {
+        *self.list.lock().expect("no panic") = list;
+    }
+
+    /// Writes a line to all who watch, of which there must be one.
+    pub fn push(&self, line: &str) {
+        until("discovery is watched", || !self.watches.lock().expect("no panic").is_empty());
+        for watch in self.watches.lock().expect("no panic").iter_mut() {
+            let _ = watch.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
+        }
+    }
+
+    /// Ends all watches.
+    pub fn hang_up(&self) {
+        self.watches.lock().expect("no panic").clear();
+    }
+}
+
+/// Settings under which the tests run; `{}` stands for nothing to fill in.
+pub const SETTINGS: &str = r#"{
+    "allowed": {"cancel": true, "connectTimeoutMs": 1000, "keepaliveMs": 15000, "maxRetryAfterMs": 2000,
+                "mayProbe": false, "mostTries": 5, "retryAfter": true, "secondCopies": false},
+    "az": "north", "balancers": 1, "discovery": "automatic", "rank": 0, "prices": {},
+    "classes": [
+        {"name": "read", "aimMs": 8000, "deadlineMs": 20000, "worth": 2, "lateWorth": 0.2, "effect": "safe"},
+        {"name": "edit", "aimMs": 8000, "deadlineMs": 20000, "worth": 3, "effect": "keyed",
+         "keyScope": "zone", "windowMs": 15000},
+        {"name": "order", "aimMs": 8000, "deadlineMs": 20000, "worth": 5, "effect": "unsafe"}],
+    "contracts": [{"name": "large", "refill": 1000, "mostAtOnce": 10000, "worthFactor": 1},
+                  {"name": "small", "refill": 0.001, "mostAtOnce": 1, "worthFactor": 1, "excessCost": 1}],
+    "domain": {"usePeriodMs": 1000},
+    "rules": {"coldFrom": 0.2, "warmAfterMs": 9000, "fallMultiple": 2, "overloadForMs": 1000}}"#;
+
+/// A node that runs.
+pub struct Node {
+    pub address: SocketAddr,
+    child: Child,
+}
+
+/// A file of this test's own, named by a number.
+pub fn scratch(text: &str) -> std::path::PathBuf {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("ivygate-test-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, text).expect("a file is written");
+    path
+}
+
+pub fn config(discovery: SocketAddr, known: &str, settings: &str, sockets: usize) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+    )
+}
+
+impl Node {
+    /// Starts a node that knows these app servers and hears no more of them.
+    pub fn with(targets: &[String]) -> Self {
+        let list = listing(1, true, targets);
+        let discovery = Discovery::start(list.clone());
+        Self::start(&config(discovery.address, &list, SETTINGS, 1024))
+    }
+
+    pub fn start(config: &str) -> Self {
+        let path = scratch(config);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_ivygate"))
+            .env("RELAY_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the node starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("it has standard error"));
+        let mut line = String::new();
+        lines.read_line(&mut line).expect("it says where it listens");
+        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
+        std::thread::spawn(move || std::io::copy(&mut lines, &mut std::io::sink()));
+        let _ = std::fs::remove_file(path);
+        let node = Self { address, child };
+        until("the node is up", || {
+            let mut client = node.client();
+            client.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+            client.read().is_some_and(|answer| answer.status() == 200)
+        });
+        node
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("the node accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
+        Client { stream: BufReader::new(stream) }
+    }
+
+    /// Asks on a connection of its own and waits for the answer.
+    pub fn ask(&self, request: &str) -> Message {
+        self.client().ask(request)
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+    }
+
+    /// Waits for the end and gives the exit code.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let mut code = None;
+        until("the node exits", || {
+            code = self.child.try_wait().expect("it can be waited for");
+            code.is_some()
+        });
+        code.and_then(|c| c.code())
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("it can be waited for").is_none()
+    }
+
+    /// File descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    pub stream: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn write(&mut self, bytes: &[u8]) {
+        let _ = self.stream.get_mut().write_all(bytes);
+    }
+
+    pub fn read(&mut self) -> Option<Message> {
+        read_message(&mut self.stream)
+    }
+
+    pub fn ask(&mut self, request: &str) -> Message {
+        self.write(request.as_bytes());
+        self.read().unwrap_or_else(|| panic!("no answer to {request}"))
+    }
+}
+
+/// A request of a class with an id; unsafe and keyed ones carry a small body.
+pub fn request(class: &str, id: &str) -> String {
+    request_with(class, id, "large", "15000m")
+}
+
+pub fn request_with(class: &str, id: &str, plan: &str, deadline: &str) -> String {
+    let (method, key, body) = match class {
+        "read" => ("GET", "", ""),
+        "edit" => ("POST", "Idempotency-Key: k1\r\n", "body"),
+        _ => ("POST", "", "body"),
+    };
+    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    format!(
+        "{method} /api?q=1 HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\nApi-Plan: {plan}\r\n\
+         Cookie: customer=00000000b4d65521\r\nReq-Deadline: {deadline}\r\n{key}{length}\
+         Api-Terms: units=1,spread=1,first=0\r\n\r\n{body}"
+    )
+}
