Read the configuration anew on SIGHUP and move discovery

Lines at fault: the signals that main.rs asks for. Ruled out: nothing else ended the node there, its log ends with the signal.

A file that cannot be used is logged and changes nothing. The handler stands through the winding up after SIGTERM.

--- a/src/bin/ivygate/discovery.rs
+++ b/src/bin/ivygate/discovery.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -84,9 +85,24 @@
     Unreadable,
 }
 
-/// Keeps the driver informed for as long as the node runs.
-pub async fn follow(driver: Rc<Driver>, agent: SocketAddr, known: Option<u64>) {
+/// Keeps the driver informed for as long as the node runs, by the agent that was named last.
+pub async fn follow(driver: Rc<Driver>, mut agents: watch::Receiver<SocketAddr>, known: Option<u64>) {
     let mut rev = known;
+    loop {
+        let agent = *agents.borrow_and_update();
+        tokio::select! {
+            () = follow_one(&driver, agent, rev) => {}
+            changed = agents.changed() => if changed.is_err() {
+                // None will be named any more, so the last one is followed to the end.
+                follow_one(&driver, agent, None).await;
+            }
+        }
+        // Another agent counts its versions anew. Until its list has come the old one holds.
+        rev = None;
+    }
+}
+
+async fn follow_one(driver: &Rc<Driver>, agent: SocketAddr, mut rev: Option<u64>) {
     let mut whole = true;
     let mut wait = BACK_OFF.0;
     loop {
@@ -100,7 +116,7 @@
         }
         // A watch brings the list too where fetching it failed, so it is tried all the same.
         let mut heard = false;
-        if let Err(Trouble::Unreadable) = watch(agent, &driver, &mut rev, &mut heard).await {
+        if let Err(Trouble::Unreadable) = stream(agent, driver, &mut rev, &mut heard).await {
             whole = true;
         }
         // Only a watch that has brought a line counts as a success: an agent that accepts and hangs up,
@@ -146,7 +162,7 @@
     serde_json::from_slice(&body.to_bytes()).map_err(|_| Trouble::Unreadable)
 }
 
-async fn watch(
+async fn stream(
     agent: SocketAddr,
     driver: &Rc<Driver>,
     rev: &mut Option<u64>,
--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -13,9 +13,11 @@
 use driver::Driver;
 use ivygate::Gateway;
 use server::Server;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 use upstream::Upstream;
 
@@ -46,6 +48,8 @@
     let each = (config.sockets - reserve(config.sockets)) / 2;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    // Asked for before anything else is done: until then a signal would end the process.
+    let hangups = signal(SignalKind::hangup())?;
     let clock = Clock::new();
     let classes = config.settings.classes.iter().map(|c| (c.name.as_str().into(), c.effect)).collect();
     let plans = config.settings.plans.iter().map(|p| p.name.as_str().into()).collect();
@@ -59,7 +63,9 @@
         .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
     eprintln!("ivygate: listening on {}", listener.local_addr()?);
     tokio::task::spawn_local(driver.clone().run_timers());
-    tokio::task::spawn_local(discovery::follow(driver.clone(), config.discovery, rev));
+    let (agent, agents) = watch::channel(config.discovery);
+    tokio::task::spawn_local(discovery::follow(driver.clone(), agents, rev));
+    tokio::task::spawn_local(reload_on(hangups, agent));
     let server = Server::new(driver, classes, plans, each);
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
     tokio::select! {
@@ -69,3 +75,18 @@
     server.wind_up(accepting).await;
     Ok(())
 }
+
+/// Reads the configuration anew at each SIGHUP, also while the node winds up. What a running node takes from
+/// it is the address of discovery; all else stays as it was at the start.
+async fn reload_on(mut hangups: Signal, agent: watch::Sender<SocketAddr>) {
+    while hangups.recv().await.is_some() {
+        match Config::load() {
+            Ok(config) => {
+                eprintln!("ivygate: configuration read anew; discovery is at {}", config.discovery);
+                agent.send_replace(config.discovery);
+            }
+            // Guards a running node against a file that is half written or wrong.
+            Err(error) => eprintln!("ivygate: the configuration stays as it was: {error}"),
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -258,6 +258,7 @@
 /// A node that runs.
 pub struct Node {
     pub address: SocketAddr,
+    config: std::path::PathBuf,
     child: Child,
 }
 
@@ -298,8 +299,7 @@
         let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
         let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
         std::thread::spawn(move || std::io::copy(&mut lines, &mut std::io::sink()));
-        let _ = std::fs::remove_file(path);
-        let node = Self { address, child };
+        let node = Self { address, config: path, child };
         until("the node is up", || {
             let mut client = node.client();
             client.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -321,8 +321,18 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the file of its configuration and sends SIGHUP.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("the file is written");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
     /// Waits for the end and gives the exit code.
@@ -349,6 +359,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
     }
 }
 
