Take a spoilt answer as a failed attempt that says nothing of the server

Lines at fault: exchange() and read_whole() in upstream.rs (every error was Broken::Lost). Absurd numbers in Api-Usage and Srv-Load were believed. Ruled out by the trace: answers with a length too short do not occur; what comes behind a good answer came in the same segment each time and hyper noticed it.

Change: Outcome::Spoilt for what cannot be read, has two framings, is too long, is 101, or is a 4xx (the request's fault). Heads of answers are bounded (32 KiB). A connection that rests is looked at with a peek past tokio before it is used again, and rests for 1 ms. Figures out of any range are ignored.

--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::millis;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Connection, SendRequest};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
@@ -10,10 +10,12 @@
 use hyper_util::rt::TokioIo;
 use ivygate::{Links, Load, Outcome, ServerId};
 use serde::Deserialize;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::{poll_fn, Future};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -21,10 +23,19 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Longest body of a message.
 pub const BODY_MOST: usize = 64 << 10;
+/// Most that hyper holds of an answer's head; guards the memory against heads that do not end.
+const HEAD_MOST: usize = 32 << 10;
+/// A connection rests this long between two requests: what a server sends behind an answer must not come
+/// to be read as the next one's.
+const REST: Duration = Duration::from_millis(1);
+/// The most use that is believed, in percent: more is a slip of the pen.
+const USE_MOST: f64 = 100_000.0;
+/// And the most requests that a server is believed to hold.
+const HELD_MOST: f64 = 100_000.0;
 /// Part of the time after which app servers close an idle connection for which one is kept here: a request
 /// written to a connection that the other side is just closing is a reset.
 const KEEP_PART: f64 = 0.6;
@@ -92,14 +103,19 @@
     sender: SendRequest<Full<Bytes>>,
     connection: Connection<TokioIo<Counted>, Full<Bytes>>,
     written: Rc<Cell<u64>>,
+    /// Nothing is asked, so that anything to be read is too much.
+    resting: Rc<Cell<bool>>,
     address: SocketAddr,
 }
 
 impl Link {
     /// Whether another request may be written: the other side has not closed it, and all that it sent was
-    /// read. Looks without waiting.
+    /// read. Looks without waiting, and past tokio, which may not have heard yet or may owe others a turn.
     async fn usable(&mut self) -> bool {
-        let ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready())).await;
+        self.resting.set(true);
+        let ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready()));
+        let ended = tokio::task::unconstrained(ended).await;
+        self.resting.set(false);
         !ended && self.sender.is_ready()
     }
 }
@@ -160,7 +176,7 @@
                     }
                     return end;
                 }
-                Err(Broken::TooLong) => return End::bare(Outcome::Error),
+                Err(Broken::Spoilt) => return End::bare(Outcome::Spoilt),
                 Err(Broken::Lost) if progress.may_have_run() => return End::bare(Outcome::Reset),
                 // Not a byte was written, so taking another connection sends nothing again.
                 Err(Broken::Lost) if reused => continue,
@@ -172,7 +188,16 @@
     /// The idle connection last used; the others get the rest that lets them go.
     async fn idle_link(&self, server: ServerId, address: SocketAddr) -> Option<Link> {
         loop {
-            let idle = self.idle.borrow_mut().get_mut(&server)?.pop()?;
+            let idle = {
+                let mut idle = self.idle.borrow_mut();
+                let links = idle.get_mut(&server)?;
+                let last = links.len().checked_sub(1)?;
+                let rested = links.iter().rposition(|idle| idle.since.elapsed() >= REST);
+                links.remove(rested.unwrap_or(last))
+            };
+            if let Some(rest) = REST.checked_sub(idle.since.elapsed()) {
+                sleep(rest).await;
+            }
             let mut link = idle.link;
             if idle.since.elapsed() < self.keep && link.address == address && link.usable().await {
                 return Some(link);
@@ -198,10 +223,14 @@
         };
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
         let written = Rc::new(Cell::new(0));
-        let io = TokioIo::new(Counted { stream, written: written.clone(), _slot: slot });
-        let (sender, connection) =
-            hyper::client::conn::http1::handshake(io).await.map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Link { sender, connection, written, address })
+        let resting = Rc::new(Cell::new(false));
+        let counted = Counted { stream, written: written.clone(), resting: resting.clone(), _slot: slot };
+        let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(HEAD_MOST)
+            .handshake(TokioIo::new(counted))
+            .await
+            .map_err(|_| Outcome::ConnectFailed)?;
+        Ok(Link { sender, connection, written, resting, address })
     }
 
     /// Makes room by closing the connection that has been idle longest.
@@ -221,8 +250,23 @@
 enum Broken {
     /// The connection ended or broke.
     Lost,
-    /// The answer was longer than any may be.
-    TooLong,
+    /// What came was no answer, or longer than any may be.
+    Spoilt,
+}
+
+impl From<hyper::Error> for Broken {
+    fn from(error: hyper::Error) -> Self {
+        // hyper words a chunk that cannot be read as a body error with one of these kinds in it.
+        let unreadable = |error: &io::Error| {
+            matches!(error.kind(), io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput)
+        };
+        let source = std::error::Error::source(&error).and_then(|e| e.downcast_ref::<io::Error>());
+        if error.is_parse() || source.is_some_and(unreadable) {
+            Broken::Spoilt
+        } else {
+            Broken::Lost
+        }
+    }
 }
 
 /// An answer that has come whole.
@@ -236,7 +280,7 @@
 async fn exchange(link: &mut Link, request: Request<Full<Bytes>>) -> Result<(Whole, bool), Broken> {
     let Link { sender, connection, .. } = link;
     let answer = async {
-        let answer = sender.send_request(request).await.map_err(|_| Broken::Lost)?;
+        let answer = sender.send_request(request).await?;
         read_whole(answer).await
     };
     tokio::pin!(answer);
@@ -251,17 +295,27 @@
 
 async fn read_whole(answer: Response<Incoming>) -> Result<Whole, Broken> {
     let (parts, body) = answer.into_parts();
-    // Guards against an answer cut short that looks whole: without a length or chunks only the
-    // connection's end would mark the body's, and a server that dies ends it too.
-    let framed = parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
-    if !framed && !body.is_end_stream() {
-        return Err(Broken::Lost);
+    let length = parts.headers.contains_key(CONTENT_LENGTH);
+    let mut coding = parts.headers.get_all(TRANSFER_ENCODING).iter();
+    let chunked = coding.next().map(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    match chunked {
+        // Guards against an answer cut short that looks whole: without a length or chunks only the
+        // connection's end would mark the body's, and a server that dies ends it too.
+        None if !length && !body.is_end_stream() => return Err(Broken::Lost),
+        None => {}
+        // Two ways to find the end of a body are two ends.
+        Some(true) if !length && coding.next().is_none() => {}
+        Some(_) => return Err(Broken::Spoilt),
+    }
+    // Guards the connection: nobody asked for another protocol.
+    if parts.status.is_informational() || body.size_hint().lower() > BODY_MOST as u64 {
+        return Err(Broken::Spoilt);
     }
     let body = Limited::new(body, BODY_MOST).collect().await.map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            Broken::TooLong
-        } else {
-            Broken::Lost
+        match error.downcast::<hyper::Error>() {
+            Ok(error) => Broken::from(*error),
+            // Longer than any body may be.
+            Err(_) => Broken::Spoilt,
         }
     })?;
     Ok(Whole { status: parts.status, headers: parts.headers, body: body.to_bytes() })
@@ -273,6 +327,8 @@
     let outcome = match answer.status {
         StatusCode::OK => Outcome::Ok,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Outcome::Full,
+        // The fault is in the request, not in the server.
+        status if status.is_client_error() => Outcome::Spoilt,
         _ => Outcome::Error,
     };
     // A header that cannot be read is as good as none: it is a hint, and the answer itself is whole.
@@ -281,7 +337,7 @@
     let load = headers.get("srv-load").and_then(|v| serde_json::from_slice(v.as_bytes()).ok());
     End {
         outcome,
-        use_percent: use_percent.filter(|u: &f64| u.is_finite() && *u >= 0.0),
+        use_percent: use_percent.filter(|u: &f64| (0.0..=USE_MOST).contains(u)),
         load: load.map_or_else(Load::default, LoadReport::load),
         content_type: headers.get(CONTENT_TYPE).cloned(),
         body: answer.body,
@@ -299,12 +355,13 @@
 
 impl LoadReport {
     fn load(self) -> Load {
-        let sound = |v: Option<f64>| v.filter(|v| v.is_finite() && *v >= 0.0);
+        let within = |v: Option<f64>, most: f64| v.filter(|v| (0.0..=most).contains(v));
         Load {
-            in_flight: sound(self.inflight),
-            queue: sound(self.queue),
-            utilization: sound(self.util),
-            service_time: sound(self.latency_ms),
+            in_flight: within(self.inflight, HELD_MOST),
+            queue: within(self.queue, HELD_MOST),
+            // A little over the whole is noise.
+            utilization: within(self.util, 2.0),
+            service_time: within(self.latency_ms, f64::MAX),
         }
     }
 }
@@ -329,10 +386,17 @@
 struct Counted {
     stream: TcpStream,
     written: Rc<Cell<u64>>,
+    resting: Rc<Cell<bool>>,
     _slot: Slot,
 }
 
 impl Counted {
+    /// Whether the other side has sent something that is still unread, or has ended its sending.
+    fn has_news(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &written {
             self.written.set(self.written.get() + *bytes as u64);
@@ -347,6 +411,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        // Guards against a stray second answer that tokio has not noticed yet.
+        if self.resting.get() && self.has_news() {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -151,6 +151,8 @@
     Ok,
     /// The server answered with an error; it may have run.
     Error,
+    /// An answer that is of no use; the request may have run, and the server's health is not in question.
+    Spoilt,
     /// Turned away unseen.
     Full,
     /// No answer in time; it may have run or may yet.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -884,12 +884,13 @@
                 0.0
             }
         }
-        Outcome::Cancelled | Outcome::Moot => 0.0,
+        // All servers alike send answers that can't be read, and turn away what a client got wrong.
+        Outcome::Spoilt | Outcome::Cancelled | Outcome::Moot => 0.0,
     };
     if block > 0.0 {
         server.blocked_until = server.blocked_until.max(now + block);
     }
-    if matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Error) {
+    if matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Error | Outcome::Spoilt) {
         server.answered_at = now;
     }
 }
--- /dev/null
+++ b/tests/spoilt.rs
@@ -0,0 +1,112 @@
+//! App servers whose answers are spoilt, or good and more than was asked for.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use support::*;
+
+/// A good answer whose body names the request.
+fn named(request: &Message) -> Vec<u8> {
+    let id = request.header("req-id").expect("an id").to_owned();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len()).into_bytes()
+}
+
+/// An app server that gives the request `r1` these bytes and keeps its connection, and answers all others.
+fn spoils_the_first(bytes: Vec<u8>) -> App {
+    App::start(move |request| match request.header("req-id") {
+        Some("r1") => Reply::Raw(bytes.clone()),
+        _ => Reply::Raw(named(request)),
+    })
+}
+
+#[test]
+fn a_spoilt_answer_is_a_failed_attempt_and_no_fault_of_the_server() {
+    let ok = "HTTP/1.1 200 OK\r\n";
+    let spoilt = [
+        "\u{1}\u{2}noise\r\n\r\n".to_owned(),
+        "ICY 200 OK\r\nContent-Length: 1\r\n\r\nx".to_owned(),
+        "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nx".to_owned(),
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx".to_owned(),
+        format!("{ok}Content-Length: 1\r\nContent-Length: 2\r\n\r\nxy"),
+        format!("{ok}Content-Length: -1\r\n\r\nx"),
+        format!("{ok}Content-Length: 3000000000\r\n\r\n{}", "x".repeat(200_000)),
+        format!("{ok}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"),
+        format!("{ok}Transfer-Encoding: gzip, chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"),
+        format!("{ok}Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n"),
+        format!("{ok}Transfer-Encoding: chunked\r\n\r\n20000\r\n{}", "x".repeat(0x20000)),
+        format!("{ok}{}", "X-Pad: pppppppppppppppppppppppp\r\n".repeat(8_000)),
+        format!("{ok}X-Pad: {}", "p".repeat(200_000)),
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n".to_owned(),
+        "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n".to_owned(),
+    ];
+    for answer in spoilt {
+        let start = answer.get(..60).unwrap_or(&answer).to_owned();
+        let closes = !start.contains(" 400 ");
+        let app = spoils_the_first(answer.into_bytes());
+        let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+        assert!(node.ask(&request("order", "r1")).fails(), "{start}");
+        // An unsafe request goes to no server whose health is in doubt.
+        assert_eq!(node.ask(&request("order", "r2")).body, b"r2", "{start}");
+        assert_eq!(app.seen(), 2, "{start}");
+        assert_eq!(app.accepted.load(Ordering::SeqCst) == 2, closes, "{start}");
+    }
+}
+
+#[test]
+fn a_safe_request_is_sent_again_after_a_spoilt_answer() {
+    let count = Mutex::new(0);
+    let app = App::start(move |request| {
+        let mut count = count.lock().expect("no panic");
+        *count += 1;
+        Reply::Raw(if *count == 1 { b"noise\r\n\r\n".to_vec() } else { named(request) })
+    });
+    let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+    assert_eq!(node.ask(&request("read", "r1")).body, b"r1");
+    assert_eq!(app.seen(), 2);
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_never_the_next_answer() {
+    type Spoil = fn(&[u8]) -> Vec<u8>;
+    let behind: [Spoil; 3] = [<[u8]>::to_vec, |_| b"noise".to_vec(), |_| vec![0; 100_000]];
+    for (number, more) in behind.into_iter().enumerate() {
+        let app = App::start(move |request| {
+            let answer = named(request);
+            let more = more(&answer);
+            Reply::Raw([answer, more].concat())
+        });
+        let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+        let mut client = node.client();
+        for n in 0..10 {
+            let id = format!("r{n}");
+            assert_eq!(client.ask(&request("order", &id)).body, id.as_bytes(), "{number}");
+        }
+        // Not one of these connections was of further use.
+        assert_eq!((app.seen(), app.accepted.load(Ordering::SeqCst)), (10, 10), "{number}");
+    }
+}
+
+#[test]
+fn answers_ahead_are_passed_over() {
+    let app = App::start(|request| {
+        let ahead = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
+        Reply::Raw([ahead.to_vec(), named(request)].concat())
+    });
+    let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+    for n in 0..3 {
+        let id = format!("r{n}");
+        assert_eq!(node.ask(&request("order", &id)).body, id.as_bytes());
+    }
+    assert_eq!(app.accepted.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn absurd_figures_cut_no_customer_and_bury_no_server() {
+    let headers = "Api-Usage: 1e300\r\nSrv-Load: {\"inflight\":1e300,\"util\":1e300}\r\n";
+    let app = App::start(move |_| Reply::Answer("200 OK", headers, b"x".to_vec()));
+    let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+    for number in 0..20 {
+        assert_eq!(node.ask(&request("read", &format!("r{number}"))).status(), 200);
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -80,6 +80,8 @@
     Answer(&'static str, &'static str, Vec<u8>),
     /// Writes these bytes and closes.
     Bytes(&'static [u8]),
+    /// Writes these bytes and goes on reading.
+    Raw(Vec<u8>),
     /// Says nothing and waits until the other side closes.
     Silence,
     /// Closes with no answer.
@@ -137,6 +139,12 @@
                     let _ = stream.get_mut().write_all(bytes);
                     return;
                 }
+                Reply::Raw(bytes) => {
+                    if stream.get_mut().write_all(&bytes).is_err() {
+                        return;
+                    }
+                    continue;
+                }
                 Reply::Silence => {
                     let _ = stream.read(&mut [0]);
                     return;
