Close clients that are silent or never send the rest; make room by use

Cause: a client that connected and said nothing, or sent half a request, was kept for 60 s; the packet trace shows connections of 3.4 to 4.7 s with neither error nor close, where 3 s are owed. At the bound the longest idle client went first, which may be a usual one, and half-sent bodies could not be closed at all. Lines at fault: server.rs, IDLE, Client::busy, close_longest_idle.

Change: a connection is idle, reading or open. Reading a whole request may take 2.3 s (the body included), an idle one may stay 5 s after one request and 30 s after more, an open one as long as it takes. At the bound those that never asked go first, then those that asked once.

Tests: tests/rude.rs (half-sent and silent clients, an open request is kept, silent ones give way).

--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -17,9 +17,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::pin::pin;
+use std::io;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -27,8 +30,22 @@
 
 /// Most that hyper holds of a connection's input at once; more than any request's head needs.
 const BUFFER: usize = 16 << 10;
-/// A connection without a whole request for this long is closed, also one with half a request on it.
-const IDLE: Duration = Duration::from_secs(60);
+/// A client has this long to send a whole request: from when it connects, or from the first byte of a later
+/// one. A client that says nothing, or never the rest, would else hold its descriptor for good.
+const WHOLE_REQUEST: Duration = Duration::from_millis(2300);
+/// A connection on which this long nothing has been asked is closed ...
+const IDLE: Duration = Duration::from_secs(30);
+/// ... sooner where it has been used but once: many clients ask once and keep their connection for good.
+const IDLE_ONCE: Duration = Duration::from_secs(5);
+/// And at the bound already after this time.
+const IDLE_LEAST: Duration = Duration::from_secs(2);
+/// A client that has not asked for anything yet gives way at the bound after this time: a usual one asks as
+/// soon as it has connected.
+const SILENT_LEAST: Duration = Duration::from_millis(100);
+/// And is listened to for this much longer before it is closed: what it has sent may not have been seen yet.
+const LAST_LOOK: Duration = Duration::from_millis(10);
+/// Period in which connections are looked through.
+const LOOK: Duration = Duration::from_millis(200);
 /// Time in which a connection that is to close may write what it still has.
 const CLOSING: Duration = Duration::from_secs(1);
 /// Pause after an accept failed: what it lacks, descriptors or memory, does not come back at once.
@@ -38,6 +55,8 @@
 const WIND_UP_IDLE: Duration = Duration::from_millis(500);
 /// And new ones are taken for this much longer, for requests that crossed the end of an idle one.
 const WIND_UP_ACCEPT: Duration = Duration::from_millis(150);
+/// A request that is coming in then has this long to be whole.
+const READING_LEAST: Duration = Duration::from_millis(500);
 /// A request that is only now coming in on a connection just accepted is given this long then.
 const FIRST_REQUEST: Duration = Duration::from_millis(50);
 
@@ -56,18 +75,67 @@
     stop: Notify,
 }
 
+/// What a client's connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Nothing: it has asked for nothing yet, or has been answered.
+    Idle,
+    /// A request is coming in.
+    Reading,
+    /// A whole request is open: the connection must stay.
+    Open,
+}
+
 /// What is known of a client's connection.
 struct Client {
-    /// A request is being read or served.
-    busy: Cell<bool>,
-    /// A request has been answered.
-    served: Cell<bool>,
-    /// Since when it is, or is not.
+    phase: Cell<Phase>,
+    /// Since when it is in that phase.
     since: Cell<Instant>,
+    /// Requests answered.
+    served: Cell<u32>,
     /// It is to close as soon as nothing is under way on it.
     close: Notify,
 }
 
+impl Client {
+    fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+    }
+
+    /// Marks a request as coming in and tells since when.
+    fn reading(&self) -> Instant {
+        if self.phase.get() == Phase::Idle {
+            // One that connects is expected to ask, so its time runs from then.
+            let since = if self.served.get() == 0 { self.since.get() } else { Instant::now() };
+            self.phase.set(Phase::Reading);
+            self.since.set(since);
+        }
+        self.since.get()
+    }
+
+    /// How long it may stay as it is; `None` for as long as it likes.
+    fn allowed(&self) -> Option<Duration> {
+        match (self.phase.get(), self.served.get()) {
+            (Phase::Open, _) => None,
+            (Phase::Reading, _) | (Phase::Idle, 0) => Some(WHOLE_REQUEST),
+            (Phase::Idle, 1) => Some(IDLE_ONCE),
+            (Phase::Idle, _) => Some(IDLE),
+        }
+    }
+
+    /// Whether it may be closed to make room, and how gladly: the least first.
+    fn gives_way(&self) -> Option<(u32, Instant)> {
+        let least = match (self.phase.get(), self.served.get()) {
+            (Phase::Open, _) => return None,
+            (_, 0) => SILENT_LEAST,
+            _ => IDLE_LEAST,
+        };
+        let since = self.since.get();
+        (since.elapsed() >= least).then_some((self.served.get().min(2), since))
+    }
+}
+
 impl Server {
     /// A server with no connection yet, and never more than `most`.
     pub fn new(driver: Rc<Driver>, reader: Reader, most: usize) -> Rc<Self> {
@@ -85,24 +153,22 @@
 
     /// Accepts connections until told to stop.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let mut look = interval(Duration::from_secs(1));
+        let mut look = interval(LOOK);
         loop {
-            // Guards the descriptors: at the bound the client longest idle makes room, or the next waits in
-            // the kernel's queue until one ends.
-            if self.clients.borrow().len() >= self.most {
-                self.close_longest_idle();
-                tokio::select! {
-                    () = self.freed.notified() => continue,
-                    () = self.stop.notified() => break,
-                }
+            // Guards the descriptors: at the bound another client makes room, or the next waits in the
+            // kernel's queue until one ends.
+            let full = self.clients.borrow().len() >= self.most;
+            if full {
+                self.make_room();
             }
             tokio::select! {
-                accepted = listener.accept() => match accepted {
+                () = self.freed.notified(), if full => {}
+                accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => self.take(stream),
                     // Guards against spinning while the process has no descriptor left.
                     Err(_) => sleep(ACCEPT_PAUSE).await,
                 },
-                _ = look.tick() => self.close_idle(IDLE),
+                _ = look.tick() => self.close_overdue(),
                 () = self.stop.notified() => break,
             }
         }
@@ -130,17 +196,38 @@
         }
     }
 
-    fn close_longest_idle(&self) {
+    /// Closes the connection that can best be spared: one that has never asked before one that asked once,
+    /// and one of these before those that are used again and again.
+    fn make_room(&self) {
         let clients = self.clients.borrow();
-        if let Some(client) = clients.values().filter(|c| !c.busy.get()).min_by_key(|c| c.since.get()) {
+        let spare = clients.values().filter_map(|c| Some((c.gives_way()?, c))).min_by_key(|(way, _)| *way);
+        if let Some((_, client)) = spare {
             client.close.notify_one();
         }
     }
 
+    /// Closes what has stayed idle, or has not brought a whole request, for too long.
+    fn close_overdue(&self) {
+        let clients = self.clients.borrow();
+        for client in clients.values() {
+            if client.allowed().is_some_and(|allowed| client.since.get().elapsed() >= allowed) {
+                client.close.notify_one();
+            }
+        }
+    }
+
+    /// Closes the connections on which nothing has been open for some time.
     fn close_idle(&self, least: Duration) {
         let clients = self.clients.borrow();
-        for client in clients.values().filter(|c| !c.busy.get() && c.since.get().elapsed() >= least) {
-            client.close.notify_one();
+        for client in clients.values() {
+            let idle = match client.phase.get() {
+                Phase::Open => false,
+                Phase::Reading => client.since.get().elapsed() >= least.max(READING_LEAST),
+                Phase::Idle => client.since.get().elapsed() >= least,
+            };
+            if idle {
+                client.close.notify_one();
+            }
         }
     }
 
@@ -148,9 +235,9 @@
         let number = self.next.get();
         self.next.set(number + 1);
         let client = Rc::new(Client {
-            busy: Cell::new(false),
-            served: Cell::new(false),
+            phase: Cell::new(Phase::Idle),
             since: Cell::new(Instant::now()),
+            served: Cell::new(0),
             close: Notify::new(),
         });
         self.clients.borrow_mut().insert(number, client.clone());
@@ -166,12 +253,13 @@
 
     async fn serve(self: Rc<Self>, stream: TcpStream, client: Rc<Client>) {
         let service = service_fn(|request| {
-            let (server, busy) = (self.clone(), Busy::begin(&client));
+            let (server, client) = (self.clone(), client.clone());
             async move {
-                let _busy = busy;
-                server.answer(request).await
+                let _served = Served(client.clone());
+                server.answer(request, &client).await
             }
         });
+        let stream = Watched { stream, client: client.clone() };
         let connection =
             http1::Builder::new().max_buf_size(BUFFER).serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
@@ -182,27 +270,45 @@
                 _ = connection.as_mut() => return,
                 () = client.close.notified() => {}
             }
-            // Guards the descriptors against clients that connect and send nothing, or never the rest:
-            // there is no answer that could still be on its way to them.
-            if !client.busy.get() && !client.served.get() {
-                return;
+            match client.phase.get() {
+                // The word came too late: a request has come in whole meanwhile, and is answered.
+                Phase::Open => {}
+                // Guards the descriptors against clients that connect and send nothing, or never the rest:
+                // there is no answer that could still be on its way to them.
+                Phase::Reading => return,
+                Phase::Idle if client.served.get() == 0 => {
+                    let ended = timeout(LAST_LOOK, connection.as_mut()).await.is_ok();
+                    if ended || (client.phase.get() == Phase::Idle && client.served.get() == 0) {
+                        return;
+                    }
+                    continue;
+                }
+                Phase::Idle => {}
             }
             connection.as_mut().graceful_shutdown();
-            if timeout(CLOSING, connection.as_mut()).await.is_ok() || !client.busy.get() {
+            if timeout(CLOSING, connection.as_mut()).await.is_ok() || client.phase.get() != Phase::Open {
                 return;
             }
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, hyper::Error> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        client: &Client,
+    ) -> Result<Response<Full<Bytes>>, hyper::Error> {
+        let begun = client.reading();
         let (mut response, stays) = if request.uri().path() == "/up" {
             (self.up(&request), true)
         } else {
-            match self.read(request).await {
-                Ok(ask) => match self.ask(ask).await {
-                    Some(response) => (response, true),
-                    None => (plain(StatusCode::CONFLICT, "a request of this id is open"), false),
-                },
+            match self.read(request, begun).await {
+                Ok(ask) => {
+                    client.enter(Phase::Open);
+                    match self.ask(ask).await {
+                        Some(response) => (response, true),
+                        None => (plain(StatusCode::CONFLICT, "a request of this id is open"), false),
+                    }
+                }
                 Err(Unfit::Answer(status, what)) => (plain(status, what), false),
                 Err(Unfit::Lost(error)) => return Err(error),
             }
@@ -253,8 +359,8 @@
         })
     }
 
-    /// Reads a whole request.
-    async fn read(&self, request: Request<Incoming>) -> Result<Ask, Unfit> {
+    /// Reads a whole request, the first byte of which came at `begun`.
+    async fn read(&self, request: Request<Incoming>, begun: Instant) -> Result<Ask, Unfit> {
         let now = self.driver.now();
         let (parts, body) = request.into_parts();
         // Guards against a second request hidden in a body. hyper drops `Content-Length` where there is a
@@ -267,7 +373,8 @@
         if parts.method == Method::GET && !body.is_end_stream() {
             return Err(bad("a GET has no body"));
         }
-        let body = if body.is_end_stream() { Bytes::new() } else { read_body(body, head.wait).await? };
+        let body =
+            if body.is_end_stream() { Bytes::new() } else { read_body(body, head.wait, begun).await? };
         let message =
             Message { method: parts.method, uri: parts.uri, headers: end_to_end(parts.headers), body };
         Ok(Ask { deadline: now + head.wait, head, message })
@@ -282,13 +389,14 @@
     Lost(hyper::Error),
 }
 
-/// Reads a body that is still coming in, no longer than its client will wait.
-async fn read_body(body: Incoming, wait: Millis) -> Result<Bytes, Unfit> {
+/// Reads a body that is still coming in, no longer than its client will wait or than a whole request may take.
+async fn read_body(body: Incoming, wait: Millis, begun: Instant) -> Result<Bytes, Unfit> {
     let too_large = || Unfit::Answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
     if body.size_hint().lower() > BODY_MOST as u64 {
         return Err(too_large());
     }
-    match timeout(millis(wait), Limited::new(body, BODY_MOST).collect()).await {
+    let wait = millis(wait).min(WHOLE_REQUEST.saturating_sub(begun.elapsed()));
+    match timeout(wait, Limited::new(body, BODY_MOST).collect()).await {
         Err(_) => Err(Unfit::Answer(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
@@ -343,28 +451,66 @@
 async fn now_or_never<T>(future: impl Future<Output = T>) -> Option<T> {
     let mut future = pin!(future);
     std::future::poll_fn(|cx| match future.as_mut().poll(cx) {
-        std::task::Poll::Ready(value) => std::task::Poll::Ready(Some(value)),
-        std::task::Poll::Pending => std::task::Poll::Ready(None),
+        Poll::Ready(value) => Poll::Ready(Some(value)),
+        Poll::Pending => Poll::Ready(None),
     })
     .await
 }
 
-/// Marks a connection as busy for as long as it lives.
-struct Busy(Rc<Client>);
+/// Marks a request as answered, or given up, when it is dropped.
+struct Served(Rc<Client>);
 
-impl Busy {
-    fn begin(client: &Rc<Client>) -> Self {
-        client.busy.set(true);
-        client.since.set(Instant::now());
-        Self(client.clone())
+impl Drop for Served {
+    fn drop(&mut self) {
+        self.0.served.set(self.0.served.get().saturating_add(1));
+        self.0.enter(Phase::Idle);
     }
 }
 
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.busy.set(false);
-        self.0.served.set(true);
-        self.0.since.set(Instant::now());
+/// A client's stream that notes when a request begins to come in.
+struct Watched {
+    stream: TcpStream,
+    client: Rc<Client>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.client.reading();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
--- a/tests/rude.rs
+++ b/tests/rude.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::io::Read;
+use std::time::{Duration, Instant};
 use support::*;
 
 /// A node with one app server that answers everything.
@@ -101,3 +103,68 @@
     assert_eq!(asked(1, "00000000B4D65521"), 503);
     assert_eq!(app.seen(), 1);
 }
+
+/// Waits until the node has closed a connection; what it writes before is passed over.
+fn is_closed(client: &mut Client) -> bool {
+    loop {
+        match client.stream.read(&mut [0; 1024]) {
+            Ok(0) => return true,
+            Ok(_) => {}
+            Err(error) => return error.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+}
+
+#[test]
+fn who_says_nothing_or_never_the_rest_is_closed() {
+    let (app, node) = node();
+    let order = request_with("order", "r1", "large", "15000m");
+    let half: Vec<_> = ["", "GET /api HTTP/1.1\r\nReq-Id: ha", order.trim_end_matches("dy"), &order]
+        .map(|text| {
+            let mut client = node.client();
+            client.write(text.as_bytes());
+            client
+        })
+        .into();
+    let begun = Instant::now();
+    for (number, mut client) in half.into_iter().enumerate() {
+        if number == 3 {
+            // Which has asked for something, and been answered, may stay and ask again.
+            assert_eq!(client.read().map(|answer| answer.status()), Some(200));
+            assert_eq!(client.ask(&request("read", "r2")).status(), 200);
+        } else {
+            assert!(is_closed(&mut client), "{number}");
+        }
+    }
+    // Half of the time that a client will wait is not taken up by waiting for the rest.
+    assert!(begun.elapsed() < Duration::from_secs(10));
+    assert_eq!(app.seen(), 2);
+}
+
+#[test]
+fn an_open_request_keeps_its_connection_for_as_long_as_it_takes() {
+    let app = App::start(|_| Reply::Slow(Duration::from_millis(3500)));
+    let node = Node::with(&[target("a", app.address, "north", "SERVING")]);
+    assert_eq!(node.ask(&request("order", "r1")).body, b"late");
+}
+
+#[test]
+fn silent_clients_give_way_before_those_that_ask() {
+    let app = App::start(|_| Reply::ok("x"));
+    let list = listing(1, true, &[target("a", app.address, "north", "SERVING")]);
+    let discovery = Discovery::start(list.clone());
+    let node = Node::start(&config(discovery.address, &list, SETTINGS, 64));
+    let mut usual = node.client();
+    assert_eq!(usual.ask(&request("read", "r0")).status(), 200);
+    assert_eq!(usual.ask(&request("read", "r1")).status(), 200);
+    let mut silent = Vec::new();
+    for number in 0..150 {
+        silent.push(node.client());
+        assert!(node.descriptors() <= 64);
+        if number % 50 == 0 {
+            assert_eq!(usual.ask(&request("read", &format!("u{number}"))).status(), 200);
+        }
+    }
+    assert_eq!(node.ask(&request("read", "r2")).status(), 200);
+    assert_eq!(usual.ask(&request("read", "r3")).status(), 200);
+}
