Let idle clients give way at once at the bound; give clients more descriptors

Change: at the bound silent clients go after 0.1 s, those that asked once at once, usual ones after 1 s idle; attempts get 2/5 of the descriptors and clients 3/5.

--- a/src/bin/ivygate/main.rs
+++ b/src/bin/ivygate/main.rs
@@ -29,6 +29,9 @@
     (sockets / 16).max(16)
 }
 
+/// Part of the descriptors that attempts may use, a fraction. Clients get the rest: many of theirs wait idle.
+const UPSTREAM_PART: (usize, usize) = (2, 5);
+
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
@@ -47,14 +50,15 @@
 }
 
 async fn serve(config: Config, gateway: Gateway) -> Result<(), Box<dyn std::error::Error>> {
-    let each = (config.sockets - reserve(config.sockets)) / 2;
+    let sockets = config.sockets - reserve(config.sockets);
+    let upstreams = sockets * UPSTREAM_PART.0 / UPSTREAM_PART.1;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     // Asked for before anything else is done: until then a signal would end the process.
     let hangups = signal(SignalKind::hangup())?;
     let clock = Clock::new();
     let reader = Reader::new(&config.settings, config.bounds);
-    let driver = Driver::new(gateway, clock, Upstream::new(config.links, each));
+    let driver = Driver::new(gateway, clock, Upstream::new(config.links, upstreams));
     let rev = config.known.as_ref().map(|list| list.rev);
     if let Some(known) = config.known {
         driver.list(known);
@@ -67,7 +71,7 @@
     let (agent, agents) = watch::channel(config.discovery);
     tokio::task::spawn_local(discovery::follow(driver.clone(), agents, rev));
     tokio::task::spawn_local(reload_on(hangups, agent));
-    let server = Server::new(driver, reader, each);
+    let server = Server::new(driver, reader, sockets - upstreams);
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
     tokio::select! {
         _ = terminate.recv() => {}
--- a/src/bin/ivygate/server.rs
+++ b/src/bin/ivygate/server.rs
@@ -37,8 +37,8 @@
 const IDLE: Duration = Duration::from_secs(30);
 /// ... sooner where it has been used but once: many clients ask once and keep their connection for good.
 const IDLE_ONCE: Duration = Duration::from_secs(5);
-/// And at the bound already after this time.
-const IDLE_LEAST: Duration = Duration::from_secs(2);
+/// One that has been used again and again, as usual clients do, gives way at the bound after this time only.
+const USUAL_LEAST: Duration = Duration::from_secs(1);
 /// A client that has not asked for anything yet gives way at the bound after this time: a usual one asks as
 /// soon as it has connected.
 const SILENT_LEAST: Duration = Duration::from_millis(100);
@@ -55,7 +55,7 @@
 const WIND_UP_IDLE: Duration = Duration::from_millis(500);
 /// And new ones are taken for this much longer, for requests that crossed the end of an idle one.
 const WIND_UP_ACCEPT: Duration = Duration::from_millis(150);
-/// A request that is coming in then has this long to be whole.
+/// A request that is coming in then, or at the bound, has this long to be whole.
 const READING_LEAST: Duration = Duration::from_millis(500);
 /// A request that is only now coming in on a connection just accepted is given this long then.
 const FIRST_REQUEST: Duration = Duration::from_millis(50);
@@ -126,10 +126,13 @@
 
     /// Whether it may be closed to make room, and how gladly: the least first.
     fn gives_way(&self) -> Option<(u32, Instant)> {
+        // No long wait for any: whoever has to connect meanwhile waits as long.
         let least = match (self.phase.get(), self.served.get()) {
             (Phase::Open, _) => return None,
-            (_, 0) => SILENT_LEAST,
-            _ => IDLE_LEAST,
+            (Phase::Reading, _) => READING_LEAST,
+            (Phase::Idle, 0) => SILENT_LEAST,
+            (Phase::Idle, 1) => Duration::ZERO,
+            (Phase::Idle, _) => USUAL_LEAST,
         };
         let since = self.since.get();
         (since.elapsed() >= least).then_some((self.served.get().min(2), since))
