--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,7 +62,7 @@
 const ROOM: f64 = 0.7;
 /// Part of the shortest aim of all classes that the queue may take before a request of mean worth for
 /// work: a class with a long aim would else fill queues that starve the others.
-const QUEUE_ROOM: f64 = 0.25;
+const QUEUE_ROOM: f64 = 0.4;
 /// Bounds on the factor that worth for work puts on QUEUE_ROOM: cheap requests are refused first, and with
 /// them those beyond a quota that still pay.
 const QUEUE_FACTOR: (f64, f64) = (0.4, 2.0);
