Measure how quickly queues come and go in shortest aims, not in milliseconds

Seen in a packet trace: servers 50 to 65% busy, one getting 3.5 times the requests of another, while tiles were refused; a probe in the log showed 3 to 4 requests thought to be on a server that held 2.8. Lines at fault: REPORT_LIFE, WAITED_LIFE, BLOCK_FULL in rules.rs.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,14 +44,14 @@
 const WAITED_WEIGHT: f64 = 0.2;
 /// Part of a mean request's work by which it is cut: requests differ in work, and a long one is no queue.
 const WAITED_NOISE: f64 = 2.0;
-/// Time in which waiting seen loses most of its say, in milliseconds: as queues drain.
-const WAITED_LIFE: Millis = 1_500.0;
+/// Time in which waiting seen loses most of its say, in shortest aims: as queues drain.
+const WAITED_LIFE: f64 = 1.5;
 /// Weight of one request in the own attempts that it finds out, from which those of others are guessed:
 /// of many gateways each keeps less than one out, and the one of the moment is no sign of a crowd.
 const OUT_WEIGHT: f64 = 0.05;
-/// Time in which a report loses most of its say, in milliseconds. A gateway that refuses hears no more
+/// Time in which a report loses most of its say, in shortest aims. A gateway that refuses hears no more
 /// reports: without this, one bad report would keep it refusing.
-const REPORT_LIFE: Millis = 800.0;
+const REPORT_LIFE: f64 = 0.8;
 /// Most that a report of busy processors is believed: at full use it tells nothing of the queue.
 const FULL_USE: f64 = 0.85;
 /// Slowing of a request by each other one on its server, as a part of its own work.
@@ -62,7 +62,7 @@
 const ROOM: f64 = 0.7;
 /// Part of the shortest aim of all classes that the queue may take before a request of mean worth for
 /// work: a class with a long aim would else fill queues that starve the others.
-const QUEUE_ROOM: f64 = 0.4;
+const QUEUE_ROOM: f64 = 0.25;
 /// Bounds on the factor that worth for work puts on QUEUE_ROOM: cheap requests are refused first, and with
 /// them those beyond a quota that still pay.
 const QUEUE_FACTOR: (f64, f64) = (0.4, 2.0);
@@ -88,8 +88,8 @@
 /// First time for which a server is left alone after failing, in milliseconds; doubles up to the last.
 const BLOCK_FIRST: Millis = 400.0;
 const BLOCK_LAST: Millis = 3_000.0;
-/// How long a server that turned a request away is left alone, in milliseconds: some services.
-const BLOCK_FULL: Millis = 120.0;
+/// How long a server that turned a request away is left alone, in shortest aims: some services.
+const BLOCK_FULL: f64 = 0.12;
 /// Part of the work that a cold server may be sent before it falls over which is used: work varies.
 const COLD_SAFETY: f64 = 0.75;
 /// Part of a window's allowance for a cold server that may be sent at once; the window itself adds one more.
@@ -142,6 +142,8 @@
     usual_out: f64,
     /// Mean work of a request on an idle server.
     mean_work: Millis,
+    /// Shortest aim of all classes: the measure of how quickly queues come and go.
+    shortest_aim: Millis,
     sweep_at: Millis,
     /// The next tick asked for.
     tick_at: Millis,
@@ -174,6 +176,7 @@
             .iter()
             .map(|_| PlanView { sent: [sketch(), sketch()], rotate_at: f64::NEG_INFINITY, out: sketch() })
             .collect();
+        let shortest_aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         Ok(Self {
             zone: settings.zone.as_str().into(),
             classes: vec![ClassView::default(); settings.classes.len()],
@@ -191,6 +194,7 @@
             mean_value: 0.0,
             usual_out: 0.0,
             mean_work: 0.0,
+            shortest_aim,
             sweep_at: f64::NEG_INFINITY,
             tick_at: f64::INFINITY,
             refused: [0; 3],
@@ -449,7 +453,7 @@
 
     /// Requests thought to be on a server.
     fn crowd(&self, server: &Server, unreported: f64) -> f64 {
-        let told = (-(self.now - server.reported_at) / REPORT_LIFE).exp();
+        let told = (-(self.now - server.reported_at) / (REPORT_LIFE * self.shortest_aim)).exp();
         let others = unreported + told * (server.others - unreported);
         server.out.len() as f64 + others
     }
@@ -482,7 +486,8 @@
             // A silent server is at least as slow as its silence is long.
             let silence = server.out.front().map_or(0.0, |o| self.now - o.2.max(server.answered_at));
             let wait = work * pace;
-            let seen = server.waited * (-(self.now - server.answered_at) / WAITED_LIFE).exp();
+            let waited_life = WAITED_LIFE * self.shortest_aim;
+            let seen = server.waited * (-(self.now - server.answered_at) / waited_life).exp();
             let waited = (seen - WAITED_NOISE * self.mean_work).max(0.0);
             let queue = (self.mean_work * pace * CROWDING * crowd).max(waited);
             let wait = (wait * (1.0 + CROWDING * crowd)).max(wait + waited).max(silence);
@@ -546,7 +551,7 @@
             let (failing, at) = self.zones.entry(server.zone.clone()).or_insert((0.0, now));
             (*failing, *at) = (*failing + ZONE_WEIGHT * (failed - *failing), now);
         }
-        note_outcome(server, now, done.outcome, attempt.sent_at);
+        note_outcome(server, now, done.outcome, attempt.sent_at, BLOCK_FULL * self.shortest_aim);
         note_load(server, now, done.load);
     }
 
@@ -554,7 +559,7 @@
         let now = self.now;
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.probing = false;
-        note_outcome(server, now, outcome, now);
+        note_outcome(server, now, outcome, now, BLOCK_FULL * self.shortest_aim);
         note_load(server, now, load);
     }
 
@@ -605,10 +610,9 @@
         }
         self.mean_work += VALUE_WEIGHT * (work - self.mean_work);
         self.mean_value += VALUE_WEIGHT * (value - self.mean_value);
-        let shortest = self.settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         let factor = (value / self.mean_value).clamp(QUEUE_FACTOR.0, QUEUE_FACTOR.1);
         let factor = if standing == Standing::Beyond { QUEUE_FACTOR.0 } else { factor };
-        let queue_room = QUEUE_ROOM * shortest * factor;
+        let queue_room = QUEUE_ROOM * self.shortest_aim * factor;
         match self.pick(&request) {
             Some((server, wait, queue)) if wait <= ROOM * left && queue <= queue_room => {
                 self.count(plan, &arrival.customer, arrival.units, standing == Standing::Within);
@@ -863,15 +867,16 @@
     (f64::from(limits.open) / width).ceil()
 }
 
-/// Judges a server by an outcome: each kind of symptom ejects it for its own time.
-fn note_outcome(server: &mut Server, now: Millis, outcome: Outcome, sent_at: Millis) {
+/// Judges a server by an outcome: each kind of symptom ejects it for its own time, `full` being that of one
+/// that turned a request away.
+fn note_outcome(server: &mut Server, now: Millis, outcome: Outcome, sent_at: Millis, full: Millis) {
     let block = match outcome {
         Outcome::Ok => {
             server.failures = 0;
             server.on_trial = false;
             0.0
         }
-        Outcome::Full => BLOCK_FULL,
+        Outcome::Full => full,
         // An attempt sent before the last good answer says nothing new.
         Outcome::Timeout | Outcome::Error if sent_at < server.answered_at => 0.0,
         Outcome::Timeout | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
