--- a/src/rules.rs
+++ b/src/rules.rs
@@ -85,9 +85,9 @@
 const ZONE_WEIGHT: f64 = 0.3;
 /// Failures in a row that eject a server which was answering until now.
 const FAILURES: u32 = 2;
-/// First time for which a server is left alone after failing, in milliseconds; doubles up to the last.
-const BLOCK_FIRST: Millis = 400.0;
-const BLOCK_LAST: Millis = 3_000.0;
+/// First time for which a server is left alone after failing, in shortest aims; doubles up to the last.
+const BLOCK_FIRST: f64 = 0.4;
+const BLOCK_LAST: f64 = 3.0;
 /// How long a server that turned a request away is left alone, in shortest aims: some services.
 const BLOCK_FULL: f64 = 0.12;
 /// Part of the work that a cold server may be sent before it falls over which is used: work varies.
@@ -467,7 +467,7 @@
         let zone_time = ZONE_TIME * self.settings.cross_zone_price * class.aim;
         let out: usize = self.servers.values().map(|s| s.out.len()).sum();
         self.usual_out += OUT_WEIGHT * (out as f64 - self.usual_out);
-        let unreported = self.unreported();
+        let (unreported, aim) = (self.unreported(), self.shortest_aim);
         let mut best: Option<(f64, ServerId, Millis, Millis)> = None;
         let mut last_resort: Option<(Millis, ServerId, Millis, Millis, bool)> = None;
         let mut healthy = false;
@@ -486,14 +486,13 @@
             // A silent server is at least as slow as its silence is long.
             let silence = server.out.front().map_or(0.0, |o| self.now - o.2.max(server.answered_at));
             let wait = work * pace;
-            let waited_life = WAITED_LIFE * self.shortest_aim;
-            let seen = server.waited * (-(self.now - server.answered_at) / waited_life).exp();
+            let seen = server.waited * (-(self.now - server.answered_at) / (WAITED_LIFE * aim)).exp();
             let waited = (seen - WAITED_NOISE * self.mean_work).max(0.0);
             let queue = (self.mean_work * pace * CROWDING * crowd).max(waited);
             let wait = (wait * (1.0 + CROWDING * crowd)).max(wait + waited).max(silence);
             let busy = if server.on_trial { 1 } else { usize::MAX };
             if blocked || server.out.len() >= busy || tried {
-                let key = server.blocked_until + if tried { BLOCK_LAST } else { 0.0 };
+                let key = server.blocked_until + if tried { BLOCK_LAST * aim } else { 0.0 };
                 if server.out.len() < 2 && last_resort.is_none_or(|(k, ..)| key < k) {
                     last_resort = Some((key, *id, wait, queue, blocked));
                 }
@@ -504,7 +503,7 @@
             }
             let zone = if server.zone == self.zone { 0.0 } else { zone_time };
             let (failing, at) = self.zones.get(&server.zone).copied().unwrap_or((0.0, self.now));
-            let zone = zone + class.aim * failing * (-(self.now - at) / BLOCK_LAST).exp();
+            let zone = zone + class.aim * failing * (-(self.now - at) / (BLOCK_LAST * aim)).exp();
             let cost = (wait + zone) * (1.0 + SCATTER * self.rng.f64());
             if best.is_none_or(|(c, ..)| cost < c) {
                 best = Some((cost, *id, wait, queue));
@@ -551,7 +550,7 @@
             let (failing, at) = self.zones.entry(server.zone.clone()).or_insert((0.0, now));
             (*failing, *at) = (*failing + ZONE_WEIGHT * (failed - *failing), now);
         }
-        note_outcome(server, now, done.outcome, attempt.sent_at, BLOCK_FULL * self.shortest_aim);
+        note_outcome(server, now, done.outcome, attempt.sent_at, self.shortest_aim);
         note_load(server, now, done.load);
     }
 
@@ -559,7 +558,7 @@
         let now = self.now;
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.probing = false;
-        note_outcome(server, now, outcome, now, BLOCK_FULL * self.shortest_aim);
+        note_outcome(server, now, outcome, now, self.shortest_aim);
         note_load(server, now, load);
     }
 
@@ -867,16 +866,15 @@
     (f64::from(limits.open) / width).ceil()
 }
 
-/// Judges a server by an outcome: each kind of symptom ejects it for its own time, `full` being that of one
-/// that turned a request away.
-fn note_outcome(server: &mut Server, now: Millis, outcome: Outcome, sent_at: Millis, full: Millis) {
+/// Judges a server by an outcome: each kind of symptom ejects it for its own time, measured in shortest aims.
+fn note_outcome(server: &mut Server, now: Millis, outcome: Outcome, sent_at: Millis, aim: Millis) {
     let block = match outcome {
         Outcome::Ok => {
             server.failures = 0;
             server.on_trial = false;
             0.0
         }
-        Outcome::Full => full,
+        Outcome::Full => BLOCK_FULL * aim,
         // An attempt sent before the last good answer says nothing new.
         Outcome::Timeout | Outcome::Error if sent_at < server.answered_at => 0.0,
         Outcome::Timeout | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
@@ -885,6 +883,7 @@
             if quick || server.failures >= FAILURES {
                 server.on_trial = true;
                 (BLOCK_FIRST * f64::from(1u32 << server.failures.min(6).saturating_sub(1))).min(BLOCK_LAST)
+                    * aim
             } else {
                 0.0
             }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -357,6 +357,13 @@
         self.child.try_wait().expect("it can be waited for").is_none()
     }
 
+    /// Memory that it holds, in KB.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory is told");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// File descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
