--- a/src/bin/ivygate/driver.rs
+++ b/src/bin/ivygate/driver.rs
@@ -86,6 +86,8 @@
 /// A request that has arrived, until its answer is given and all its attempts have ended.
 struct Open {
     message: Rc<Message>,
+    /// It must not be sent again once it has been.
+    once: bool,
     deadline: Millis,
     /// Where the answer goes; empty once it is given.
     answer: Option<oneshot::Sender<Answer>>,
@@ -185,6 +187,7 @@
         let deadline = ask.deadline - WAY;
         let open = Open {
             message: Rc::new(ask.message),
+            once: head.once,
             deadline,
             answer: Some(answer),
             attempts: Vec::new(),
@@ -378,10 +381,11 @@
         let attempt = {
             let (driver, id, progress) = (self.clone(), id.clone(), progress.clone());
             let message = open.message.clone();
+            let once = open.once;
             async move {
                 let request = || driver.may_write(server, give_up_at).map(|left| message.request(left));
                 let end = match address {
-                    Some(address) => driver.upstream.attempt(server, address, &progress, request).await,
+                    Some(address) => driver.upstream.attempt(server, address, &progress, once, request).await,
                     None => End::bare(Outcome::Moot),
                 };
                 driver.attempt_ended(&id, number, end);
--- a/src/bin/ivygate/request.rs
+++ b/src/bin/ivygate/request.rs
@@ -38,6 +38,8 @@
     pub width: u32,
     /// How long the client will wait.
     pub wait: Millis,
+    /// Whether it must never run twice.
+    pub once: bool,
 }
 
 impl Reader {
@@ -81,7 +83,8 @@
             _ => return Err("Idempotency-Key does not fit the class"),
         }
         let (class, plan) = (class.clone(), plan.clone());
-        Ok(Head { id: id.into(), class, plan, customer, units, width, wait })
+        let once = *effect == Effect::Unsafe;
+        Ok(Head { id: id.into(), class, plan, customer, units, width, wait, once })
     }
 
     /// Units and the number of nodes through which the customer may come.
--- a/src/bin/ivygate/upstream.rs
+++ b/src/bin/ivygate/upstream.rs
@@ -32,6 +32,10 @@
 /// A connection rests this long between two requests: what a server sends behind an answer must not come
 /// to be read as the next one's.
 const REST: Duration = Duration::from_millis(1);
+/// Weight of one request on a kept connection in the part of those that broke: some tens of requests.
+const BROKE_WEIGHT: f64 = 0.05;
+/// From this part on, kept connections are not trusted with a request that must not be sent again.
+const BROKE_MOST: f64 = 0.04;
 /// The most use that is believed, in percent: more is a slip of the pen.
 const USE_MOST: f64 = 100_000.0;
 /// And the most requests that a server is believed to hold.
@@ -88,6 +92,8 @@
 pub struct Upstream {
     idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
     open: Rc<Cell<usize>>,
+    /// Part of the requests on kept connections, of late, that ended with nothing but a reset.
+    broke: Cell<f64>,
     most: usize,
     keep: Duration,
     connect: Duration,
@@ -126,6 +132,7 @@
         Self {
             idle: RefCell::default(),
             open: Rc::default(),
+            broke: Cell::new(0.0),
             most,
             keep: links.keepalive.map_or(KEEP_UNTOLD, |ms| millis(ms * KEEP_PART)),
             connect: links.connect_timeout.map_or(CONNECT_UNTOLD, millis),
@@ -147,7 +154,8 @@
     }
 
     /// One attempt. `request` is asked for the request when a connection stands and just before its first
-    /// byte is written; `None` means that it must not be sent any more.
+    /// byte is written; `None` means that it must not be sent any more. `once` says that it must not be sent
+    /// again once it has been.
     ///
     /// Dropping the future gives the attempt up and closes its connection.
     pub async fn attempt(
@@ -155,10 +163,15 @@
         server: ServerId,
         address: SocketAddr,
         progress: &Progress,
+        once: bool,
         request: impl Fn() -> Option<Request<Full<Bytes>>>,
     ) -> End {
         loop {
-            let (mut link, reused) = match self.idle_link(server, address).await {
+            // Guards requests that can't be repeated against servers that end kept connections unsaid: a new
+            // connection costs a handshake, a reset the whole request.
+            let trusted = !once || self.broke.get() < BROKE_MOST;
+            let kept = if trusted { self.idle_link(server, address).await } else { None };
+            let (mut link, reused) = match kept {
                 Some(link) => (link, true),
                 None => match self.connect(address).await {
                     Ok(link) => (link, false),
@@ -168,7 +181,12 @@
             // Guards against what happened while connecting: the client left, the server drains, time is up.
             let Some(request) = request() else { return End::bare(Outcome::Moot) };
             progress.begin(&link.written);
-            match exchange(&mut link, request).await {
+            let answer = exchange(&mut link, request).await;
+            if reused && progress.may_have_run() {
+                let broke = f64::from(u8::from(matches!(answer, Err(Broken::Lost))));
+                self.broke.set(self.broke.get() + BROKE_WEIGHT * (broke - self.broke.get()));
+            }
+            match answer {
                 Ok((answer, stands)) => {
                     let end = read_answer(answer);
                     if stands && link.usable().await {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -428,3 +428,25 @@
         }
     }
 }
+
+#[test]
+fn an_unsafe_request_takes_a_new_connection_where_kept_ones_break() {
+    // Connections take one request each, and are closed by the second one.
+    let fresh = std::sync::Mutex::new(std::collections::HashSet::new());
+    let app = App::start(move |request| {
+        let peer = request.header("peer").expect("its connection").to_owned();
+        if fresh.lock().expect("no panic").insert(peer) {
+            Reply::ok("x")
+        } else {
+            Reply::Close
+        }
+    });
+    let node = Node::with(&[serving("a", &app, "north")]);
+    for number in 0..10 {
+        // Safe to repeat, so that the node may learn.
+        node.ask(&request("read", &format!("r{number}")));
+    }
+    for number in 0..10 {
+        assert_eq!(node.ask(&request("order", &format!("o{number}"))).status(), 200, "{number}");
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -131,7 +131,10 @@
 
     fn serve(&self, stream: TcpStream, reply: &dyn Fn(&Message) -> Reply) {
         let mut stream = BufReader::new(stream);
-        while let Some(request) = read_message(&mut stream) {
+        let peer = stream.get_ref().peer_addr().map(|peer| peer.to_string()).unwrap_or_default();
+        while let Some(mut request) = read_message(&mut stream) {
+            // Tells the test which connection it came on.
+            request.headers.push(("peer".to_owned(), peer.clone()));
             self.requests.lock().expect("no panic").push(request.clone());
             let (status, headers, body) = match reply(&request) {
                 Reply::Answer(status, headers, body) => (status, headers, body),
