--- a/src/rules.rs
+++ b/src/rules.rs
@@ -879,7 +879,7 @@
         Outcome::Timeout | Outcome::Error if sent_at < server.answered_at => 0.0,
         Outcome::Timeout | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
             server.failures += 1;
-            // One connection that breaks is no sign of a server's end; its end breaks all, and takes no new one.
+            // One connection that breaks is no sign of an end, which breaks all and takes no new one.
             let quick = outcome == Outcome::ConnectFailed || server.on_trial;
             if quick || server.failures >= FAILURES {
                 server.on_trial = true;
