--- a/src/rules.rs
+++ b/src/rules.rs
@@ -902,8 +902,8 @@
 /// processors are told as a mean over a time that has passed when the report arrives, and say nothing of the
 /// queue of now. All gateways read the same and leave a server together: by then one told to be busy is idle.
 /// Guards also against reports that are wrong, or late for any cause: what is refused for want of room rests
-/// on own attempts, as many of each other gateway, and the waiting seen in answers. May harm where others send
-/// far more than this gateway: until answers show the waiting, it takes theirs to be as few.
+/// on own attempts, as many of each other gateway, and the waiting seen in answers. May harm where others
+/// send far more than this gateway: until answers show the waiting, it takes theirs to be as few.
 fn note_load(server: &mut Server, now: Millis, load: Load) {
     let Some(held) = load.in_flight.or(load.queue) else { return };
     let others = (held - server.out.len() as f64).max(0.0);
