--- a/src/rules.rs
+++ b/src/rules.rs
@@ -598,10 +598,10 @@
             closed: false,
             streaming: false,
         };
-        // Under pressure inside quotas the least worth for work is refused first, before it is sent.
+        // Under pressure inside quotas the least worth for work is refused first, before it is sent. A plan's
+        // price has no say in it: what customers of a cheap plan ask within their quotas is owed to them too.
         let work = self.work(class, request.units);
-        let value =
-            self.settings.classes[class].worth * self.settings.plans[plan].price * request.units / work;
+        let value = self.settings.classes[class].worth * request.units / work;
         if self.mean_value == 0.0 {
             (self.mean_value, self.mean_work) = (value, work);
         }
