--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,9 +38,6 @@
 const WORK_WEIGHT: f64 = 0.04;
 /// Weight of one answer in a server's learned pace; a slow server shows within some twenty answers.
 const PACE_WEIGHT: f64 = 0.05;
-/// Time in which a server's pace fades to the fleet's without an answer, in shortest aims: who is thought
-/// slow is not asked, and would be thought so for good.
-const PACE_LIFE: f64 = 1.5;
 /// Weight of one report in what other gateways keep on a server; reports are noisy.
 const REPORT_WEIGHT: f64 = 0.5;
 /// Weight of one answer in the waiting seen at a server: some answers.
@@ -468,7 +465,7 @@
         let zone_time = ZONE_TIME * self.settings.cross_zone_price * class.aim;
         let out: usize = self.servers.values().map(|s| s.out.len()).sum();
         self.usual_out += OUT_WEIGHT * (out as f64 - self.usual_out);
-        let (unreported, aim, fleet) = (self.unreported(), self.shortest_aim, self.fleet_pace());
+        let (unreported, aim) = (self.unreported(), self.shortest_aim);
         let mut best: Option<(f64, ServerId, Millis, Millis)> = None;
         let mut last_resort: Option<(Millis, ServerId, Millis, Millis, bool)> = None;
         let mut healthy = false;
@@ -483,8 +480,7 @@
             }
             let tried = request.attempts.iter().any(|a| a.server == *id);
             let crowd = self.crowd(server, unreported);
-            let known = self.pace_known(server);
-            let pace = (1.0 + known * (server.pace / fleet - 1.0)).max(0.7 / self.warmth(server));
+            let pace = server.pace.max(0.7 / self.warmth(server));
             // A silent server is at least as slow as its silence is long.
             let silence = server.out.front().map_or(0.0, |o| self.now - o.2.max(server.answered_at));
             let wait = work * pace;
@@ -517,36 +513,11 @@
         best.map(|(_, id, wait, queue)| (id, wait, queue)).or(last_resort.map(|(_, id, w, q, _)| (id, w, q)))
     }
 
-    /// How far a server's pace is known: all of it at its last answer, less and less from then on.
-    fn pace_known(&self, server: &Server) -> f64 {
-        let silent = self.now - server.answered_at;
-        server.answers.min(1.0) * (-silent / (PACE_LIFE * self.shortest_aim)).exp()
-    }
-
-    /// Mean pace of the servers in use, as far as it is known. Paces have no measure of their own but each
-    /// other: time-outs and crowds guessed too small raise them all, and without this the whole fleet would
-    /// seem too slow to be used. It hides a fleet that slows as a whole from the paces; the waiting seen and
-    /// the work learned show that.
-    fn fleet_pace(&self) -> f64 {
-        let used = self.servers.values().filter(|s| s.state == ServerState::Ready);
-        let known = used.map(|s| (self.pace_known(s), s.pace));
-        let (sum, all) =
-            known.fold((0.0, 0.0), |(sum, all), (known, pace)| (sum + known * pace, all + known));
-        if all > 0.0 {
-            sum / all
-        } else {
-            1.0
-        }
-    }
-
     /// Learns from an attempt's end.
     fn learn(&mut self, id: ServerId, class: usize, units: f64, attempt: &Attempt, done: &Done) {
         let now = self.now;
         let work = self.work(class, units);
-        let fleet = self.fleet_pace();
-        let known = self.servers.get(&id).map_or(1.0, |server| self.pace_known(server));
         let Some(server) = self.servers.get_mut(&id) else { return };
-        server.pace = fleet + known * (server.pace - fleet);
         let view = &mut self.classes[class];
         let alone = done.elapsed / (1.0 + CROWDING * attempt.crowd);
         let pace = alone / work;
@@ -554,7 +525,7 @@
         // a server goes on with after its attempt was given up. Also holds when all servers slow at once.
         // May hurt after a run of unusually long requests, for as long as it fades.
         if matches!(done.outcome, Outcome::Ok | Outcome::Timeout) {
-            let waited = done.elapsed - work * server.pace / fleet;
+            let waited = done.elapsed - work * server.pace;
             server.waited = (server.waited + WAITED_WEIGHT * (waited - server.waited)).max(0.0);
         }
         // The more a server held, the more of the time was waiting, and the less it tells: without this a
