--- a/src/bin/ivygate-adapter/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,6 +1,8 @@
 //! Lines of the wire to events, actions to lines.
 
-use ivygate::{Action, Arrival, Done, Event, Gateway, ListKind, Load, Member, Outcome, ServerState, Setup};
+use ivygate_gateway::{
+    Action, Arrival, Done, Event, Gateway, ListKind, Load, Member, Outcome, ServerState, Setup,
+};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{self, BufRead, Write};
--- a/examples/one_gateway.rs
+++ b/crates/gateway/examples/one_gateway.rs
@@ -1,6 +1,6 @@
 //! Drives one gateway from a made-up list of events, as an operator's own gateway would.
 
-use ivygate::*;
+use ivygate_gateway::*;
 use std::sync::Arc;
 
 fn main() -> Result<(), SettingsError> {
--- a/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1,6 +1,6 @@
 //! The module's behaviour, driven by made-up events.
 
-use ivygate::*;
+use ivygate_gateway::*;
 use std::sync::Arc;
 
 fn settings() -> Settings {
--- /dev/null
+++ b/crates/ivygate/tests/support/mod.rs
@@ -0,0 +1,124 @@
+//! A node as a process of its own.
+
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of this")]
+
+pub use ivygate_standin::*;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// A node that runs.
+pub struct Node {
+    pub address: SocketAddr,
+    config: std::path::PathBuf,
+    child: Child,
+}
+
+/// A file of this test's own, named by a number.
+pub fn scratch(text: &str) -> std::path::PathBuf {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("ivygate-test-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, text).expect("a file is written");
+    path
+}
+
+pub fn config(discovery: SocketAddr, known: &str, settings: &str, sockets: usize) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+    )
+}
+
+impl Node {
+    /// Starts a node that knows these app servers and hears no more of them.
+    pub fn with(targets: &[String]) -> Self {
+        let list = listing(1, true, targets);
+        let discovery = Discovery::start(list.clone());
+        Self::start(&config(discovery.address, &list, SETTINGS, 1024))
+    }
+
+    pub fn start(config: &str) -> Self {
+        let path = scratch(config);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_ivygate"))
+            .env("RELAY_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the node starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("it has standard error"));
+        let mut line = String::new();
+        lines.read_line(&mut line).expect("it says where it listens");
+        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
+        std::thread::spawn(move || std::io::copy(&mut lines, &mut std::io::sink()));
+        let node = Self { address, config: path, child };
+        until("the node is up", || {
+            let mut client = node.client();
+            client.write(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+            client.read().is_some_and(|answer| answer.status() == 200)
+        });
+        node
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("the node accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
+        Client { stream: BufReader::new(stream) }
+    }
+
+    /// Asks on a connection of its own and waits for the answer.
+    pub fn ask(&self, request: &str) -> Message {
+        self.client().ask(request)
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the file of its configuration and sends SIGHUP.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("the file is written");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    /// Waits for the end and gives the exit code.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let mut code = None;
+        until("the node exits", || {
+            code = self.child.try_wait().expect("it can be waited for");
+            code.is_some()
+        });
+        code.and_then(|c| c.code())
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("it can be waited for").is_none()
+    }
+
+    /// Memory that it holds, in KB.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory is told");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
+    /// File descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
--- a/src/bin/ivygate/config.rs
+++ b/crates/node/src/config.rs
@@ -1,7 +1,7 @@
 //! What a node is told at its start.
 
-use crate::discovery::Listing;
-use ivygate::{Bounds, Links, Settings, Setup};
+use ivygate_gateway::{Bounds, Links, Settings, Setup};
+use ivygate_runtime::Listing;
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
--- a/src/bin/ivygate/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,12 +1,11 @@
 //! The list of app servers: starts from what is known, lists, watches, and comes back after failures.
 
-use crate::driver::Driver;
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
+use ivygate_runtime::{Driver, Listing};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,57 +14,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-/// The list or a change of it.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Listing {
-    /// Its version.
-    pub rev: u64,
-    /// Whether what it lacks is gone.
-    pub all: bool,
-    /// The entries.
-    #[serde(default)]
-    pub targets: Vec<Target>,
-}
-
-/// One app server on the list.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Target {
-    /// Its name, the same at every node.
-    pub uid: String,
-    /// Where it listens; one that is gone need not listen anywhere.
-    pub endpoint: Option<SocketAddr>,
-    /// Its zone.
-    #[serde(default)]
-    pub az: String,
-    /// Its cell.
-    #[serde(default)]
-    pub pod_group: u32,
-    /// Its state.
-    pub state: TargetState,
-    /// Its size against the others.
-    #[serde(default = "one")]
-    pub capacity_hint: f64,
-    /// When it last started, in Unix time; 0 for long ago.
-    #[serde(default)]
-    pub boot_ms: f64,
-}
-
-/// State of an app server on the list.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum TargetState {
-    /// Takes requests.
-    Serving,
-    /// Finishes what it has.
-    Draining,
-    /// Removed.
-    Deleted,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
 /// Longest time for a connection to the agent, which is on this machine.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Longest time for an answer's head and for a whole list.
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,153 @@
+//! The platform's protocol towards clients: heads and bodies read, answers worded.
+
+use crate::request::Reader;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use ivygate_gateway::Millis;
+use ivygate_runtime::{
+    end_to_end, millis, retry_after_value, Answer, Ask, Asked, Driver, Front, Leaving, Message, Payload,
+    BODY_MOST, WHOLE_REQUEST,
+};
+use std::rc::Rc;
+use tokio::time::{timeout, Instant};
+
+/// Answers the platform's clients.
+pub struct NodeFront {
+    driver: Rc<Driver>,
+    reader: Reader,
+}
+
+impl Front for NodeFront {
+    type Body = Full<Bytes>;
+
+    async fn answer(&self, asked: Asked) -> Result<Response<Full<Bytes>>, hyper::Error> {
+        let Asked { request, begun, ending, turn, .. } = asked;
+        let (mut response, stays) = if request.uri().path() == "/up" {
+            (self.up(&request, ending), true)
+        } else {
+            match self.read(request, begun).await {
+                Ok(ask) => {
+                    turn.open();
+                    match self.ask(ask).await {
+                        Some(response) => (response, true),
+                        None => (plain(StatusCode::CONFLICT, "a request of this id is open"), false),
+                    }
+                }
+                Err(Unfit::Answer(status, what)) => (plain(status, what), false),
+                Err(Unfit::Lost(error)) => return Err(error),
+            }
+        };
+        // Guards against what may lie behind a request that was not read to its end or by its own rules, and
+        // against a client that goes on with more of the kind at full speed.
+        if !stays {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(response)
+    }
+}
+
+impl NodeFront {
+    /// A front for this driver, which reads heads with this reader.
+    pub fn new(driver: Rc<Driver>, reader: Reader) -> Self {
+        Self { driver, reader }
+    }
+
+    fn up(&self, request: &Request<Incoming>, ending: bool) -> Response<Full<Bytes>> {
+        if request.method() != Method::GET {
+            return plain(StatusCode::METHOD_NOT_ALLOWED, "only GET");
+        }
+        if ending || !self.driver.ready() {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "not ready");
+        }
+        plain(StatusCode::OK, "up")
+    }
+
+    /// The answer to a request, or `None` if one of its id is open.
+    async fn ask(&self, ask: Ask) -> Option<Response<Full<Bytes>>> {
+        let id = ask.head.id.clone();
+        let answer = self.driver.arrive(ask)?;
+        // hyper drops this future when the client closes its connection.
+        let leaving = Leaving::new(self.driver.clone(), id);
+        let answer = answer.await;
+        leaving.answered();
+        Some(match answer {
+            Ok(Answer::Served(body, content_type)) => {
+                let mut response = Response::new(Full::new(body));
+                if let Some(content_type) = content_type {
+                    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+                }
+                response
+            }
+            Ok(Answer::Refused(retry_after)) => {
+                let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused; nothing was run");
+                if let Some(value) = retry_after_value(retry_after) {
+                    response.headers_mut().insert(header::RETRY_AFTER, value);
+                }
+                response
+            }
+            Ok(Answer::TimeUp) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+            Ok(Answer::Failed | Answer::Passed(_)) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
+        })
+    }
+
+    /// Reads a whole request, the first byte of which came at `begun`.
+    async fn read(&self, request: Request<Incoming>, begun: Instant) -> Result<Ask, Unfit> {
+        let now = self.driver.now();
+        let (parts, body) = request.into_parts();
+        // Guards against a second request hidden in a body. hyper drops `Content-Length` where there is a
+        // `Transfer-Encoding`, so whether there were both cannot be told; clients send a length.
+        if parts.headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err(Unfit::Answer(StatusCode::LENGTH_REQUIRED, "a body needs Content-Length"));
+        }
+        let bad = |what| Unfit::Answer(StatusCode::BAD_REQUEST, what);
+        let head = self.reader.read(&parts).map_err(bad)?;
+        if parts.method == Method::GET && !body.is_end_stream() {
+            return Err(bad("a GET has no body"));
+        }
+        let body =
+            if body.is_end_stream() { Bytes::new() } else { read_body(body, head.wait, begun).await? };
+        let message = Message {
+            method: parts.method,
+            uri: parts.uri,
+            headers: end_to_end(parts.headers),
+            body: Rc::new(Payload::whole(body)),
+            tells_deadline: true,
+        };
+        Ok(Ask { deadline: now + head.wait, head, message })
+    }
+}
+
+/// Why a request is not taken.
+enum Unfit {
+    /// It is answered so.
+    Answer(StatusCode, &'static str),
+    /// Its connection broke.
+    Lost(hyper::Error),
+}
+
+/// Reads a body that is still coming in, no longer than its client will wait or than a whole request may take.
+async fn read_body(body: Incoming, wait: Millis, begun: Instant) -> Result<Bytes, Unfit> {
+    let too_large = || Unfit::Answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    if body.size_hint().lower() > BODY_MOST as u64 {
+        return Err(too_large());
+    }
+    let wait = millis(wait).min(WHOLE_REQUEST.saturating_sub(begun.elapsed()));
+    match timeout(wait, Limited::new(body, BODY_MOST).collect()).await {
+        Err(_) => Err(Unfit::Answer(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => Err(match error.downcast::<hyper::Error>() {
+            Ok(error) => Unfit::Lost(*error),
+            Err(_) => Unfit::Answer(StatusCode::BAD_REQUEST, "the body is malformed"),
+        }),
+    }
+}
+
+fn plain(status: StatusCode, what: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(what.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- a/src/bin/ivygate/main.rs
+++ b/crates/node/src/lib.rs
@@ -1,27 +1,23 @@
-//! One edge node on real sockets: clients on one side, app servers on the other, and between them the
-//! decisions of the library.
+//! The platform's edge node: its configuration, its protocol's heads and answers, discovery.
+//!
+//! Called by the command line only, where `RELAY_CONFIG` is set. Must never decide which server, whether
+//! again or what is refused: that is the gateway's.
 
-mod clock;
 mod config;
 mod discovery;
-mod driver;
+mod front;
 mod request;
-mod server;
-mod upstream;
 
-use clock::Clock;
 use config::Config;
-use driver::Driver;
-use ivygate::Gateway;
+use front::NodeFront;
+use ivygate_gateway::Gateway;
+use ivygate_runtime::{listen, ClientLimits, Clients, Clock, Driver, Reading, Upstream, UpstreamLimits};
 use request::Reader;
-use server::Server;
 use std::net::SocketAddr;
-use std::process::ExitCode;
-use tokio::net::{TcpListener, TcpSocket};
+use std::rc::Rc;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
-use upstream::Upstream;
 
 /// Descriptors that neither side may use: listener, discovery, the runtime's own, standard streams and
 /// sockets in the act of closing.
@@ -32,17 +28,11 @@
 /// Part of the descriptors that attempts may use, a fraction. Clients get the rest: many of theirs wait idle.
 const UPSTREAM_PART: (usize, usize) = (2, 5);
 
-fn main() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("ivygate: {error}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-fn start() -> Result<(), Box<dyn std::error::Error>> {
+/// Runs one edge node until it is told to end.
+///
+/// # Errors
+/// If the configuration cannot be used, or the node cannot listen.
+pub fn run() -> Result<(), Box<dyn std::error::Error>> {
     let config = Config::load()?;
     let gateway = Gateway::new(config.settings.clone(), config.seed).map_err(|e| format!("settings: {e}"))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -58,7 +48,11 @@
     let hangups = signal(SignalKind::hangup())?;
     let clock = Clock::new();
     let reader = Reader::new(&config.settings, config.bounds);
-    let driver = Driver::new(gateway, clock, Upstream::new(config.links, upstreams));
+    let driver = Driver::new(
+        gateway,
+        clock,
+        Upstream::new(UpstreamLimits::platform(config.links, upstreams), Reading::Platform),
+    );
     let rev = config.known.as_ref().map(|list| list.rev);
     if let Some(known) = config.known {
         driver.list(known);
@@ -70,27 +64,17 @@
     let (agent, agents) = watch::channel(config.discovery);
     tokio::task::spawn_local(discovery::follow(driver.clone(), agents, rev));
     tokio::task::spawn_local(reload_on(hangups, agent));
-    let server = Server::new(driver, reader, sockets - upstreams);
-    let accepting = tokio::task::spawn_local(server.clone().accept(listener));
+    let front = Rc::new(NodeFront::new(driver, reader));
+    let clients = Clients::new(front, ClientLimits::new(sockets - upstreams));
+    let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    server.wind_up(accepting).await;
+    clients.wind_up(accepting).await;
     Ok(())
 }
 
-/// Listens with a queue that holds a crowd: one that runs over costs whoever comes next a second, until the
-/// system tries again.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    const QUEUE: u32 = 1024;
-    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    // A node that starts again takes over its address while old connections still linger.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(QUEUE)
-}
-
 /// Reads the configuration anew at each SIGHUP, also while the node winds up. What a running node takes from
 /// it is the address of discovery; all else stays as it was at the start.
 async fn reload_on(mut hangups: Signal, agent: watch::Sender<SocketAddr>) {
--- a/src/bin/ivygate/request.rs
+++ b/crates/node/src/request.rs
@@ -4,7 +4,8 @@
 use hyper::header::{self, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::Method;
-use ivygate::{Bounds, Effect, Millis, RequestId, Settings};
+use ivygate_gateway::{Bounds, Effect, Millis, Settings};
+use ivygate_runtime::Head;
 use std::sync::Arc;
 
 /// Longest id; far more than any client's.
@@ -21,27 +22,6 @@
     bounds: Bounds,
 }
 
-/// What a head says, checked.
-#[derive(Debug, PartialEq)]
-pub struct Head {
-    /// The request's id.
-    pub id: RequestId,
-    /// Its class.
-    pub class: Arc<str>,
-    /// The customer's plan.
-    pub plan: Arc<str>,
-    /// The customer.
-    pub customer: Arc<str>,
-    /// Units that it takes from the quota.
-    pub units: f64,
-    /// Nodes through which the customer's requests may come.
-    pub width: u32,
-    /// How long the client will wait.
-    pub wait: Millis,
-    /// Whether it must never run twice.
-    pub once: bool,
-}
-
 impl Reader {
     /// A reader for these settings.
     pub fn new(settings: &Settings, bounds: Bounds) -> Self {
--- a/src/bin/ivygate/server.rs
+++ b/crates/runtime/src/clients.rs
@@ -1,29 +1,24 @@
-//! The side of the clients: accepts connections, reads and checks requests, and writes the one answer to
-//! each.
+//! The side of the clients: accepts connections, bounds them, and hands each request to a [`Front`].
 
-use crate::clock::millis;
-use crate::driver::{Answer, Ask, Driver, Message};
-use crate::request::Reader;
-use crate::upstream::BODY_MOST;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use ivygate::{Millis, RequestId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::error::Error;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep, timeout, Instant};
@@ -32,7 +27,7 @@
 const BUFFER: usize = 16 << 10;
 /// A client has this long to send a whole request: from when it connects, or from the first byte of a later
 /// one. A client that says nothing, or never the rest, would else hold its descriptor for good.
-const WHOLE_REQUEST: Duration = Duration::from_millis(2300);
+pub const WHOLE_REQUEST: Duration = Duration::from_millis(2300);
 /// A connection on which this long nothing has been asked is closed ...
 const IDLE: Duration = Duration::from_secs(30);
 /// ... sooner where it has been used but once: many clients ask once and keep their connection for good.
@@ -62,11 +57,74 @@
 /// A request that is only now coming in on a connection just accepted is given this long then.
 const FIRST_REQUEST: Duration = Duration::from_millis(50);
 
+/// How clients are bounded.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Most connections.
+    pub connections: usize,
+    /// Most bytes that are held of a connection's input at once: bounds a request's head.
+    pub buffer: usize,
+    /// Time for a request until its front has called it whole.
+    pub whole_request: Duration,
+    /// An idle connection that has been used more than once is closed after this time ...
+    pub idle: Duration,
+    /// ... and one that has been used once after this.
+    pub idle_once: Duration,
+}
+
+impl ClientLimits {
+    /// The platform's limits, with this many connections.
+    pub fn new(connections: usize) -> Self {
+        let (whole_request, idle, idle_once) = (WHOLE_REQUEST, IDLE, IDLE_ONCE);
+        Self { connections, buffer: BUFFER, whole_request, idle, idle_once }
+    }
+}
+
+/// What makes answers of requests. There is one for each listener; it owns no connection.
+pub trait Front: 'static {
+    /// The body of its answers.
+    type Body: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + 'static;
+
+    /// Answers a request; an error ends the connection with no answer.
+    fn answer(&self, asked: Asked) -> impl Future<Output = Result<Response<Self::Body>, hyper::Error>>;
+}
+
+/// A request whose head has come in.
+pub struct Asked {
+    /// The request.
+    pub request: Request<Incoming>,
+    /// The other side of its connection.
+    pub peer: SocketAddr,
+    /// When its first byte came.
+    pub begun: Instant,
+    /// Whether this process is winding up.
+    pub ending: bool,
+    /// Its turn on the connection; to be dropped when the answer is made or, streamed, has gone out.
+    pub turn: Turn,
+}
+
+/// A request's turn on its connection. Dropping it marks the request as answered or given up.
+pub struct Turn(Rc<Client>);
+
+impl Turn {
+    /// The request has come whole, or as far as it is waited for: the connection must stay until it is
+    /// answered.
+    pub fn open(&self) {
+        self.0.enter(Phase::Open);
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.0.served.set(self.0.served.get().saturating_add(1));
+        self.0.enter(Phase::Idle);
+    }
+}
+
 /// Accepts clients and serves them.
-pub struct Server {
-    driver: Rc<Driver>,
-    reader: Reader,
-    most: usize,
+pub struct Clients<F> {
+    front: Rc<F>,
+    limits: ClientLimits,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     next: Cell<u64>,
     /// A connection has ended.
@@ -119,12 +177,12 @@
     }
 
     /// How long it may stay as it is; `None` for as long as it likes.
-    fn allowed(&self) -> Option<Duration> {
+    fn allowed(&self, limits: &ClientLimits) -> Option<Duration> {
         match (self.phase.get(), self.served.get()) {
             (Phase::Open, _) => None,
-            (Phase::Reading, _) | (Phase::Idle, 0) => Some(WHOLE_REQUEST),
-            (Phase::Idle, 1) => Some(IDLE_ONCE),
-            (Phase::Idle, _) => Some(IDLE),
+            (Phase::Reading, _) | (Phase::Idle, 0) => Some(limits.whole_request),
+            (Phase::Idle, 1) => Some(limits.idle_once),
+            (Phase::Idle, _) => Some(limits.idle),
         }
     }
 
@@ -146,13 +204,12 @@
     }
 }
 
-impl Server {
-    /// A server with no connection yet, and never more than `most`.
-    pub fn new(driver: Rc<Driver>, reader: Reader, most: usize) -> Rc<Self> {
+impl<F: Front> Clients<F> {
+    /// Serves by this front, within these limits.
+    pub fn new(front: Rc<F>, limits: ClientLimits) -> Rc<Self> {
         Rc::new(Self {
-            driver,
-            reader,
-            most,
+            front,
+            limits,
             clients: RefCell::default(),
             next: Cell::new(0),
             freed: Notify::new(),
@@ -168,11 +225,11 @@
             // Guards the descriptors: at the bound another client makes room, or the next waits in the
             // kernel's queue until one ends.
             self.make_room();
-            let full = self.clients.borrow().len() >= self.most;
+            let full = self.clients.borrow().len() >= self.limits.connections;
             tokio::select! {
                 () = self.freed.notified(), if full => {}
                 accepted = listener.accept(), if !full => match accepted {
-                    Ok((stream, _)) => self.take(stream),
+                    Ok((stream, peer)) => self.take(stream, peer),
                     // Guards against spinning while the process has no descriptor left.
                     Err(_) => sleep(ACCEPT_PAUSE).await,
                 },
@@ -181,8 +238,8 @@
             }
         }
         // What the machine has accepted by now counts as taken.
-        while let Some(Ok((stream, _))) = now_or_never(listener.accept()).await {
-            self.take(stream);
+        while let Some(Ok((stream, peer))) = now_or_never(listener.accept()).await {
+            self.take(stream, peer);
         }
     }
 
@@ -209,7 +266,7 @@
     /// each takes some time to end and hundreds may come at one moment.
     fn make_room(&self) {
         let clients = self.clients.borrow();
-        let wanted = self.most - self.most / ROOM_PART;
+        let wanted = self.limits.connections - self.limits.connections / ROOM_PART;
         if clients.len() <= wanted {
             return;
         }
@@ -226,7 +283,7 @@
     fn close_overdue(&self) {
         let clients = self.clients.borrow();
         for client in clients.values() {
-            if client.allowed().is_some_and(|allowed| client.since.get().elapsed() >= allowed) {
+            if client.allowed(&self.limits).is_some_and(|allowed| client.since.get().elapsed() >= allowed) {
                 client.close.notify_one();
             }
         }
@@ -247,7 +304,7 @@
         }
     }
 
-    fn take(self: &Rc<Self>, stream: TcpStream) {
+    fn take(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
         let number = self.next.get();
         self.next.set(number + 1);
         let client = Rc::new(Client {
@@ -258,27 +315,34 @@
             leaving: Cell::new(false),
         });
         self.clients.borrow_mut().insert(number, client.clone());
-        let registered = Registered { server: self.clone(), number };
+        let registered = Registered { clients: self.clone(), number };
         tokio::task::spawn_local(async move {
-            let server = registered.server.clone();
+            let clients = registered.clients.clone();
             // A socket that takes no options is broken, which the first read will tell as well.
             let _ = stream.set_nodelay(true);
-            server.serve(stream, client).await;
+            clients.serve(stream, peer, client).await;
             drop(registered);
         });
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, client: Rc<Client>) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr, client: Rc<Client>) {
         let service = service_fn(|request| {
-            let (server, client) = (self.clone(), client.clone());
+            let (clients, client) = (self.clone(), client.clone());
             async move {
-                let _served = Served(client.clone());
-                server.answer(request, &client).await
+                let begun = client.reading();
+                let ending = clients.ending.get();
+                let asked = Asked { request, peer, begun, ending, turn: Turn(client) };
+                let mut response = clients.front.answer(asked).await?;
+                if clients.ending.get() {
+                    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                }
+                Ok::<_, hyper::Error>(response)
             }
         });
         let stream = Watched { stream, client: client.clone() };
-        let connection =
-            http1::Builder::new().max_buf_size(BUFFER).serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new()
+            .max_buf_size(self.limits.buffer)
+            .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
         loop {
             tokio::select! {
@@ -309,161 +373,6 @@
             }
         }
     }
-
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-        client: &Client,
-    ) -> Result<Response<Full<Bytes>>, hyper::Error> {
-        let begun = client.reading();
-        let (mut response, stays) = if request.uri().path() == "/up" {
-            (self.up(&request), true)
-        } else {
-            match self.read(request, begun).await {
-                Ok(ask) => {
-                    client.enter(Phase::Open);
-                    match self.ask(ask).await {
-                        Some(response) => (response, true),
-                        None => (plain(StatusCode::CONFLICT, "a request of this id is open"), false),
-                    }
-                }
-                Err(Unfit::Answer(status, what)) => (plain(status, what), false),
-                Err(Unfit::Lost(error)) => return Err(error),
-            }
-        };
-        // Guards against what may lie behind a request that was not read to its end or by its own rules, and
-        // against a client that goes on with more of the kind at full speed.
-        if self.ending.get() || !stays {
-            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
-        Ok(response)
-    }
-
-    fn up(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-        if request.method() != Method::GET {
-            return plain(StatusCode::METHOD_NOT_ALLOWED, "only GET");
-        }
-        if self.ending.get() || !self.driver.ready() {
-            return plain(StatusCode::SERVICE_UNAVAILABLE, "not ready");
-        }
-        plain(StatusCode::OK, "up")
-    }
-
-    /// The answer to a request, or `None` if one of its id is open.
-    async fn ask(&self, ask: Ask) -> Option<Response<Full<Bytes>>> {
-        let id = ask.head.id.clone();
-        let answer = self.driver.arrive(ask)?;
-        // hyper drops this future when the client closes its connection.
-        let mut leaving = Leaving { driver: &self.driver, id: Some(id) };
-        let answer = answer.await;
-        leaving.id = None;
-        Some(match answer {
-            Ok(Answer::Served(body, content_type)) => {
-                let mut response = Response::new(Full::new(body));
-                if let Some(content_type) = content_type {
-                    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
-                }
-                response
-            }
-            Ok(Answer::Refused(retry_after)) => {
-                let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused; nothing was run");
-                if let Some(value) = retry_after_value(retry_after) {
-                    response.headers_mut().insert(header::RETRY_AFTER, value);
-                }
-                response
-            }
-            Ok(Answer::TimeUp) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
-        })
-    }
-
-    /// Reads a whole request, the first byte of which came at `begun`.
-    async fn read(&self, request: Request<Incoming>, begun: Instant) -> Result<Ask, Unfit> {
-        let now = self.driver.now();
-        let (parts, body) = request.into_parts();
-        // Guards against a second request hidden in a body. hyper drops `Content-Length` where there is a
-        // `Transfer-Encoding`, so whether there were both cannot be told; clients send a length.
-        if parts.headers.contains_key(header::TRANSFER_ENCODING) {
-            return Err(Unfit::Answer(StatusCode::LENGTH_REQUIRED, "a body needs Content-Length"));
-        }
-        let bad = |what| Unfit::Answer(StatusCode::BAD_REQUEST, what);
-        let head = self.reader.read(&parts).map_err(bad)?;
-        if parts.method == Method::GET && !body.is_end_stream() {
-            return Err(bad("a GET has no body"));
-        }
-        let body =
-            if body.is_end_stream() { Bytes::new() } else { read_body(body, head.wait, begun).await? };
-        let message =
-            Message { method: parts.method, uri: parts.uri, headers: end_to_end(parts.headers), body };
-        Ok(Ask { deadline: now + head.wait, head, message })
-    }
-}
-
-/// Why a request is not taken.
-enum Unfit {
-    /// It is answered so.
-    Answer(StatusCode, &'static str),
-    /// Its connection broke.
-    Lost(hyper::Error),
-}
-
-/// Reads a body that is still coming in, no longer than its client will wait or than a whole request may take.
-async fn read_body(body: Incoming, wait: Millis, begun: Instant) -> Result<Bytes, Unfit> {
-    let too_large = || Unfit::Answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    if body.size_hint().lower() > BODY_MOST as u64 {
-        return Err(too_large());
-    }
-    let wait = millis(wait).min(WHOLE_REQUEST.saturating_sub(begun.elapsed()));
-    match timeout(wait, Limited::new(body, BODY_MOST).collect()).await {
-        Err(_) => Err(Unfit::Answer(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(error)) => Err(match error.downcast::<hyper::Error>() {
-            Ok(error) => Unfit::Lost(*error),
-            Err(_) => Unfit::Answer(StatusCode::BAD_REQUEST, "the body is malformed"),
-        }),
-    }
-}
-
-/// The headers that go on: all but those that belong to the client's connection.
-fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    // The length is written anew from the body.
-    for name in [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-    ] {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers
-}
-
-/// Seconds with three places, rounded up; `None` for no advice.
-fn retry_after_value(wait: Millis) -> Option<HeaderValue> {
-    let wait = wait.ceil();
-    (wait > 0.0).then(|| HeaderValue::try_from(format!("{:.3}", wait / 1000.0)).ok()).flatten()
-}
-
-fn plain(status: StatusCode, what: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(what.as_bytes())));
-    *response.status_mut() = status;
-    response
 }
 
 async fn now_or_never<T>(future: impl Future<Output = T>) -> Option<T> {
@@ -475,16 +384,6 @@
     .await
 }
 
-/// Marks a request as answered, or given up, when it is dropped.
-struct Served(Rc<Client>);
-
-impl Drop for Served {
-    fn drop(&mut self) {
-        self.0.served.set(self.0.served.get().saturating_add(1));
-        self.0.enter(Phase::Idle);
-    }
-}
-
 /// A client's stream that notes when a request begins to come in.
 struct Watched {
     stream: TcpStream,
@@ -532,29 +431,29 @@
     }
 }
 
-/// Tells the driver that the client has left, unless its answer came first.
-struct Leaving<'a> {
-    driver: &'a Rc<Driver>,
-    id: Option<RequestId>,
+/// A connection on the list, for as long as it lives.
+struct Registered<F: Front> {
+    clients: Rc<Clients<F>>,
+    number: u64,
 }
 
-impl Drop for Leaving<'_> {
+impl<F: Front> Drop for Registered<F> {
     fn drop(&mut self) {
-        if let Some(id) = self.id.take() {
-            self.driver.client_gone(&id);
-        }
+        self.clients.clients.borrow_mut().remove(&self.number);
+        self.clients.freed.notify_one();
     }
 }
 
-/// A connection on the server's list, for as long as it lives.
-struct Registered {
-    server: Rc<Server>,
-    number: u64,
-}
-
-impl Drop for Registered {
-    fn drop(&mut self) {
-        self.server.clients.borrow_mut().remove(&self.number);
-        self.server.freed.notify_one();
-    }
+/// Listens with a queue that holds a crowd: one that runs over costs whoever comes next a second, until the
+/// system tries again.
+///
+/// # Errors
+/// If the address cannot be listened on.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    const QUEUE: u32 = 1024;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A node that starts again takes over its address while old connections still linger.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(QUEUE)
 }
--- a/src/bin/ivygate/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -1,6 +1,6 @@
 //! The node's one clock: monotonic, and anchored once to Unix time.
 
-use ivygate::Millis;
+use ivygate_gateway::Millis;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
@@ -13,6 +13,7 @@
 
 impl Clock {
     /// A clock anchored now.
+    #[allow(clippy::new_without_default, reason = "a default that reads the time would hide that it does")]
     pub fn new() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Self { start: Instant::now(), start_ms: unix.as_secs_f64() * 1000.0 }
--- a/src/bin/ivygate/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -4,21 +4,22 @@
 //! All runs on one thread. What an action leads to is queued and handled in order, never from within.
 
 use crate::clock::Clock;
-use crate::discovery::{Listing, TargetState};
-use crate::request::Head;
+use crate::listing::{Listing, TargetState};
+use crate::payload::{Outgoing, Payload, Sent};
+use crate::streamed::Streamed;
 use crate::upstream::{End, Progress, Upstream};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Method, Request, Uri};
-use ivygate::{
-    Action, Arrival, Done, Event, Gateway, ListKind, Member, Millis, Outcome, RequestId, ServerId,
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+use ivygate_gateway::{
+    Action, Arrival, Done, Event, Gateway, ListKind, Load, Member, Millis, Outcome, RequestId, ServerId,
     ServerState,
 };
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::sleep_until;
@@ -34,6 +35,27 @@
 /// A header whose value this node alone sets.
 const DEADLINE: &str = "req-deadline";
 
+/// What a head says, checked.
+#[derive(Debug, PartialEq)]
+pub struct Head {
+    /// The request's id.
+    pub id: RequestId,
+    /// Its class.
+    pub class: Arc<str>,
+    /// The customer's plan.
+    pub plan: Arc<str>,
+    /// The customer.
+    pub customer: Arc<str>,
+    /// Units that it takes from the quota.
+    pub units: f64,
+    /// Nodes through which the customer's requests may come.
+    pub width: u32,
+    /// How long the client will wait.
+    pub wait: Millis,
+    /// Whether it must never run twice.
+    pub once: bool,
+}
+
 /// A client's request, read and checked.
 pub struct Ask {
     /// What its head says.
@@ -53,15 +75,20 @@
     /// Its headers, without those that belong to the client's connection.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Rc<Payload>,
+    /// Whether a server is told how long it has.
+    pub tells_deadline: bool,
 }
 
 impl Message {
-    fn request(&self, left: Millis) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self, left: Millis, sent: &Rc<Sent>) -> Request<Outgoing> {
+        let mut request = Request::new(self.body.outgoing(sent));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
+        if !self.tells_deadline {
+            return request;
+        }
         let left = format!("{}u", (left * 1000.0) as u64);
         if let Ok(left) = HeaderValue::try_from(left) {
             request.headers_mut().insert(DEADLINE, left);
@@ -75,6 +102,8 @@
 pub enum Answer {
     /// Served, with the app server's body and its type.
     Served(Bytes, Option<HeaderValue>),
+    /// Served, or failed in a server's own words: what comes is passed on.
+    Passed(Box<Response<Streamed>>),
     /// Refused; the client should stay away this long, or is told nothing if it is 0.
     Refused(Millis),
     /// Failed.
@@ -92,6 +121,8 @@
     /// Where the answer goes; empty once it is given.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
+    /// A server's own words for a failure, passed on if nothing better comes.
+    fallback: Option<Box<Response<Streamed>>>,
     guard: TimerKey,
 }
 
@@ -139,7 +170,7 @@
 /// Ties the gateway to clients, app servers, discovery and the clock.
 pub struct Driver {
     state: RefCell<State>,
-    upstream: Upstream,
+    upstream: Rc<Upstream>,
     clock: Clock,
     /// A timer became the first.
     sooner: Notify,
@@ -147,7 +178,7 @@
 
 impl Driver {
     /// A driver with nothing open.
-    pub fn new(gateway: Gateway, clock: Clock, upstream: Upstream) -> Rc<Self> {
+    pub fn new(gateway: Gateway, clock: Clock, upstream: Rc<Upstream>) -> Rc<Self> {
         let state = State {
             gateway,
             requests: HashMap::new(),
@@ -191,6 +222,7 @@
             deadline,
             answer: Some(answer),
             attempts: Vec::new(),
+            fallback: None,
             guard,
         };
         state.requests.insert(head.id.clone(), open);
@@ -319,6 +351,10 @@
                 }
                 Timer::Sweep => {
                     self.upstream.sweep();
+                    for server in self.upstream.take_broken() {
+                        let (outcome, load) = (Outcome::Reset, Load::default());
+                        state.events.push_back(Event::Probed { server, outcome, load });
+                    }
                     self.set_timer(&mut state, self.clock.now() + SWEEP, Timer::Sweep);
                 }
             }
@@ -376,6 +412,9 @@
         let Some(open) = requests.get_mut(&id) else { return };
         let number = open.attempts.len() as u32;
         let give_up_at = if give_up_at > 0.0 { give_up_at.min(open.deadline) } else { open.deadline };
+        // Where a body can't be had again, giving up in time for another attempt is no use.
+        let give_up_at = if open.message.body.is_streamed() { open.deadline } else { give_up_at };
+        open.fallback = None;
         let progress = Rc::new(Progress::default());
         let address = servers.get(&server).map(|s| s.address);
         let attempt = {
@@ -383,7 +422,9 @@
             let message = open.message.clone();
             let once = open.once;
             async move {
-                let request = || driver.may_write(server, give_up_at).map(|left| message.request(left));
+                let request = |sent: &Rc<Sent>| {
+                    driver.may_write(server, give_up_at).map(|left| message.request(left, sent))
+                };
                 let end = match address {
                     Some(address) => driver.upstream.attempt(server, address, &progress, once, request).await,
                     None => End::bare(Outcome::Moot),
@@ -433,8 +474,23 @@
         attempt.ended = true;
         let (server, sent_at, timer) = (attempt.server, attempt.sent_at, attempt.timer);
         state.timers.remove(&timer);
-        if end.outcome == Outcome::Ok {
-            state.answer(id, Answer::Served(end.body, end.content_type));
+        match (end.outcome, end.answer) {
+            (Outcome::Ok, Some(answer)) => {
+                state.answer(id, Answer::Passed(answer));
+            }
+            (Outcome::Ok, None) => {
+                state.answer(id, Answer::Served(end.body, end.content_type));
+            }
+            (_, answer) => {
+                if let Some(open) = state.requests.get_mut(id) {
+                    open.fallback = answer;
+                    if open.message.body.is_spent() {
+                        // The gateway's word for what belongs to the client and is never sent anew.
+                        let request = id.clone();
+                        state.events.push_back(Event::StreamStarted { request, attempt: number });
+                    }
+                }
+            }
         }
         let closed = state.requests.get(id).is_none_or(|open| open.answer.is_none());
         state.events.push_back(Event::Done(Done {
@@ -461,6 +517,10 @@
     fn answer(&mut self, id: &RequestId, answer: Answer) -> bool {
         let Some(open) = self.requests.get_mut(id) else { return false };
         let Some(sender) = open.answer.take() else { return false };
+        let answer = match (answer, open.fallback.take()) {
+            (Answer::Refused(_) | Answer::Failed, Some(words)) => Answer::Passed(words),
+            (answer, _) => answer,
+        };
         let guard = open.guard;
         self.timers.remove(&guard);
         // A client that has just left needs no answer; it is told to the gateway by whoever noticed.
@@ -482,3 +542,29 @@
 fn micros(at: Millis) -> u64 {
     (at.max(0.0) * 1000.0) as u64
 }
+
+/// Tells the driver that the client has left, unless its answer came first.
+pub struct Leaving {
+    driver: Rc<Driver>,
+    id: Option<RequestId>,
+}
+
+impl Leaving {
+    /// Watches over a request that has just arrived.
+    pub fn new(driver: Rc<Driver>, id: RequestId) -> Self {
+        Self { driver, id: Some(id) }
+    }
+
+    /// The answer has come.
+    pub fn answered(mut self) {
+        self.id = None;
+    }
+}
+
+impl Drop for Leaving {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            self.driver.client_gone(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,23 @@
+//! One [`Gateway`](ivygate_gateway::Gateway) on sockets: clock, timers, connections to servers and from
+//! clients.
+//!
+//! Called by the fronts (the platform's node, the sidecar). Must never decide which server, whether again or
+//! what is refused, and must not know the words of any front's protocol beyond HTTP/1.1.
+
+mod clients;
+mod clock;
+mod driver;
+mod headers;
+mod listing;
+mod payload;
+mod streamed;
+mod upstream;
+
+pub use clients::{listen, Asked, ClientLimits, Clients, Front, Turn, WHOLE_REQUEST};
+pub use clock::{millis, Clock};
+pub use driver::{Answer, Ask, Driver, Head, Leaving, Message};
+pub use headers::{end_to_end, retry_after_value};
+pub use listing::{Listing, Target, TargetState};
+pub use payload::{BodyError, Payload, Rest};
+pub use streamed::{Stalled, Streamed};
+pub use upstream::{Judge, Reading, Upstream, UpstreamLimits, BODY_MOST};
--- /dev/null
+++ b/crates/runtime/src/streamed.rs
@@ -0,0 +1,133 @@
+//! An answer that is passed on while it comes in. It drives the connection that brings it, and gives that
+//! back when it is whole.
+
+use crate::payload::BodyError;
+use crate::upstream::{Link, Upstream};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use ivygate_gateway::ServerId;
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::{sleep, Instant, Sleep};
+
+/// The body of an answer that is passed on.
+pub struct Streamed {
+    /// `None` once the answer is whole or has broken.
+    link: Option<Link>,
+    incoming: Incoming,
+    server: ServerId,
+    upstream: Rc<Upstream>,
+    stall: Duration,
+    timer: Pin<Box<Sleep>>,
+    /// The timer runs: the server owes the next bytes.
+    owed: bool,
+}
+
+/// A server sent nothing for too long in the middle of an answer.
+#[derive(Debug)]
+pub struct Stalled;
+
+impl fmt::Display for Stalled {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the server stopped in the middle of its answer")
+    }
+}
+
+impl std::error::Error for Stalled {}
+
+impl Streamed {
+    pub(crate) fn new(
+        link: Link,
+        incoming: Incoming,
+        server: ServerId,
+        upstream: Rc<Upstream>,
+        stall: Duration,
+    ) -> Self {
+        let timer = Box::pin(sleep(stall));
+        Self { link: Some(link), incoming, server, upstream, stall, timer, owed: false }
+    }
+
+    /// Gives the connection back: the answer is whole.
+    fn finish(&mut self) {
+        if let Some(link) = self.link.take().filter(Link::stands) {
+            self.upstream.put_back(self.server, link);
+        }
+    }
+
+    fn fail(&mut self, error: BodyError) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.link = None;
+        self.upstream.stream_broke(self.server);
+        Poll::Ready(Some(Err(error)))
+    }
+}
+
+impl fmt::Debug for Streamed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Streamed").field("server", &self.server).finish_non_exhaustive()
+    }
+}
+
+impl Body for Streamed {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = &mut *self;
+        let mut frame = Pin::new(&mut this.incoming).poll_frame(cx);
+        if frame.is_pending() {
+            if let Some(link) = &mut this.link {
+                link.drive(cx);
+                frame = Pin::new(&mut this.incoming).poll_frame(cx);
+            }
+        }
+        match frame {
+            Poll::Ready(Some(Ok(frame))) => {
+                this.owed = false;
+                if this.incoming.is_end_stream() {
+                    this.finish();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => this.fail(error.into()),
+            Poll::Ready(None) => {
+                this.finish();
+                Poll::Ready(None)
+            }
+            Poll::Pending => {
+                if !this.owed {
+                    this.owed = true;
+                    let at = Instant::now() + this.stall;
+                    this.timer.as_mut().reset(at);
+                }
+                match this.timer.as_mut().poll(cx) {
+                    Poll::Ready(()) => this.fail(Box::new(Stalled)),
+                    Poll::Pending => Poll::Pending,
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
+impl Drop for Streamed {
+    fn drop(&mut self) {
+        // An answer without a body is never polled.
+        if self.incoming.is_end_stream() {
+            self.finish();
+        }
+    }
+}
--- a/src/bin/ivygate/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -1,14 +1,16 @@
 //! Connections to app servers and the attempts on them. One request at a time on each connection.
 
 use crate::clock::millis;
+use crate::payload::{Outgoing, Sent};
+use crate::streamed::Streamed;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Connection, SendRequest};
-use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use ivygate::{Links, Load, Outcome, ServerId};
+use ivygate_gateway::{Links, Load, Millis, Outcome, ServerId};
 use serde::Deserialize;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -17,7 +19,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -60,12 +62,31 @@
     pub use_percent: Option<f64>,
     /// The app server's load.
     pub load: Load,
+    /// An answer that is passed on as it comes, good or not.
+    pub answer: Option<Box<Response<Streamed>>>,
 }
 
 impl End {
     /// An end that brought nothing along.
     pub fn bare(outcome: Outcome) -> Self {
-        Self { outcome, body: Bytes::new(), content_type: None, use_percent: None, load: Load::default() }
+        Self {
+            outcome,
+            body: Bytes::new(),
+            content_type: None,
+            use_percent: None,
+            load: Load::default(),
+            answer: None,
+        }
+    }
+
+    /// Takes in what an answer's headers tell besides. One that cannot be read is as good as none: it is a
+    /// hint, and the answer itself is whole.
+    fn tell(&mut self, headers: &HeaderMap) {
+        let usage =
+            headers.get("api-usage").and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse().ok());
+        self.use_percent = usage.filter(|u: &f64| (0.0..=USE_MOST).contains(u));
+        let load = headers.get("srv-load").and_then(|v| serde_json::from_slice(v.as_bytes()).ok());
+        self.load = load.map_or_else(Load::default, LoadReport::load);
     }
 }
 
@@ -74,12 +95,19 @@
 pub struct Progress {
     /// The bytes that its connection has taken, and how many there were before this attempt.
     written: RefCell<Option<(Rc<Cell<u64>>, u64)>>,
+    /// How much of its body has been handed over.
+    pub(crate) sent: Rc<Sent>,
 }
 
 impl Progress {
-    /// Whether any byte has been written: from then on, in doubt, the request may have run. A request is
-    /// written in one piece, so knowing less than its last byte costs next to nothing.
+    /// Whether the last of its body has been handed over and any byte has been written since the attempt
+    /// began: from then on, in doubt, the request may have run.
     pub fn may_have_run(&self) -> bool {
+        self.sent.last.get() && self.has_written()
+    }
+
+    /// Whether any byte has been written since the attempt began.
+    fn has_written(&self) -> bool {
         self.written.borrow().as_ref().is_some_and(|(written, before)| written.get() > *before)
     }
 
@@ -88,15 +116,76 @@
     }
 }
 
+/// How answers are read.
+#[derive(Clone, Debug)]
+pub enum Reading {
+    /// Whole, by the platform's protocol.
+    Platform,
+    /// As ordinary applications word them, passed on while they come in.
+    Application(Judge),
+}
+
+/// Which outcome an application's answer stands for.
+#[derive(Clone, Debug, Default)]
+pub struct Judge {
+    /// Statuses that are failures of the server; all others are the application's answer.
+    pub errors: Vec<StatusCode>,
+    /// The header and value by which a 503 or 504 proves that nothing ran; by default nothing does.
+    pub declined: Option<(HeaderName, HeaderValue)>,
+    /// How long a server may pause in the middle of an answer.
+    pub stall: Duration,
+}
+
+impl Judge {
+    fn outcome(&self, status: StatusCode, headers: &HeaderMap) -> Outcome {
+        let turned_away = matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
+        let says = |(name, value): &(HeaderName, HeaderValue)| headers.get(name) == Some(value);
+        if turned_away && self.declined.as_ref().is_some_and(says) {
+            Outcome::Full
+        } else if self.errors.contains(&status) {
+            Outcome::Error
+        } else {
+            Outcome::Ok
+        }
+    }
+}
+
+/// What bounds the connections to a pool's servers.
+#[derive(Clone, Debug)]
+pub struct UpstreamLimits {
+    /// Most connections.
+    pub connections: usize,
+    /// A connection not established by then has failed.
+    pub connect: Duration,
+    /// An idle connection is kept for this long.
+    pub keep: Duration,
+    /// A connection rests this long between two requests.
+    pub rest: Duration,
+}
+
+impl UpstreamLimits {
+    /// The platform's, by what its settings tell.
+    pub fn platform(links: Links, connections: usize) -> Self {
+        let keep = |ms: Millis| millis(ms * KEEP_PART);
+        Self {
+            connections,
+            connect: links.connect_timeout.map_or(CONNECT_UNTOLD, millis),
+            keep: links.keepalive.map_or(KEEP_UNTOLD, keep),
+            rest: REST,
+        }
+    }
+}
+
 /// All connections to app servers.
 pub struct Upstream {
     idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
     open: Rc<Cell<usize>>,
     /// Part of the requests on kept connections, of late, that ended with nothing but a reset.
     broke: Cell<f64>,
-    most: usize,
-    keep: Duration,
-    connect: Duration,
+    limits: UpstreamLimits,
+    reading: Reading,
+    /// Servers whose answers broke when they had begun, since that was last asked for.
+    broken: RefCell<Vec<ServerId>>,
 }
 
 struct Idle {
@@ -105,9 +194,10 @@
 }
 
 /// One connection. It is driven by whoever uses it, so nothing is left running when it is dropped.
-struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    connection: Connection<TokioIo<Counted>, Full<Bytes>>,
+pub(crate) struct Link {
+    sender: SendRequest<Outgoing>,
+    /// `None` once it has ended.
+    connection: Option<Connection<TokioIo<Counted>, Outgoing>>,
     written: Rc<Cell<u64>>,
     /// Nothing is asked, so that anything to be read is too much.
     resting: Rc<Cell<bool>>,
@@ -119,26 +209,58 @@
     /// read. Looks without waiting, and past tokio, which may not have heard yet or may owe others a turn.
     async fn usable(&mut self) -> bool {
         self.resting.set(true);
-        let ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready()));
-        let ended = tokio::task::unconstrained(ended).await;
+        let look = poll_fn(|cx| {
+            self.drive(cx);
+            Poll::Ready(())
+        });
+        tokio::task::unconstrained(look).await;
         self.resting.set(false);
-        !ended && self.sender.is_ready()
+        self.stands() && self.sender.is_ready()
+    }
+
+    /// Reads and writes what can be.
+    pub(crate) fn drive(&mut self, cx: &mut Context<'_>) {
+        if let Some(connection) = &mut self.connection {
+            // How it ended shows in the answer.
+            if Pin::new(connection).poll(cx).is_ready() {
+                self.connection = None;
+            }
+        }
+    }
+
+    /// Whether the connection has not ended, as far as is known.
+    pub(crate) fn stands(&self) -> bool {
+        self.connection.is_some()
     }
 }
 
 impl Upstream {
-    /// No connection yet, and never more than `most`.
-    pub fn new(links: Links, most: usize) -> Self {
-        Self {
+    /// No connection yet.
+    pub fn new(limits: UpstreamLimits, reading: Reading) -> Rc<Self> {
+        Rc::new(Self {
             idle: RefCell::default(),
             open: Rc::default(),
             broke: Cell::new(0.0),
-            most,
-            keep: links.keepalive.map_or(KEEP_UNTOLD, |ms| millis(ms * KEEP_PART)),
-            connect: links.connect_timeout.map_or(CONNECT_UNTOLD, millis),
+            limits,
+            reading,
+            broken: RefCell::default(),
+        })
+    }
+
+    /// Notes that an answer broke after it had begun.
+    pub(crate) fn stream_broke(&self, server: ServerId) {
+        let mut broken = self.broken.borrow_mut();
+        // Guards the memory; a server is no worse for being named twice.
+        if !broken.contains(&server) {
+            broken.push(server);
         }
     }
 
+    /// Servers whose answers broke after they had begun, once each.
+    pub(crate) fn take_broken(&self) -> Vec<ServerId> {
+        self.broken.take()
+    }
+
     /// Closes the idle connections to a server.
     pub fn forget(&self, server: ServerId) {
         self.idle.borrow_mut().remove(&server);
@@ -146,7 +268,7 @@
 
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
-        let keep = self.keep;
+        let keep = self.limits.keep;
         self.idle.borrow_mut().retain(|_, links| {
             links.retain(|idle| idle.since.elapsed() < keep);
             !links.is_empty()
@@ -158,20 +280,20 @@
     /// again once it has been.
     ///
     /// Dropping the future gives the attempt up and closes its connection.
-    pub async fn attempt(
-        &self,
+    pub(crate) async fn attempt(
+        self: &Rc<Self>,
         server: ServerId,
         address: SocketAddr,
         progress: &Progress,
         once: bool,
-        request: impl Fn() -> Option<Request<Full<Bytes>>>,
+        request: impl Fn(&Rc<Sent>) -> Option<Request<Outgoing>>,
     ) -> End {
         loop {
             // Guards requests that can't be repeated against servers that end kept connections unsaid: a new
             // connection costs a handshake, a reset the whole request.
             let trusted = !once || self.broke.get() < BROKE_MOST;
             let kept = if trusted { self.idle_link(server, address).await } else { None };
-            let (mut link, reused) = match kept {
+            let (link, reused) = match kept {
                 Some(link) => (link, true),
                 None => match self.connect(address).await {
                     Ok(link) => (link, false),
@@ -179,30 +301,75 @@
                 },
             };
             // Guards against what happened while connecting: the client left, the server drains, time is up.
-            let Some(request) = request() else { return End::bare(Outcome::Moot) };
+            let Some(request) = request(&progress.sent) else { return End::bare(Outcome::Moot) };
             progress.begin(&link.written);
-            let answer = exchange(&mut link, request).await;
+            let answer = self.exchange(server, link, request).await;
             if reused && progress.may_have_run() {
                 let broke = f64::from(u8::from(matches!(answer, Err(Broken::Lost))));
                 self.broke.set(self.broke.get() + BROKE_WEIGHT * (broke - self.broke.get()));
             }
             match answer {
-                Ok((answer, stands)) => {
-                    let end = read_answer(answer);
-                    if stands && link.usable().await {
-                        self.put_back(server, link);
-                    }
-                    return end;
-                }
+                Ok(end) => return end,
                 Err(Broken::Spoilt) => return End::bare(Outcome::Spoilt),
+                // The client's doing: it says nothing of the server, which never had the whole request.
+                Err(Broken::Lost) if progress.sent.broken_off.get() => return End::bare(Outcome::Moot),
                 Err(Broken::Lost) if progress.may_have_run() => return End::bare(Outcome::Reset),
                 // Not a byte was written, so taking another connection sends nothing again.
-                Err(Broken::Lost) if reused => continue,
+                Err(Broken::Lost) if reused && !progress.has_written() => continue,
                 Err(Broken::Lost) => return End::bare(Outcome::ConnectFailed),
             }
         }
     }
 
+    /// Writes a request and reads its answer: whole, or as far as it can be passed on.
+    async fn exchange(
+        self: &Rc<Self>,
+        server: ServerId,
+        mut link: Link,
+        request: Request<Outgoing>,
+    ) -> Result<End, Broken> {
+        let Link { sender, connection, .. } = &mut link;
+        let mut sending = pin!(sender.send_request(request));
+        let answer = poll_fn(|cx| {
+            if let Poll::Ready(answer) = sending.as_mut().poll(cx) {
+                return Poll::Ready(answer);
+            }
+            if let Some(open) = connection {
+                if Pin::new(open).poll(cx).is_ready() {
+                    // As one does whose answer said so. What it brought is still to be read.
+                    *connection = None;
+                }
+                return sending.as_mut().poll(cx);
+            }
+            Poll::Pending
+        })
+        .await?;
+        match &self.reading {
+            Reading::Platform => {
+                let reading = pin!(read_whole(answer));
+                let whole = drive_while(&mut link, reading).await?;
+                let end = read_answer(whole);
+                if link.stands() && link.usable().await {
+                    self.put_back(server, link);
+                }
+                Ok(end)
+            }
+            Reading::Application(judge) => {
+                // Guards the connection: nobody asked for another protocol.
+                if answer.status().is_informational() {
+                    return Err(Broken::Spoilt);
+                }
+                let (parts, body) = answer.into_parts();
+                let outcome = judge.outcome(parts.status, &parts.headers);
+                let mut end = End::bare(outcome);
+                end.tell(&parts.headers);
+                let body = Streamed::new(link, body, server, self.clone(), judge.stall);
+                end.answer = (outcome != Outcome::Full).then(|| Box::new(Response::from_parts(parts, body)));
+                Ok(end)
+            }
+        }
+    }
+
     /// The idle connection last used; the others get the rest that lets them go.
     async fn idle_link(&self, server: ServerId, address: SocketAddr) -> Option<Link> {
         loop {
@@ -210,31 +377,31 @@
                 let mut idle = self.idle.borrow_mut();
                 let links = idle.get_mut(&server)?;
                 let last = links.len().checked_sub(1)?;
-                let rested = links.iter().rposition(|idle| idle.since.elapsed() >= REST);
+                let rested = links.iter().rposition(|idle| idle.since.elapsed() >= self.limits.rest);
                 links.remove(rested.unwrap_or(last))
             };
-            if let Some(rest) = REST.checked_sub(idle.since.elapsed()) {
+            if let Some(rest) = self.limits.rest.checked_sub(idle.since.elapsed()) {
                 sleep(rest).await;
             }
             let mut link = idle.link;
-            if idle.since.elapsed() < self.keep && link.address == address && link.usable().await {
+            if idle.since.elapsed() < self.limits.keep && link.address == address && link.usable().await {
                 return Some(link);
             }
         }
     }
 
-    fn put_back(&self, server: ServerId, link: Link) {
+    pub(crate) fn put_back(&self, server: ServerId, link: Link) {
         let idle = Idle { link, since: Instant::now() };
         self.idle.borrow_mut().entry(server).or_default().push(idle);
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Link, Outcome> {
-        if self.open.get() >= self.most && !self.close_oldest() {
+        if self.open.get() >= self.limits.connections && !self.close_oldest() {
             // No descriptor to spare: a want of this node's own, which tells nothing of the server.
             return Err(Outcome::Moot);
         }
         let slot = Slot::take(&self.open);
-        let stream = match timeout(self.connect, TcpStream::connect(address)).await {
+        let stream = match timeout(self.limits.connect, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if out_of_descriptors(&error) => return Err(Outcome::Moot),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
@@ -248,7 +415,7 @@
             .handshake(TokioIo::new(counted))
             .await
             .map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Link { sender, connection, written, resting, address })
+        Ok(Link { sender, connection: Some(connection), written, resting, address })
     }
 
     /// Makes room by closing the connection that has been idle longest.
@@ -294,21 +461,16 @@
     body: Bytes,
 }
 
-/// Writes a request and reads its answer; tells too whether the connection still stands.
-async fn exchange(link: &mut Link, request: Request<Full<Bytes>>) -> Result<(Whole, bool), Broken> {
-    let Link { sender, connection, .. } = link;
-    let answer = async {
-        let answer = sender.send_request(request).await?;
-        read_whole(answer).await
-    };
-    tokio::pin!(answer);
-    tokio::select! {
-        biased;
-        whole = &mut answer => return whole.map(|whole| (whole, true)),
-        _ = connection => {}
-    }
-    // The connection has ended, as one does whose answer said so. What it brought is still to be read.
-    answer.await.map(|whole| (whole, false))
+/// Waits for what a connection brings while driving it.
+async fn drive_while<T>(link: &mut Link, mut reading: Pin<&mut impl Future<Output = T>>) -> T {
+    poll_fn(|cx| {
+        if let Poll::Ready(read) = reading.as_mut().poll(cx) {
+            return Poll::Ready(read);
+        }
+        link.drive(cx);
+        reading.as_mut().poll(cx)
+    })
+    .await
 }
 
 async fn read_whole(answer: Response<Incoming>) -> Result<Whole, Broken> {
@@ -349,17 +511,11 @@
         status if status.is_client_error() => Outcome::Spoilt,
         _ => Outcome::Error,
     };
-    // A header that cannot be read is as good as none: it is a hint, and the answer itself is whole.
-    let use_percent =
-        headers.get("api-usage").and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse().ok());
-    let load = headers.get("srv-load").and_then(|v| serde_json::from_slice(v.as_bytes()).ok());
-    End {
-        outcome,
-        use_percent: use_percent.filter(|u: &f64| (0.0..=USE_MOST).contains(u)),
-        load: load.map_or_else(Load::default, LoadReport::load),
-        content_type: headers.get(CONTENT_TYPE).cloned(),
-        body: answer.body,
-    }
+    let mut end = End::bare(outcome);
+    end.tell(headers);
+    end.content_type = headers.get(CONTENT_TYPE).cloned();
+    end.body = answer.body;
+    end
 }
 
 /// The fields of a load report that a gateway takes in.
