--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -245,7 +245,7 @@
                 "hand_off node={node} requestId={request} server={server} cutAtMs={give_up_at:.3}"
             )
         }
-        Action::Refuse { request, retry_after } => {
+        Action::Refuse { request, retry_after, .. } => {
             writeln!(output, "decline node={node} requestId={request} stayAwayMs={retry_after:.3}")
         }
         Action::Fail { request } => writeln!(output, "drop_request node={node} requestId={request}"),
--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,695 @@
+//! Statements to the checked model: types, units, references and meaning.
+
+use crate::diagnostic::{Diagnostic, Severity, Span};
+use crate::fields::{head_span, Fields, Findings, Quantity};
+use crate::model::*;
+use crate::syntax::{Block, Statement, Word};
+use ipnet::IpNet;
+use ivygate_routing::{Claim, Host, Methods, PathClaim, Table};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+
+/// Descriptors that are no listener's and no pool's: standard streams, the runtime's own, sockets in the act
+/// of closing.
+pub const RESERVE: usize = 48;
+/// Methods that change nothing by their definition; a safe class claims these where a route names none.
+pub const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+/// Longest time of any kind.
+const LONGEST: f64 = 86_400_000.0;
+
+/// Checks a parsed file. The model comes back unless there is an error.
+pub fn check(root: &Block, findings: &Findings) -> Option<Model> {
+    let end = Span::default();
+    let fields = Fields::new("file", root.statements.first().map_or(end, head_span), root, findings);
+    let limits = limits(&fields);
+    let plans = plans(&fields);
+    let identity = identity(&fields, &plans);
+    let customers = customers(&fields, &plans);
+    let classes = classes(&fields);
+    let listeners = listeners(&fields);
+    let pools = pools(&fields);
+    let routes = routes(&fields, &classes, &pools);
+    let mut model = Model { limits, identity, listeners, classes, plans, customers, pools, routes };
+    if model.plans.is_empty() {
+        model.plans.push(no_plan());
+    }
+    whole(&fields, &model);
+    fields.finish();
+    let bad = findings.borrow().iter().any(|f| f.severity == Severity::Error);
+    (!bad).then_some(model)
+}
+
+/// Where the file has no plans: one without any quota.
+fn no_plan() -> Plan {
+    Plan {
+        name: "default".to_owned(),
+        quota: 0.0,
+        burst: 0.0,
+        open: 0,
+        ceiling: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+        price: 1.0,
+        excess_worth: 0.0,
+        excess_cost: 1.0,
+        at: At::default(),
+    }
+}
+
+fn limits(fields: &Fields) -> Limits {
+    let mut descriptors = 1024.0;
+    if let Some(statement) = fields.one("limits") {
+        let inner = fields.inner("limits block", statement);
+        descriptors = inner.positive_or("descriptors", Quantity::Count, descriptors);
+        inner.finish();
+    }
+    Limits { descriptors: descriptors as usize }
+}
+
+fn is_token(text: &str) -> bool {
+    let fits = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+    !text.is_empty() && text.bytes().all(fits)
+}
+
+/// A header's name.
+fn header(fields: &Fields, word: &Word) -> Option<String> {
+    if is_token(&word.text) {
+        return Some(word.text.to_ascii_lowercase());
+    }
+    let what = format!("`{}` cannot be a header's name", word.text);
+    fields
+        .note(Diagnostic::error("IV0030", what, word.span, "here").help("write a name such as `X-Customer`"));
+    None
+}
+
+/// The name of a block; names are unique among their kind.
+fn named<'a>(
+    fields: &Fields,
+    kind: &str,
+    statement: &'a Statement,
+    seen: &mut HashMap<String, Span>,
+) -> Option<&'a Word> {
+    let Some(word) = statement.words.get(1) else {
+        let what = format!("this {kind} has no name");
+        fields.note(Diagnostic::error(
+            "IV0031",
+            what,
+            statement.words[0].span,
+            "a name is expected after this",
+        ));
+        return None;
+    };
+    if let Some(first) = seen.get(&word.text) {
+        let what = format!("two {kind}s are named `{}`", word.text);
+        let error = Diagnostic::error("IV0032", what, word.span, "named again here");
+        fields.note(error.also(*first, "first named here").help("give one of them another name"));
+    } else {
+        seen.insert(word.text.clone(), word.span);
+    }
+    Some(word)
+}
+
+/// The number of what a word names.
+fn refer<T>(fields: &Fields, kind: &str, word: &Word, all: &[T], name: impl Fn(&T) -> &str) -> Option<usize> {
+    let found = all.iter().position(|one| name(one) == word.text);
+    if found.is_none() {
+        let what = format!("there is no {kind} named `{}`", word.text);
+        let error = Diagnostic::error("IV0033", what, word.span, "not defined in this file");
+        let near =
+            all.iter().map(|one| (strsim::damerau_levenshtein(name(one), &word.text), name(one))).min();
+        fields.note(match near {
+            Some((distance, near)) if distance <= 2 => error.help(format!("is `{near}` meant?")),
+            _ => {
+                let known: Vec<_> = all.iter().map(|one| format!("`{}`", name(one))).collect();
+                error.help(format!(
+                    "defined are: {}",
+                    if known.is_empty() { "none".into() } else { known.join(", ") }
+                ))
+            }
+        });
+    }
+    found
+}
+
+fn duration_or(fields: &Fields, name: &'static str, default: f64) -> f64 {
+    let value = fields.positive_or(name, Quantity::Duration, default);
+    if value > LONGEST {
+        if let Some(word) = fields.word(name) {
+            let what = format!("`{name}` is longer than a day");
+            fields.note(Diagnostic::error("IV0023", what, word.span, "at most 24h"));
+        }
+    }
+    value.min(LONGEST)
+}
+
+fn plans(fields: &Fields) -> Vec<Plan> {
+    let mut seen = HashMap::new();
+    let mut plans = Vec::new();
+    for statement in fields.all("plan") {
+        let Some(name) = named(fields, "plan", statement, &mut seen) else { continue };
+        let inner = fields.inner("plan", statement);
+        let quota = inner.quantity_or("quota", Quantity::Rate, 0.0);
+        let ceiling = inner.quantity_or("ceiling", Quantity::Rate, 0.0);
+        let plan = Plan {
+            name: name.text.clone(),
+            quota,
+            burst: inner.quantity_or("burst", Quantity::Number, (2.0 * quota).max(1.0)),
+            open: inner.quantity_or("open", Quantity::Count, 0.0) as u32,
+            ceiling,
+            ceiling_burst: inner.quantity_or("ceiling-burst", Quantity::Number, (2.0 * ceiling).max(1.0)),
+            ceiling_slack: inner.quantity_or("ceiling-slack", Quantity::Number, 0.0),
+            price: inner.positive_or("price", Quantity::Number, 1.0),
+            excess_worth: inner.quantity_or("excess-worth", Quantity::Share, 0.0),
+            excess_cost: inner.positive_or("excess-cost", Quantity::Number, 1.0),
+            at: At(inner.head),
+        };
+        if plan.quota > 0.0 && plan.ceiling > 0.0 && plan.ceiling < plan.quota {
+            let at = inner.one("ceiling").map_or(inner.head, |s| s.span);
+            let quota = inner.one("quota").map_or(inner.head, |s| s.span);
+            let error = Diagnostic::error("IV0040", "the ceiling lies below the quota", at, "this is less");
+            inner.note(
+                error.also(quota, "than this").help("a ceiling bounds what a quota already allows; raise it"),
+            );
+        }
+        inner.finish();
+        plans.push(plan);
+    }
+    plans
+}
+
+fn identity(fields: &Fields, plans: &[Plan]) -> Identity {
+    let mut identity = Identity {
+        customer: CustomerFrom::Address,
+        plan_header: None,
+        default_plan: 0,
+        deadline_header: None,
+    };
+    let Some(statement) = fields.one("identity") else { return identity };
+    let inner = fields.inner("identity block", statement);
+    if let Some(words) = inner.one("customer").and_then(|s| inner.words(s, 1, 2)) {
+        let from = match (words[0].text.as_str(), words.get(1)) {
+            ("header", Some(name)) => header(&inner, name).map(CustomerFrom::Header),
+            ("cookie", Some(name)) if is_token(&name.text) => Some(CustomerFrom::Cookie(name.text.clone())),
+            ("address", None) => Some(CustomerFrom::Address),
+            ("name", Some(name)) => Some(CustomerFrom::Fixed(name.text.clone())),
+            _ => {
+                let what = "it is not told where a customer's name comes from";
+                let error = Diagnostic::error("IV0034", what, words[0].span, "not understood");
+                let help = "write `customer header NAME;`, `customer cookie NAME;`, `customer address;` or \
+                            `customer name NAME;`";
+                inner.note(error.help(help));
+                None
+            }
+        };
+        identity.customer = from.unwrap_or(CustomerFrom::Address);
+    }
+    let header_of = |name| {
+        let words = inner.words(inner.one(name)?, 2, 2)?;
+        if words[0].text != "header" {
+            let error = Diagnostic::error(
+                "IV0035",
+                format!("`{name}` can only come from a header"),
+                words[0].span,
+                "here",
+            );
+            inner.note(error.help(format!("write `{name} header NAME;`")));
+            return None;
+        }
+        header(&inner, &words[1])
+    };
+    identity.plan_header = header_of("plan");
+    identity.deadline_header = header_of("deadline");
+    if let Some(word) = inner.word("default-plan") {
+        identity.default_plan = refer(&inner, "plan", word, plans, |p| &p.name).unwrap_or(0);
+    }
+    inner.finish();
+    identity
+}
+
+fn customers(fields: &Fields, plans: &[Plan]) -> Vec<(String, usize)> {
+    let mut seen = HashMap::new();
+    let mut customers = Vec::new();
+    for statement in fields.all("customer") {
+        let Some(name) = named(fields, "customer", statement, &mut seen) else { continue };
+        if statement.words.len() > 2 {
+            fields.words(statement, 1, 1);
+        }
+        let inner = fields.inner("customer", statement);
+        if let Some(word) = inner.needed("plan", "plan NAME;").and_then(|s| inner.words(s, 1, 1)) {
+            if let Some(plan) = refer(&inner, "plan", &word[0], plans, |p| &p.name) {
+                customers.push((name.text.clone(), plan));
+            }
+        }
+        inner.finish();
+    }
+    customers
+}
+
+fn classes(fields: &Fields) -> Vec<Class> {
+    let mut seen = HashMap::new();
+    let mut classes = Vec::new();
+    for statement in fields.all("class") {
+        let Some(name) = named(fields, "class", statement, &mut seen) else { continue };
+        let inner = fields.inner("class", statement);
+        let deadline = match inner.needed("deadline", "deadline 2s;") {
+            Some(_) => duration_or(&inner, "deadline", 1000.0),
+            None => 1000.0,
+        };
+        let effect = effect(&inner);
+        let key = inner.word("key").and_then(|word| header(&inner, word));
+        let class = Class {
+            name: name.text.clone(),
+            effect: effect.unwrap_or(Effect::Unsafe),
+            key_header: key.unwrap_or_else(|| "idempotency-key".to_owned()),
+            aim: duration_or(&inner, "aim", deadline / 2.0),
+            deadline,
+            upload: duration_or(&inner, "upload", 60_000.0),
+            worth: inner.positive_or("worth", Quantity::Number, 1.0),
+            late_worth: inner.quantity_or("late-worth", Quantity::Share, 0.2),
+            units: inner.positive_or("units", Quantity::Number, 1.0),
+            at: At(inner.head),
+        };
+        if class.aim > class.deadline {
+            let at = inner.one("aim").map_or(inner.head, |s| s.span);
+            let also = inner.one("deadline").map_or(inner.head, |s| s.span);
+            let error = Diagnostic::error("IV0041", "the aim lies beyond the deadline", at, "longer");
+            inner.note(
+                error
+                    .also(also, "than this")
+                    .help("an aim is the time in which an answer is worth all; shorten it"),
+            );
+        }
+        inner.finish();
+        classes.push(class);
+    }
+    classes
+}
+
+fn effect(inner: &Fields) -> Option<Effect> {
+    let statement = inner.needed("effect", "effect safe;`, `effect keyed;` or `effect unsafe;")?;
+    let word = &inner.words(statement, 1, 1)?[0];
+    let keyed = word.text == "keyed";
+    let (scope, window) = (inner.one("scope"), inner.one("window"));
+    if !keyed {
+        for extra in [scope, window, inner.one("key")].into_iter().flatten() {
+            let what = format!("`{}` belongs to keyed classes only", extra.words[0].text);
+            let error = Diagnostic::error("IV0042", what, extra.span, "no repeat is dropped here");
+            inner.note(error.also(word.span, format!("the effect is `{}`", word.text)).help("remove it"));
+        }
+    }
+    match word.text.as_str() {
+        "safe" => Some(Effect::Safe),
+        "unsafe" => Some(Effect::Unsafe),
+        "keyed" => {
+            let scope = &inner.words(inner.needed("scope", "scope zone;")?, 1, 1)?[0];
+            inner.needed("window", "window 15s;")?;
+            let window = duration_or(inner, "window", 1000.0);
+            let scope =
+                match scope.text.as_str() {
+                    "all" => Scope::All,
+                    "zone" => Scope::Zone,
+                    "cell" => Scope::Cell,
+                    other => {
+                        let error = Diagnostic::error(
+                            "IV0036",
+                            format!("there is no scope `{other}`"),
+                            scope.span,
+                            "here",
+                        );
+                        inner.note(error.help(
+                            "write `all`, `zone` or `cell`: the servers that drop each other's repeats",
+                        ));
+                        return None;
+                    }
+                };
+            Some(Effect::Keyed(scope, window))
+        }
+        other => {
+            let error =
+                Diagnostic::error("IV0037", format!("there is no effect `{other}`"), word.span, "here");
+            inner.note(
+                error.help("write `safe` (may run any number of times), `keyed` or `unsafe` (never twice)"),
+            );
+            None
+        }
+    }
+}
+
+fn address(fields: &Fields, word: &Word) -> Option<SocketAddr> {
+    let address = word.text.parse().ok();
+    if address.is_none() {
+        let what = format!("`{}` is not an address with a port", word.text);
+        let error = Diagnostic::error("IV0038", what, word.span, "here");
+        fields
+            .note(error.help("write one such as `127.0.0.1:8080` or `[::1]:8080`; names are not looked up"));
+    }
+    address
+}
+
+fn listeners(fields: &Fields) -> Vec<Listener> {
+    let mut listeners: Vec<Listener> = Vec::new();
+    for statement in fields.all("listen") {
+        let Some(word) = statement.words.get(1) else {
+            fields.note(Diagnostic::error(
+                "IV0014",
+                "`listen` lacks an address",
+                statement.words[0].span,
+                "here",
+            ));
+            continue;
+        };
+        let Some(address) = address(fields, word) else { continue };
+        if let Some(other) = listeners.iter().find(|l| l.address == address && address.port() != 0) {
+            let error =
+                Diagnostic::error("IV0043", "two listeners have the same address", word.span, "again here");
+            fields.note(error.also(other.at.0, "first here"));
+        }
+        let inner = fields.inner("listener", statement);
+        let mut trusted = Vec::new();
+        for list in inner.all("trusted") {
+            for word in inner.words(list, 1, usize::MAX).unwrap_or_default() {
+                let net =
+                    word.text.parse().ok().or_else(|| word.text.parse::<IpAddr>().ok().map(IpNet::from));
+                match net {
+                    Some(net) => trusted.push(net),
+                    None => {
+                        let what = format!("`{}` is not an address or a network", word.text);
+                        let error = Diagnostic::error("IV0039", what, word.span, "here");
+                        inner.note(error.help("write one such as `127.0.0.1` or `10.0.0.0/8`"));
+                    }
+                }
+            }
+        }
+        listeners.push(Listener {
+            address,
+            trusted,
+            connections: inner.positive_or("connections", Quantity::Count, 256.0) as usize,
+            head: inner.positive_or("head", Quantity::Size, 16384.0) as usize,
+            head_within: duration_or(&inner, "head-within", 10_000.0),
+            body_stall: duration_or(&inner, "body-stall", 10_000.0),
+            read_stall: duration_or(&inner, "read-stall", 30_000.0),
+            idle: duration_or(&inner, "idle", 60_000.0),
+            at: At(inner.head),
+        });
+        if let Some(word) = inner.word("head").filter(|_| listeners.last().is_some_and(|l| l.head < 8192)) {
+            let error = Diagnostic::error(
+                "IV0044",
+                "heads of requests need 8KiB at the least",
+                word.span,
+                "too small",
+            );
+            inner.note(error.help("write `head 16KiB;`"));
+        }
+        inner.finish();
+    }
+    listeners
+}
+
+fn pools(fields: &Fields) -> Vec<Pool> {
+    let mut seen = HashMap::new();
+    let mut pools: Vec<Pool> = Vec::new();
+    for statement in fields.all("pool") {
+        let Some(name) = named(fields, "pool", statement, &mut seen) else { continue };
+        let inner = fields.inner("pool", statement);
+        let zone = inner.text_or("zone", "");
+        let mut errors = vec![502, 503, 504];
+        if let Some(statement) = inner.one("errors") {
+            let words = inner.words(statement, 0, 64).unwrap_or_default();
+            errors = words.iter().filter_map(|word| status(&inner, word)).collect();
+        }
+        let declined = inner
+            .one("declined")
+            .and_then(|s| inner.words(s, 2, 2))
+            .and_then(|words| Some((header(&inner, &words[0])?, words[1].text.clone())));
+        let cold = inner.one("cold").map(|statement| {
+            let block = inner.inner("cold block", statement);
+            let cold = Cold {
+                from: block.quantity_or("from", Quantity::Share, 0.2),
+                warm: duration_or(&block, "warm", 10_000.0),
+                fall: block.positive_or("fall", Quantity::Number, 2.0),
+                window: duration_or(&block, "for", 1_000.0),
+            };
+            block.finish();
+            cold
+        });
+        let servers = servers(&inner, &zone);
+        if servers.is_empty() && inner.all("server").is_empty() {
+            let error = Diagnostic::error("IV0045", "this pool has no server", inner.head, "in here");
+            inner.note(error.help("write `server NAME 127.0.0.1:9000;`"));
+        }
+        pools.push(Pool {
+            name: name.text.clone(),
+            zone,
+            sidecars: inner.positive_or("sidecars", Quantity::Count, 1.0) as u32,
+            attempts: inner.positive_or("attempts", Quantity::Count, 3.0) as u32,
+            connections: inner.positive_or("connections", Quantity::Count, 128.0) as usize,
+            requests: inner.positive_or("requests", Quantity::Count, 128.0) as usize,
+            buffered: inner.positive_or("buffered", Quantity::Size, 8.0 * 1048576.0) as usize,
+            repeat_limit: inner.quantity_or("repeat-limit", Quantity::Size, 65536.0) as usize,
+            connect: duration_or(&inner, "connect", 1_000.0),
+            keep: duration_or(&inner, "keep", 4_000.0),
+            answer_stall: duration_or(&inner, "answer-stall", 10_000.0),
+            errors,
+            declined,
+            cold,
+            cross_zone: inner.quantity_or("cross-zone", Quantity::Share, 0.0),
+            servers,
+            at: At(inner.head),
+        });
+        inner.finish();
+    }
+    pools
+}
+
+fn status(fields: &Fields, word: &Word) -> Option<u16> {
+    let status = word.text.parse().ok().filter(|s| (500..600).contains(s));
+    if status.is_none() {
+        let what = format!("`{}` is not a status of a server's failure", word.text);
+        let error = Diagnostic::error("IV0046", what, word.span, "here");
+        fields.note(error.help("write statuses from 500 to 599; all others are the application's answer"));
+    }
+    status
+}
+
+fn servers(pool: &Fields, own_zone: &str) -> Vec<Server> {
+    let mut seen = HashMap::new();
+    let mut servers: Vec<Server> = Vec::new();
+    for statement in pool.all("server") {
+        let Some(name) = named(pool, "server", statement, &mut seen) else { continue };
+        let Some(word) = statement.words.get(2) else {
+            let what = format!("the server `{}` has no address", name.text);
+            let error = Diagnostic::error("IV0014", what, name.span, "an address is expected after this");
+            pool.note(error.help(format!("write `server {} 127.0.0.1:9000;`", name.text)));
+            continue;
+        };
+        let Some(address) = address(pool, word) else { continue };
+        if let Some(extra) = statement.words.get(3) {
+            let error =
+                Diagnostic::error("IV0015", "a server has a value too many", extra.span, "not expected here");
+            pool.note(error.help("further settings stand in a block: `{ zone north; weight 2; }`"));
+        }
+        if let Some(other) = servers.iter().find(|s| s.address == address) {
+            let error =
+                Diagnostic::error("IV0047", "a server is listed twice in this pool", word.span, "again here");
+            pool.note(
+                error
+                    .also(other.at.0, "first here")
+                    .help("a server counts once; use `weight` for a larger one"),
+            );
+        }
+        let inner = pool.inner("server", statement);
+        let state = inner.word("state");
+        let draining = match state.map(|w| w.text.as_str()) {
+            None | Some("serving") => false,
+            Some("draining") => true,
+            Some(other) => {
+                let at = state.map_or(inner.head, |w| w.span);
+                let error = Diagnostic::error("IV0048", format!("there is no state `{other}`"), at, "here");
+                inner.note(error.help("write `serving` or `draining`"));
+                false
+            }
+        };
+        servers.push(Server {
+            name: name.text.clone(),
+            address,
+            zone: inner.text_or("zone", own_zone),
+            cell: inner.quantity_or("cell", Quantity::Count, 0.0) as u32,
+            weight: inner.positive_or("weight", Quantity::Number, 1.0),
+            draining,
+            at: At(head_span(statement)),
+        });
+        inner.finish();
+    }
+    servers
+}
+
+fn routes(fields: &Fields, classes: &[Class], pools: &[Pool]) -> Vec<Route> {
+    let mut seen = HashMap::new();
+    let mut routes = Vec::new();
+    for statement in fields.all("route") {
+        let Some(name) = named(fields, "route", statement, &mut seen) else { continue };
+        let inner = fields.inner("route", statement);
+        let host = match inner.word("host") {
+            None => Some(Host::Any),
+            Some(word) => Host::parse(&word.text)
+                .map_err(|error| {
+                    let error = Diagnostic::error("IV0050", format!("{error}"), word.span, "here");
+                    inner.note(
+                        error.help("write `tiles.example.org`, `*.example.org` or `*`, without a port"),
+                    );
+                })
+                .ok(),
+        };
+        let path = path(&inner);
+        let class = inner.needed("class", "class NAME;").and_then(|s| inner.words(s, 1, 1));
+        let class = class.and_then(|w| refer(&inner, "class", &w[0], classes, |c| &c.name));
+        let pool = inner.needed("pool", "pool NAME;").and_then(|s| inner.words(s, 1, 1));
+        let pool = pool.and_then(|w| refer(&inner, "pool", &w[0], pools, |p| &p.name));
+        let methods = methods(&inner, class.and_then(|c| classes.get(c)));
+        let at = At(inner.head);
+        inner.finish();
+        if let (Some(host), Some(path), Some(methods), Some(class), Some(pool)) =
+            (host, path, methods, class, pool)
+        {
+            let claim = Claim { host, path, methods };
+            routes.push(Route { name: name.text.clone(), claim, class, pool, at });
+        }
+    }
+    routes
+}
+
+fn path(inner: &Fields) -> Option<PathClaim> {
+    let Some(statement) = inner.one("path") else {
+        return PathClaim::prefix("/").ok();
+    };
+    let words = inner.words(statement, 2, 2)?;
+    let text = &words[1].text;
+    let claim = match words[0].text.as_str() {
+        "exact" => PathClaim::exact(text),
+        "prefix" => PathClaim::prefix(text),
+        "pattern" => PathClaim::pattern(text),
+        other => {
+            let error = Diagnostic::error(
+                "IV0051",
+                format!("paths are not matched by `{other}`"),
+                words[0].span,
+                "here",
+            );
+            inner.note(error.help("write `path exact /p;`, `path prefix /p;` or `path pattern /p/*/q;`"));
+            return None;
+        }
+    };
+    claim
+        .map_err(|error| {
+            inner.note(Diagnostic::error("IV0052", error.to_string(), words[1].span, "no request can match"))
+        })
+        .ok()
+}
+
+fn methods(inner: &Fields, class: Option<&Class>) -> Option<Methods> {
+    let safe = class.is_some_and(|c| c.effect == Effect::Safe);
+    let Some(statement) = inner.one("methods") else {
+        return Some(if safe {
+            Methods::Named(SAFE_METHODS.map(str::to_owned).to_vec())
+        } else {
+            Methods::Any
+        });
+    };
+    let words = inner.words(statement, 1, 64)?;
+    let mut names: Vec<String> = Vec::new();
+    for word in words {
+        if !is_token(&word.text) || word.text.bytes().any(|b| b.is_ascii_lowercase()) {
+            let error =
+                Diagnostic::error("IV0053", format!("`{}` is not a method", word.text), word.span, "here");
+            inner.note(error.help("methods are written in capitals, such as `GET POST`"));
+            return None;
+        }
+        if safe && ["POST", "PATCH"].contains(&word.text.as_str()) {
+            let what = format!("`{}` requests of this route may be sent twice", word.text);
+            let error = Diagnostic::warning("IV0101", what, word.span, "its class is `safe`");
+            inner.note(
+                error.help("give the route a class that is `unsafe` or `keyed` unless they change nothing"),
+            );
+        }
+        if !names.contains(&word.text) {
+            names.push(word.text.clone());
+        }
+    }
+    Some(Methods::Named(names))
+}
+
+/// What only the whole shows.
+fn whole(fields: &Fields, model: &Model) {
+    let need = |there: bool, what: &str, example: &str| {
+        if !there {
+            let error =
+                Diagnostic::error("IV0011", format!("this file has no {what}"), fields.head, "in here");
+            fields.note(error.help(format!("write `{example}`")));
+        }
+    };
+    need(!fields.all("listen").is_empty(), "listener", "listen 127.0.0.1:8080;");
+    need(!fields.all("class").is_empty(), "class", "class reads { effect safe; deadline 2s; }");
+    need(!fields.all("pool").is_empty(), "pool", "pool app { server a 127.0.0.1:9000; }");
+    need(!fields.all("route").is_empty(), "route", "route all { class reads; pool app; }");
+    let claims = model.routes.iter().map(|r| r.claim.clone()).collect();
+    if let Err(error) = Table::build(claims) {
+        for conflict in error.conflicts {
+            let (first, second) = (&model.routes[conflict.first], &model.routes[conflict.second]);
+            let what = format!("the routes `{}` and `{}` claim the same requests", first.name, second.name);
+            let error =
+                Diagnostic::error("IV0054", what, second.at.0, format!("{}, as above", second.claim.path));
+            fields.note(
+                error
+                    .also(first.at.0, "claimed first here")
+                    .help("give one of them another host, path or method"),
+            );
+        }
+    }
+    for route in &model.routes {
+        let (class, pool) = (&model.classes[route.class], &model.pools[route.pool]);
+        if let Effect::Keyed(Scope::Zone, _) = class.effect {
+            if let Some(server) = pool.servers.iter().find(|s| s.zone.is_empty()) {
+                let what =
+                    format!("the class `{}` is keyed by zone, and a server of its pool has none", class.name);
+                let error = Diagnostic::error("IV0055", what, server.at.0, "its zone is not told");
+                fields.note(
+                    error
+                        .also(route.at.0, "routed here")
+                        .help("write `zone NAME;` in the pool or the server"),
+                );
+            }
+        }
+    }
+    let clients: usize = model.listeners.iter().map(|l| l.connections).sum();
+    let servers: usize = model.pools.iter().map(|p| p.connections).sum();
+    let total = clients + servers + RESERVE;
+    if total > model.limits.descriptors {
+        let at = fields.one("limits").map_or(fields.head, |s| s.span);
+        let what = "listeners and pools may use more descriptors than the process has";
+        let label = format!("{clients} for clients, {servers} for servers, {RESERVE} kept: {total}");
+        let error = Diagnostic::error("IV0056", what, at, label);
+        let help = format!(
+            "the limit is {}; lower `connections`, or write `limits {{ descriptors {total}; }}`",
+            model.limits.descriptors
+        );
+        fields.note(error.help(help));
+    }
+    let open: usize = model.pools.iter().map(|p| p.requests).sum();
+    for listener in &model.listeners {
+        // Waiting requests hold their client's connection: with more of them than connections one slow pool
+        // could hold them all. An eighth is kept free for those that come next.
+        if open + listener.connections / 8 > listener.connections {
+            let what = "requests of slow pools could hold all connections of this listener";
+            let label = format!("{} connections, an eighth of them kept free", listener.connections);
+            let error = Diagnostic::error("IV0057", what, listener.at.0, label);
+            let mut error = error.help(format!(
+                "the pools take {open} requests together; write `connections {};` or lower their `requests`",
+                (open * 8).div_ceil(7) + 1
+            ));
+            for pool in &model.pools {
+                error = error.also(pool.at.0, format!("up to {} requests", pool.requests));
+            }
+            fields.note(error);
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/fields.rs
@@ -0,0 +1,231 @@
+//! Reads the statements of one block by name, and notes what is missing, unknown, repeated or malformed.
+
+use crate::diagnostic::{Diagnostic, Span};
+use crate::syntax::{Block, Statement, Word};
+use crate::units::{self, QuantityError};
+use std::cell::RefCell;
+use std::collections::HashSet;
+
+/// Findings that a whole check shares.
+pub type Findings = RefCell<Vec<Diagnostic>>;
+
+/// One block under check.
+pub struct Fields<'a> {
+    block: &'a Block,
+    /// The words that opened it.
+    pub head: Span,
+    kind: &'static str,
+    findings: &'a Findings,
+    asked: RefCell<HashSet<&'static str>>,
+}
+
+/// What is expected of a quantity.
+#[derive(Clone, Copy)]
+pub enum Quantity {
+    /// Milliseconds.
+    Duration,
+    /// Bytes.
+    Size,
+    /// A number a second.
+    Rate,
+    /// A number.
+    Number,
+    /// A number from 0 to 1.
+    Share,
+    /// A whole number.
+    Count,
+}
+
+impl Quantity {
+    fn read(self, text: &str) -> Result<f64, QuantityError> {
+        match self {
+            Quantity::Duration => units::duration(text),
+            Quantity::Size => units::size(text),
+            Quantity::Rate => units::rate(text),
+            Quantity::Number | Quantity::Share | Quantity::Count => units::plain(text),
+        }
+    }
+
+    fn what(self) -> &'static str {
+        match self {
+            Quantity::Duration => "a time with its unit, such as `250ms`, `15s` or `2m`",
+            Quantity::Size => "a size with its unit, such as `512B`, `64KiB` or `8MiB`",
+            Quantity::Rate => "a rate with its unit, such as `20/s` or `300/m`",
+            Quantity::Number => "a number without a unit, such as `2` or `0.5`",
+            Quantity::Share => "a share from 0 to 1, such as `0.2`",
+            Quantity::Count => "a whole number without a unit, such as `3`",
+        }
+    }
+}
+
+impl<'a> Fields<'a> {
+    /// Begins with a block that `head` opened.
+    pub fn new(kind: &'static str, head: Span, block: &'a Block, findings: &'a Findings) -> Self {
+        Self { block, head, kind, findings, asked: RefCell::default() }
+    }
+
+    /// Notes a finding.
+    pub fn note(&self, finding: Diagnostic) {
+        self.findings.borrow_mut().push(finding);
+    }
+
+    /// All statements of this name.
+    pub fn all(&self, name: &'static str) -> Vec<&'a Statement> {
+        self.asked.borrow_mut().insert(name);
+        self.block.statements.iter().filter(|s| !s.words[0].quoted && s.words[0].text == name).collect()
+    }
+
+    /// The only statement of this name.
+    pub fn one(&self, name: &'static str) -> Option<&'a Statement> {
+        let all = self.all(name);
+        if let [first, second, ..] = all[..] {
+            let error = Diagnostic::error(
+                "IV0012",
+                format!("`{name}` is given twice in this {}", self.kind),
+                second.words[0].span,
+                "given again here",
+            );
+            self.note(error.also(first.words[0].span, "first given here").help("remove one of them"));
+        }
+        all.first().copied()
+    }
+
+    /// A statement that must be there.
+    pub fn needed(&self, name: &'static str, example: &str) -> Option<&'a Statement> {
+        let found = self.one(name);
+        if found.is_none() {
+            let what = format!("this {} has no `{name}`", self.kind);
+            self.note(
+                Diagnostic::error("IV0011", what, self.head, "in here").help(format!("write `{example}`")),
+            );
+        }
+        found
+    }
+
+    /// The words behind the name: as many as the range allows, and no block.
+    pub fn words(&self, statement: &'a Statement, least: usize, most: usize) -> Option<&'a [Word]> {
+        let name = &statement.words[0];
+        if let Some(block) = &statement.block {
+            let at = block.statements.first().map_or(statement.span, |s| s.span);
+            let what = format!("`{}` takes no block", name.text);
+            self.note(Diagnostic::error("IV0013", what, at, "not expected here").help("end it with `;`"));
+            return None;
+        }
+        let words = &statement.words[1..];
+        if (least..=most).contains(&words.len()) {
+            return Some(words);
+        }
+        if words.len() < least {
+            let what = format!("`{}` lacks a value", name.text);
+            self.note(Diagnostic::error("IV0014", what, name.span, "a value is expected after this"));
+        } else {
+            let extra = &words[most];
+            let what = format!("`{}` has a value too many", name.text);
+            let before = &statement.words[most];
+            let error = Diagnostic::error("IV0015", what, extra.span, "not expected here");
+            self.note(error.help(format!("is a `;` missing after `{}`?", before.text)));
+        }
+        None
+    }
+
+    /// The only word of a statement.
+    pub fn word(&self, name: &'static str) -> Option<&'a Word> {
+        self.words(self.one(name)?, 1, 1).map(|words| &words[0])
+    }
+
+    /// A text, or what it is by default.
+    pub fn text_or(&self, name: &'static str, default: &str) -> String {
+        self.word(name).map_or_else(|| default.to_owned(), |word| word.text.clone())
+    }
+
+    /// A quantity in a word.
+    pub fn quantity_in(&self, word: &Word, quantity: Quantity) -> Option<f64> {
+        let value = match quantity.read(&word.text) {
+            Ok(value) => value,
+            Err(error) => {
+                let (code, label) = match &error {
+                    QuantityError::NoUnit => ("IV0021", "the unit is missing".to_owned()),
+                    QuantityError::WrongUnit(unit) => ("IV0022", format!("`{unit}` is no unit of this")),
+                    QuantityError::NotANumber => ("IV0020", "not a quantity".to_owned()),
+                };
+                let what =
+                    format!("`{}` is not {}", word.text, quantity.what().split(',').next().unwrap_or(""));
+                let error = Diagnostic::error(code, what, word.span, label);
+                self.note(error.help(format!("write {}", quantity.what())));
+                return None;
+            }
+        };
+        let fits = match quantity {
+            Quantity::Share => value <= 1.0,
+            Quantity::Count => value.fract() == 0.0 && value <= 1e9,
+            _ => value.is_finite(),
+        };
+        if !fits {
+            let error =
+                Diagnostic::error("IV0023", format!("`{}` is out of range", word.text), word.span, "here");
+            self.note(error.help(format!("write {}", quantity.what())));
+        }
+        fits.then_some(value)
+    }
+
+    /// A quantity, if it is given.
+    pub fn quantity(&self, name: &'static str, quantity: Quantity) -> Option<f64> {
+        self.quantity_in(self.word(name)?, quantity)
+    }
+
+    /// A quantity above nothing, or what it is by default.
+    pub fn positive_or(&self, name: &'static str, quantity: Quantity, default: f64) -> f64 {
+        let Some(word) = self.word(name) else { return default };
+        let Some(value) = self.quantity_in(word, quantity) else { return default };
+        if value <= 0.0 {
+            self.note(Diagnostic::error(
+                "IV0024",
+                format!("`{name}` is zero"),
+                word.span,
+                "must be above zero",
+            ));
+            return default;
+        }
+        value
+    }
+
+    /// A quantity, or what it is by default.
+    pub fn quantity_or(&self, name: &'static str, quantity: Quantity, default: f64) -> f64 {
+        self.quantity(name, quantity).unwrap_or(default)
+    }
+
+    /// A block inside this one.
+    pub fn inner(&self, kind: &'static str, statement: &'a Statement) -> Fields<'a> {
+        static EMPTY: Block = Block { statements: Vec::new(), trailing: Vec::new() };
+        Fields::new(kind, head_span(statement), statement.block.as_ref().unwrap_or(&EMPTY), self.findings)
+    }
+
+    /// Notes every statement that nothing has asked for.
+    pub fn finish(self) {
+        let asked = self.asked.borrow();
+        for statement in &self.block.statements {
+            let name = &statement.words[0];
+            if !name.quoted && asked.contains(name.text.as_str()) {
+                continue;
+            }
+            let what = format!("`{}` means nothing in this {}", name.text, self.kind);
+            let mut error = Diagnostic::error("IV0010", what, name.span, "unknown here");
+            let near = asked.iter().map(|a| (strsim::damerau_levenshtein(a, &name.text), *a)).min();
+            match near.filter(|(distance, _)| *distance <= 2) {
+                Some((_, near)) => error = error.help(format!("is `{near}` meant?")),
+                None => {
+                    let mut known: Vec<_> = asked.iter().copied().collect();
+                    known.sort_unstable();
+                    error = error.help(format!("a {} may have: {}", self.kind, known.join(", ")));
+                }
+            }
+            self.note(error);
+        }
+    }
+}
+
+/// The words that open a statement.
+pub fn head_span(statement: &Statement) -> Span {
+    let (first, last) = (statement.words[0].span, statement.words[statement.words.len() - 1].span);
+    Span { file: first.file, start: first.start, end: last.end }
+}
--- /dev/null
+++ b/crates/config/src/model.rs
@@ -0,0 +1,255 @@
+//! The checked configuration: plain data, and the only thing that the rest of the program sees of it.
+//!
+//! Times are milliseconds, sizes bytes.
+
+use crate::diagnostic::Span;
+use ipnet::IpNet;
+use ivygate_routing::Claim;
+use std::net::SocketAddr;
+
+/// Where something stands in the file. Does not count when configurations are compared.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct At(pub Span);
+
+impl PartialEq for At {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// What the process may use.
+    pub limits: Limits,
+    /// How customers, plans and deadlines are read off requests.
+    pub identity: Identity,
+    /// Where clients connect.
+    pub listeners: Vec<Listener>,
+    /// Classes of requests.
+    pub classes: Vec<Class>,
+    /// Plans of customers.
+    pub plans: Vec<Plan>,
+    /// Customers whose plan is in the file: name and the plan's number.
+    pub customers: Vec<(String, usize)>,
+    /// Pools of servers.
+    pub pools: Vec<Pool>,
+    /// Routes, in the file's order.
+    pub routes: Vec<Route>,
+}
+
+/// What the process may use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Most file descriptors.
+    pub descriptors: usize,
+}
+
+/// How a customer, its plan and a deadline are read off a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Identity {
+    /// The customer; the client's address where a request does not tell.
+    pub customer: CustomerFrom,
+    /// A header that names the plan, believed of trusted peers only.
+    pub plan_header: Option<String>,
+    /// The plan of customers that nothing else names one for, by its number.
+    pub default_plan: usize,
+    /// A header that shortens the deadline, believed of trusted peers only.
+    pub deadline_header: Option<String>,
+}
+
+/// Where a customer's name comes from.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CustomerFrom {
+    /// This header.
+    Header(String),
+    /// This cookie.
+    Cookie(String),
+    /// The client's address.
+    Address,
+    /// All requests are this customer's.
+    Fixed(String),
+}
+
+/// Where clients connect.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listener {
+    /// The address.
+    pub address: SocketAddr,
+    /// Peers whose word on addresses, plans and deadlines is believed.
+    pub trusted: Vec<IpNet>,
+    /// Most connections.
+    pub connections: usize,
+    /// Longest head of a request.
+    pub head: usize,
+    /// Time for a request's head to come whole.
+    pub head_within: f64,
+    /// Longest pause in a request's body.
+    pub body_stall: f64,
+    /// Longest time in which a client reads nothing of an answer.
+    pub read_stall: f64,
+    /// An idle connection is closed after this time.
+    pub idle: f64,
+    /// Where it stands.
+    pub at: At,
+}
+
+/// Whether a request may be run again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    /// Any number of times.
+    Safe,
+    /// Servers of one scope drop repeats with the same key, for a time.
+    Keyed(Scope, f64),
+    /// Never twice.
+    Unsafe,
+}
+
+/// The servers that drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All of the pool.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Whether it may run again.
+    pub effect: Effect,
+    /// The header that carries a keyed request's key.
+    pub key_header: String,
+    /// An answer within this time is worth all of it.
+    pub aim: f64,
+    /// An answer's head is owed within this time.
+    pub deadline: f64,
+    /// What is added to the deadline where a body is streamed.
+    pub upload: f64,
+    /// Worth of one request.
+    pub worth: f64,
+    /// Part of the worth that a late answer still has.
+    pub late_worth: f64,
+    /// Units of the quota that one request takes.
+    pub units: f64,
+    /// Where it stands.
+    pub at: At,
+}
+
+/// A plan; quotas hold for each customer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Its name.
+    pub name: String,
+    /// Units a second; 0 for no quota.
+    pub quota: f64,
+    /// Most units saved up.
+    pub burst: f64,
+    /// Most requests out at once; 0 for no limit.
+    pub open: u32,
+    /// Units a second that are never passed; 0 for none.
+    pub ceiling: f64,
+    /// Most units saved up under the ceiling.
+    pub ceiling_burst: f64,
+    /// Units by which the ceiling may be passed for a moment.
+    pub ceiling_slack: f64,
+    /// Factor on the worth of its requests.
+    pub price: f64,
+    /// Part of its worth that a request beyond the quota still has.
+    pub excess_worth: f64,
+    /// Part of its worth that sending one beyond the quota costs.
+    pub excess_cost: f64,
+    /// Where it stands.
+    pub at: At,
+}
+
+/// A pool of servers with a decision module of its own.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    /// Its name.
+    pub name: String,
+    /// The zone in which this process stands.
+    pub zone: String,
+    /// Number of sidecars that share the servers and the quotas.
+    pub sidecars: u32,
+    /// Most attempts for one request.
+    pub attempts: u32,
+    /// Most connections to its servers.
+    pub connections: usize,
+    /// Most requests open at once.
+    pub requests: usize,
+    /// Most bytes of requests' bodies held at once.
+    pub buffered: usize,
+    /// A body up to this size is held, so that it can be sent again.
+    pub repeat_limit: usize,
+    /// A connection not established by then has failed.
+    pub connect: f64,
+    /// An idle connection is kept for this long.
+    pub keep: f64,
+    /// Longest pause in an answer's body.
+    pub answer_stall: f64,
+    /// Statuses that are a server's failures.
+    pub errors: Vec<u16>,
+    /// Header and value by which a 503 or 504 proves that nothing ran.
+    pub declined: Option<(String, String)>,
+    /// How cold servers are spared; `None` if they need not be.
+    pub cold: Option<Cold>,
+    /// Price of crossing zones, as a share of a request's worth.
+    pub cross_zone: f64,
+    /// The servers.
+    pub servers: Vec<Server>,
+    /// Where it stands.
+    pub at: At,
+}
+
+/// How a server that has just started is spared.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Its capacity at the start, as a share.
+    pub from: f64,
+    /// It has all of it after this time.
+    pub warm: f64,
+    /// It falls over when sent this many times its present capacity ...
+    pub fall: f64,
+    /// ... for this long.
+    pub window: f64,
+}
+
+/// A server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its name in the pool.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Its size against the others.
+    pub weight: f64,
+    /// Whether it is to be sent nothing new.
+    pub draining: bool,
+    /// Where it stands.
+    pub at: At,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// The requests that it takes.
+    pub claim: Claim,
+    /// The class of those requests, by its number.
+    pub class: usize,
+    /// The pool that they go to, by its number.
+    pub pool: usize,
+    /// Where it stands.
+    pub at: At,
+}
--- /dev/null
+++ b/crates/config/src/units.rs
@@ -0,0 +1,73 @@
+//! Quantities with units.
+
+/// What is wrong with a quantity.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum QuantityError {
+    /// Not a number at all.
+    NotANumber,
+    /// A number without its unit.
+    NoUnit,
+    /// A unit that is not one of this kind.
+    WrongUnit(String),
+}
+
+fn split(text: &str) -> Result<(f64, &str), QuantityError> {
+    let end = text.find(|c: char| !c.is_ascii_digit() && c != '.').unwrap_or(text.len());
+    let number = text[..end].parse().map_err(|_| QuantityError::NotANumber)?;
+    Ok((number, &text[end..]))
+}
+
+fn scaled(text: &str, units: &[(&str, f64)]) -> Result<f64, QuantityError> {
+    let (number, unit) = split(text)?;
+    if unit.is_empty() {
+        return Err(QuantityError::NoUnit);
+    }
+    let known = units.iter().find(|(name, _)| *name == unit);
+    known.map(|(_, factor)| number * factor).ok_or_else(|| QuantityError::WrongUnit(unit.to_owned()))
+}
+
+/// `15s`, `250ms`, `2m`, `1h`, `500us`: milliseconds.
+pub fn duration(text: &str) -> Result<f64, QuantityError> {
+    scaled(text, &[("us", 0.001), ("ms", 1.0), ("s", 1e3), ("m", 6e4), ("h", 3.6e6)])
+}
+
+/// `64KiB`, `1MiB`, `512B`: bytes.
+pub fn size(text: &str) -> Result<f64, QuantityError> {
+    scaled(
+        text,
+        &[("B", 1.0), ("KiB", 1024.0), ("MiB", 1048576.0), ("GiB", 1073741824.0), ("kB", 1e3), ("MB", 1e6)],
+    )
+}
+
+/// `20/s`, `300/m`, `5/h`: a number a second.
+pub fn rate(text: &str) -> Result<f64, QuantityError> {
+    scaled(text, &[("/s", 1.0), ("/m", 1.0 / 60.0), ("/h", 1.0 / 3600.0)])
+}
+
+/// A number without a unit.
+pub fn plain(text: &str) -> Result<f64, QuantityError> {
+    match split(text)? {
+        (number, "") => Ok(number),
+        (_, unit) => Err(QuantityError::WrongUnit(unit.to_owned())),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn units_are_read_and_demanded() {
+        assert_eq!(duration("15s"), Ok(15_000.0));
+        assert_eq!(duration("0.25s"), Ok(250.0));
+        assert_eq!(duration("15"), Err(QuantityError::NoUnit));
+        assert_eq!(duration("15KiB"), Err(QuantityError::WrongUnit("KiB".into())));
+        assert_eq!(duration("s"), Err(QuantityError::NotANumber));
+        assert_eq!(duration("-1s"), Err(QuantityError::NotANumber));
+        assert_eq!(duration("1.2.3s"), Err(QuantityError::NotANumber));
+        assert_eq!(size("64KiB"), Ok(65_536.0));
+        assert_eq!(rate("300/m"), Ok(5.0));
+        assert_eq!(plain("0.2"), Ok(0.2));
+        assert_eq!(plain("20%"), Err(QuantityError::WrongUnit("%".into())));
+    }
+}
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -280,6 +280,17 @@
     },
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its customer is beyond the quota.
+    Quota,
+    /// Its customer is at the ceiling.
+    Ceiling,
+    /// There is no room at any server, or none took it.
+    Room,
+}
+
 /// What a gateway wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -298,6 +309,8 @@
         request: RequestId,
         /// How long the client should stay away, 0 for no advice.
         retry_after: Millis,
+        /// Why.
+        reason: Refusal,
     },
     /// Final answer: failed, nothing is promised.
     Fail {
--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -571,7 +571,7 @@
         let class = self.settings.classes.iter().position(|c| *c.name == *arrival.class);
         let plan = self.settings.plans.iter().position(|p| *p.name == *arrival.plan);
         let (Some(class), Some(plan)) = (class, plan) else {
-            actions.push(Action::Refuse { request: id, retry_after: 0.0 });
+            actions.push(Action::Refuse { request: id, retry_after: 0.0, reason: Refusal::Room });
             return;
         };
         let aim_at = self.now + self.settings.classes[class].aim;
@@ -582,8 +582,10 @@
         let pays = limits.extra_worth > limits.excess_cost;
         let standing = self.standing(plan, &arrival);
         if standing == Standing::Barred || (standing == Standing::Beyond && !pays) {
-            self.refused[usize::from(standing == Standing::Barred)] += 1;
-            actions.push(Action::Refuse { request: id, retry_after });
+            let barred = standing == Standing::Barred;
+            self.refused[usize::from(barred)] += 1;
+            let reason = if barred { Refusal::Ceiling } else { Refusal::Quota };
+            actions.push(Action::Refuse { request: id, retry_after, reason });
             return;
         }
         let request = Request {
@@ -619,7 +621,7 @@
             }
             _ => {
                 self.refused[2] += 1;
-                actions.push(Action::Refuse { request: id, retry_after });
+                actions.push(Action::Refuse { request: id, retry_after, reason: Refusal::Room });
             }
         }
     }
@@ -732,7 +734,7 @@
             }
         }
         let answer = if self.may_refuse(&request) {
-            Action::Refuse { request: id.clone(), retry_after: 0.0 }
+            Action::Refuse { request: id.clone(), retry_after: 0.0, reason: Refusal::Room }
         } else {
             Action::Fail { request: id.clone() }
         };
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,14 @@
+//! Which route takes a request: targets normalised once, hosts and paths matched by a stated order.
+//!
+//! Called by the sidecar and by the configuration's checker. It does no I/O, reads no clock and knows nothing
+//! of pools or classes: a route is a number here. What is matched is what is sent on, so that no server can
+//! read another path into a request than the one that was judged.
+
+mod table;
+mod target;
+
+pub use table::{
+    BuildError, Claim, Conflict, Found, Host, Methods, Overlap, PathClaim, PatternError, Reason, Segment,
+    Table,
+};
+pub use target::{host_of, normal_path, Target, TargetError};
--- /dev/null
+++ b/crates/routing/src/target.rs
@@ -0,0 +1,309 @@
+//! A request's target in one normal form.
+
+use std::fmt;
+
+/// What is wrong with a target or a host. Each is answered 400.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetError {
+    /// Neither `/…` nor `http://host/…`.
+    Form,
+    /// A `%` without two hexadecimal digits, or one that hides a control character.
+    Escape,
+    /// A control character, a space, a backslash, `#` or another byte that has no place in a path.
+    Byte,
+    /// `..` above the root.
+    AboveRoot,
+    /// A dot segment that a server might see although it is none here: `..;x`, `..%2F`, `..%5C`.
+    HiddenDots,
+    /// Longer than [`PATH_MOST`] or deeper than [`SEGMENTS_MOST`].
+    TooLong,
+    /// A host with characters that no host has, or a port that is none.
+    Host,
+}
+
+impl fmt::Display for TargetError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            TargetError::Form => "the target is neither a path nor an http:// address",
+            TargetError::Escape => "the path has a malformed percent escape",
+            TargetError::Byte => "the path has a character that must be escaped",
+            TargetError::AboveRoot => "the path leads above the root",
+            TargetError::HiddenDots => "the path hides a dot segment",
+            TargetError::TooLong => "the path is too long or too deep",
+            TargetError::Host => "the host is malformed",
+        })
+    }
+}
+
+impl std::error::Error for TargetError {}
+
+/// Longest path, in bytes, without its query.
+pub const PATH_MOST: usize = 8 << 10;
+/// Most segments of a path.
+pub const SEGMENTS_MOST: usize = 256;
+
+/// A target, taken apart and normal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The host that an absolute target names, normal.
+    pub host: Option<String>,
+    /// The normal path; begins with `/`.
+    pub path: String,
+    /// The query as it came, without `?`.
+    pub query: Option<String>,
+}
+
+impl Target {
+    /// Reads a request's target: `/path?query` or `http://host/path?query`.
+    ///
+    /// # Errors
+    /// Says what is wrong with it.
+    pub fn parse(target: &str) -> Result<Self, TargetError> {
+        let (host, rest) = if target.starts_with('/') {
+            (None, target)
+        } else {
+            // The scheme's case does not matter; https never comes in the clear.
+            let scheme = target.get(..7).ok_or(TargetError::Form)?;
+            if !scheme.eq_ignore_ascii_case("http://") {
+                return Err(TargetError::Form);
+            }
+            let rest = &target[7..];
+            let end = rest.find(['/', '?']).unwrap_or(rest.len());
+            (Some(host_of(&rest[..end])?), &rest[end..])
+        };
+        let (path, query) = match rest.split_once('?') {
+            Some((path, query)) => (path, Some(query)),
+            None => (rest, None),
+        };
+        if query.is_some_and(|q| q.bytes().any(|b| b <= b' ' || b == 0x7f || b == b'#')) {
+            return Err(TargetError::Byte);
+        }
+        let path = normal_path(if path.is_empty() { "/" } else { path })?;
+        Ok(Self { host, path, query: query.map(str::to_owned) })
+    }
+
+    /// Path and query as they are sent on.
+    pub fn path_and_query(&self) -> String {
+        match &self.query {
+            Some(query) => format!("{}?{query}", self.path),
+            None => self.path.clone(),
+        }
+    }
+}
+
+/// A host without its port, in lower case and without a final dot.
+///
+/// # Errors
+/// If it is no host name, IPv4 address or bracketed IPv6 address with an optional port.
+pub fn host_of(authority: &str) -> Result<String, TargetError> {
+    let (host, port) = if let Some(rest) = authority.strip_prefix('[') {
+        let (inner, after) = rest.split_once(']').ok_or(TargetError::Host)?;
+        if inner.parse::<std::net::Ipv6Addr>().is_err() {
+            return Err(TargetError::Host);
+        }
+        (format!("[{}]", inner.to_ascii_lowercase()), after)
+    } else {
+        let (host, port) = match authority.find(':') {
+            Some(at) => authority.split_at(at),
+            None => (authority, ""),
+        };
+        let host = host.strip_suffix('.').unwrap_or(host).to_ascii_lowercase();
+        let fits = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'.' | b'_');
+        let labels = host.split('.').all(|label| !label.is_empty() && label.len() <= 63);
+        if host.len() > 253 || !labels || !host.bytes().all(fits) {
+            return Err(TargetError::Host);
+        }
+        (host, port)
+    };
+    let number = port.strip_prefix(':');
+    let good = |n: &str| n.is_empty() || (n.bytes().all(|b| b.is_ascii_digit()) && n.parse::<u16>().is_ok());
+    if !(port.is_empty() || number.is_some_and(good)) {
+        return Err(TargetError::Host);
+    }
+    Ok(host)
+}
+
+fn unreserved(b: u8) -> bool {
+    b.is_ascii_alphanumeric() || matches!(b, b'-' | b'.' | b'_' | b'~')
+}
+
+/// Bytes that may stand in a path as they are, besides the unreserved ones and `%`.
+fn plain(b: u8) -> bool {
+    matches!(b, b'!' | b'$' | b'&' | b'\'' | b'(' | b')' | b'*' | b'+' | b',' | b';' | b'=' | b':' | b'@')
+}
+
+/// A path in normal form: escapes of unreserved characters undone, others in capitals, runs of slashes made
+/// one, dot segments resolved. `%2F` stays as it is and divides no segments.
+///
+/// # Errors
+/// If the path is malformed, or a server might see other segments in it than are seen here.
+pub fn normal_path(path: &str) -> Result<String, TargetError> {
+    if path.len() > PATH_MOST {
+        return Err(TargetError::TooLong);
+    }
+    let bytes = path.as_bytes();
+    if bytes.first() != Some(&b'/') {
+        return Err(TargetError::Form);
+    }
+    let mut segments: Vec<String> = Vec::new();
+    let mut ends_in_slash = true;
+    for raw in bytes[1..].split(|b| *b == b'/') {
+        let segment = normal_segment(raw)?;
+        ends_in_slash = segment.is_empty() || segment == "." || segment == "..";
+        match segment.as_str() {
+            "" | "." => {}
+            ".." => {
+                segments.pop().ok_or(TargetError::AboveRoot)?;
+            }
+            _ => segments.push(segment),
+        }
+        if segments.len() > SEGMENTS_MOST {
+            return Err(TargetError::TooLong);
+        }
+    }
+    let mut normal = String::with_capacity(path.len());
+    for segment in &segments {
+        normal.push('/');
+        normal.push_str(segment);
+    }
+    if ends_in_slash || normal.is_empty() {
+        normal.push('/');
+    }
+    Ok(normal)
+}
+
+fn normal_segment(raw: &[u8]) -> Result<String, TargetError> {
+    let mut segment = String::with_capacity(raw.len());
+    let mut divides = false;
+    let mut at = 0;
+    while at < raw.len() {
+        let b = raw[at];
+        if b == b'%' {
+            let digits = raw.get(at + 1..at + 3).and_then(|d| std::str::from_utf8(d).ok());
+            let digits = digits.filter(|d| d.bytes().all(|b| b.is_ascii_hexdigit()));
+            let value = digits.and_then(|d| u8::from_str_radix(d, 16).ok()).ok_or(TargetError::Escape)?;
+            if value < 0x20 || value == 0x7f {
+                return Err(TargetError::Escape);
+            }
+            divides |= matches!(value, b'/' | b'\\');
+            if unreserved(value) {
+                segment.push(char::from(value));
+            } else {
+                segment.push_str(&format!("%{value:02X}"));
+            }
+            at += 3;
+            continue;
+        }
+        if !unreserved(b) && !plain(b) {
+            return Err(TargetError::Byte);
+        }
+        segment.push(char::from(b));
+        at += 1;
+    }
+    // Servers differ: some cut `;…` off, some take `%2F` and `%5C` for dividers, and would then see dots.
+    let dots = |part: &str| matches!(part, "." | "..");
+    let parts = segment.replace("%2F", "/").replace("%5C", "/");
+    let hidden = parts.split('/').any(|part| {
+        let (head, parameters) = part.split_once(';').map_or((part, false), |(head, _)| (head, true));
+        dots(head) && (parameters || divides)
+    });
+    if hidden {
+        return Err(TargetError::HiddenDots);
+    }
+    Ok(segment)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_spelling_has_one_stated_answer() {
+        let cases: [(&str, Result<&str, TargetError>); 33] = [
+            ("/", Ok("/")),
+            ("//", Ok("/")),
+            ("/a//b", Ok("/a/b")),
+            ("/a/", Ok("/a/")),
+            ("/a/.", Ok("/a/")),
+            ("/a/./b", Ok("/a/b")),
+            ("/a/b/..", Ok("/a/")),
+            ("/a/../b", Ok("/b")),
+            ("/a/%2e%2e/b", Ok("/b")),
+            ("/a/%2E./b", Ok("/b")),
+            ("/..", Err(TargetError::AboveRoot)),
+            ("/%2e%2e", Err(TargetError::AboveRoot)),
+            ("/a/../../b", Err(TargetError::AboveRoot)),
+            ("/%41%7e", Ok("/A~")),
+            ("/%c3%a9", Ok("/%C3%A9")),
+            ("/a%2fb", Ok("/a%2Fb")),
+            ("/a%2Fb", Ok("/a%2Fb")),
+            ("/..%2fb", Err(TargetError::HiddenDots)),
+            ("/a%2F..%2Fb", Err(TargetError::HiddenDots)),
+            ("/a%5c..", Err(TargetError::HiddenDots)),
+            ("/..;x/b", Err(TargetError::HiddenDots)),
+            ("/.;/b", Err(TargetError::HiddenDots)),
+            ("/a;x=1/b", Ok("/a;x=1/b")),
+            ("/a%3bx", Ok("/a%3Bx")),
+            ("/%zz", Err(TargetError::Escape)),
+            ("/%4", Err(TargetError::Escape)),
+            ("/%", Err(TargetError::Escape)),
+            ("/%+1", Err(TargetError::Escape)),
+            ("/%00", Err(TargetError::Escape)),
+            ("/a\\b", Err(TargetError::Byte)),
+            ("/a b", Err(TargetError::Byte)),
+            ("/é", Err(TargetError::Byte)),
+            ("a", Err(TargetError::Form)),
+        ];
+        for (path, wanted) in cases {
+            assert_eq!(normal_path(path).as_deref(), wanted.as_ref().map(|p| *p), "{path}");
+        }
+        assert_eq!(normal_path(&format!("/{}", "a".repeat(PATH_MOST))), Err(TargetError::TooLong));
+        assert_eq!(normal_path(&"/a".repeat(SEGMENTS_MOST + 1)), Err(TargetError::TooLong));
+    }
+
+    #[test]
+    fn a_normal_path_is_its_own_normal_form() {
+        let mut rng = fastrand::Rng::with_seed(7);
+        let parts = ["a", ".", "..", "", "%2e", "%2F", "%41", ";", "x;y", "%c3", "b", "%5C", "~"];
+        for _ in 0..20_000 {
+            let path: String = (0..rng.usize(1..8))
+                .map(|_| ["/", ""][rng.usize(..2)].to_owned() + parts[rng.usize(..parts.len())])
+                .collect();
+            if let Ok(normal) = normal_path(&path) {
+                assert_eq!(normal_path(&normal).as_deref(), Ok(normal.as_str()), "{path}");
+                assert!(!normal.split('/').any(|s| s == "." || s == ".."), "{path} -> {normal}");
+            }
+        }
+    }
+
+    #[test]
+    fn absolute_targets_name_their_host() {
+        let target = Target::parse("http://Tiles.Example.org:8080/a/../b?x=//").unwrap();
+        assert_eq!((target.host.as_deref(), target.path.as_str()), (Some("tiles.example.org"), "/b"));
+        assert_eq!(target.path_and_query(), "/b?x=//");
+        assert_eq!(Target::parse("http://h?x").unwrap().path_and_query(), "/?x");
+        assert_eq!(Target::parse("HTTP://h").unwrap().path, "/");
+        for bad in ["*", "h:80", "https://h/", "ftp://h/", "http://", "http://u@h/", "", "/a#b", "/a?b#c"] {
+            assert!(Target::parse(bad).is_err(), "{bad}");
+        }
+    }
+
+    #[test]
+    fn hosts_are_compared_without_case_port_and_final_dot() {
+        for (given, wanted) in [
+            ("A.b", "a.b"),
+            ("a.b.", "a.b"),
+            ("a:80", "a"),
+            ("a:", "a"),
+            ("[::1]:80", "[::1]"),
+            ("10.0.0.1:9", "10.0.0.1"),
+        ] {
+            assert_eq!(host_of(given).as_deref(), Ok(wanted), "{given}");
+        }
+        for bad in
+            ["", ".", "a..b", "a b", "a/b", "a:x", "a:99999", "a:1:2", "[::1", "[x]", "u@h", "a%41", "a,b"]
+        {
+            assert_eq!(host_of(bad), Err(TargetError::Host), "{bad}");
+        }
+    }
+}
--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -1,5 +1,6 @@
 //! The side of the clients: accepts connections, bounds them, and hands each request to a [`Front`].
 
+use crate::framing::{Flaw, Framing};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
@@ -8,7 +9,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::error::Error;
 use std::future::Future;
 use std::io;
@@ -64,6 +65,10 @@
     pub connections: usize,
     /// Most bytes that are held of a connection's input at once: bounds a request's head.
     pub buffer: usize,
+    /// Whether requests that can be read in two ways are found out; hyper alone does not tell.
+    pub strict: bool,
+    /// A client that has read nothing of its answer for this long is given up.
+    pub read_stall: Option<Duration>,
     /// Time for a request until its front has called it whole.
     pub whole_request: Duration,
     /// An idle connection that has been used more than once is closed after this time ...
@@ -76,7 +81,8 @@
     /// The platform's limits, with this many connections.
     pub fn new(connections: usize) -> Self {
         let (whole_request, idle, idle_once) = (WHOLE_REQUEST, IDLE, IDLE_ONCE);
-        Self { connections, buffer: BUFFER, whole_request, idle, idle_once }
+        let (strict, read_stall) = (false, None);
+        Self { connections, buffer: BUFFER, strict, read_stall, whole_request, idle, idle_once }
     }
 }
 
@@ -99,6 +105,8 @@
     pub begun: Instant,
     /// Whether this process is winding up.
     pub ending: bool,
+    /// Why it must not be taken; looked for only where the limits say so.
+    pub flaw: Option<Flaw>,
     /// Its turn on the connection; to be dropped when the answer is made or, streamed, has gone out.
     pub turn: Turn,
 }
@@ -124,7 +132,7 @@
 /// Accepts clients and serves them.
 pub struct Clients<F> {
     front: Rc<F>,
-    limits: ClientLimits,
+    limits: Cell<ClientLimits>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     next: Cell<u64>,
     /// A connection has ended.
@@ -157,6 +165,10 @@
     close: Notify,
     /// It has been told to, to make room.
     leaving: Cell<bool>,
+    /// Judgements on the heads that hyper has been given and not yet told of.
+    flaws: RefCell<VecDeque<Option<Flaw>>>,
+    /// Since when it reads nothing of what is written.
+    unread: Cell<Option<Instant>>,
 }
 
 impl Client {
@@ -186,6 +198,21 @@
         }
     }
 
+    /// Notes whether the other side takes what is written.
+    fn wrote(&self, written: &Poll<io::Result<usize>>) {
+        match written {
+            Poll::Ready(_) => self.unread.set(None),
+            Poll::Pending if self.unread.get().is_none() => self.unread.set(Some(Instant::now())),
+            Poll::Pending => {}
+        }
+    }
+
+    /// Whether it has read nothing of its answer for too long.
+    fn has_stalled(&self, limits: &ClientLimits) -> bool {
+        let unread = self.unread.get().map(|since| since.elapsed());
+        unread.zip(limits.read_stall).is_some_and(|(unread, most)| unread >= most)
+    }
+
     /// Whether it may be closed to make room, and how gladly: the least first.
     fn gives_way(&self) -> Option<(u32, Instant)> {
         if self.leaving.get() {
@@ -209,7 +236,7 @@
     pub fn new(front: Rc<F>, limits: ClientLimits) -> Rc<Self> {
         Rc::new(Self {
             front,
-            limits,
+            limits: Cell::new(limits),
             clients: RefCell::default(),
             next: Cell::new(0),
             freed: Notify::new(),
@@ -218,6 +245,16 @@
         })
     }
 
+    /// What makes the answers.
+    pub fn front(&self) -> &Rc<F> {
+        &self.front
+    }
+
+    /// Sets other limits; connections that stand keep the size of their buffers.
+    pub fn set_limits(&self, limits: ClientLimits) {
+        self.limits.set(limits);
+    }
+
     /// Accepts connections until told to stop.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut look = interval(LOOK);
@@ -225,7 +262,7 @@
             // Guards the descriptors: at the bound another client makes room, or the next waits in the
             // kernel's queue until one ends.
             self.make_room();
-            let full = self.clients.borrow().len() >= self.limits.connections;
+            let full = self.clients.borrow().len() >= self.limits.get().connections;
             tokio::select! {
                 () = self.freed.notified(), if full => {}
                 accepted = listener.accept(), if !full => match accepted {
@@ -266,7 +303,7 @@
     /// each takes some time to end and hundreds may come at one moment.
     fn make_room(&self) {
         let clients = self.clients.borrow();
-        let wanted = self.limits.connections - self.limits.connections / ROOM_PART;
+        let wanted = self.limits.get().connections - self.limits.get().connections / ROOM_PART;
         if clients.len() <= wanted {
             return;
         }
@@ -283,7 +320,9 @@
     fn close_overdue(&self) {
         let clients = self.clients.borrow();
         for client in clients.values() {
-            if client.allowed(&self.limits).is_some_and(|allowed| client.since.get().elapsed() >= allowed) {
+            let limits = self.limits.get();
+            let late = client.allowed(&limits).is_some_and(|allowed| client.since.get().elapsed() >= allowed);
+            if late || client.has_stalled(&limits) {
                 client.close.notify_one();
             }
         }
@@ -313,6 +352,8 @@
             served: Cell::new(0),
             close: Notify::new(),
             leaving: Cell::new(false),
+            flaws: RefCell::default(),
+            unread: Cell::new(None),
         });
         self.clients.borrow_mut().insert(number, client.clone());
         let registered = Registered { clients: self.clone(), number };
@@ -331,7 +372,8 @@
             async move {
                 let begun = client.reading();
                 let ending = clients.ending.get();
-                let asked = Asked { request, peer, begun, ending, turn: Turn(client) };
+                let flaw = client.flaws.borrow_mut().pop_front().flatten();
+                let asked = Asked { request, peer, begun, ending, flaw, turn: Turn(client) };
                 let mut response = clients.front.answer(asked).await?;
                 if clients.ending.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -339,9 +381,11 @@
                 Ok::<_, hyper::Error>(response)
             }
         });
-        let stream = Watched { stream, client: client.clone() };
+        let limits = self.limits.get();
+        let framing = limits.strict.then(|| Framing::new(limits.buffer));
+        let stream = Watched { stream, client: client.clone(), framing, held: Vec::new(), cleared: 0 };
         let connection = http1::Builder::new()
-            .max_buf_size(self.limits.buffer)
+            .max_buf_size(self.limits.get().buffer)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
         loop {
@@ -351,6 +395,9 @@
                 _ = connection.as_mut() => return,
                 () = client.close.notified() => {}
             }
+            if client.has_stalled(&self.limits.get()) {
+                return;
+            }
             match client.phase.get() {
                 // The word came too late: a request has come in whole meanwhile, and is answered.
                 Phase::Open => {}
@@ -384,10 +431,15 @@
     .await
 }
 
-/// A client's stream that notes when a request begins to come in.
+/// A client's stream that notes when a request begins to come in, and judges heads before hyper has them.
 struct Watched {
     stream: TcpStream,
     client: Rc<Client>,
+    framing: Option<Framing>,
+    /// What has come and has not gone on: little more than a head, so bounded as one.
+    held: Vec<u8>,
+    /// So much of that has been judged.
+    cleared: usize,
 }
 
 impl AsyncRead for Watched {
@@ -396,18 +448,73 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.client.reading();
+        let Watched { stream, client, framing, held, cleared } = &mut *self;
+        loop {
+            if *cleared > 0 {
+                let pass = buf.remaining().min(*cleared);
+                buf.put_slice(&held[..pass]);
+                held.drain(..pass);
+                *cleared -= pass;
+                return Poll::Ready(Ok(()));
+            }
+            let before = buf.filled().len();
+            let read = Pin::new(&mut *stream).poll_read(cx, buf);
+            let came = buf.filled().len() - before;
+            if came > 0 {
+                client.reading();
+            }
+            let Some(framing) = framing else { return read };
+            match read {
+                Poll::Ready(Ok(())) if came > 0 => {}
+                other => return other,
+            }
+            if framing.is_stopped() {
+                // Read and forgotten: a connection that closes with something unread is reset, and the answer
+                // on it lost.
+                buf.set_filled(before);
+            } else if held.is_empty() {
+                let bytes = &buf.filled()[before..];
+                let pass = judge(framing, client, bytes)?;
+                if !framing.is_stopped() {
+                    held.extend_from_slice(&bytes[pass..]);
+                }
+                buf.set_filled(before + pass);
+                if pass > 0 {
+                    return Poll::Ready(Ok(()));
+                }
+            } else {
+                held.extend_from_slice(&buf.filled()[before..]);
+                buf.set_filled(before);
+                *cleared = judge(framing, client, held)?;
+                if framing.is_stopped() {
+                    held.truncate(*cleared);
+                }
+            }
+        }
+    }
+}
+
+/// Judges what has come, and tells how much of it may go on.
+fn judge(framing: &mut Framing, client: &Client, bytes: &[u8]) -> io::Result<usize> {
+    let mut pass = 0;
+    loop {
+        let step = framing.step(&bytes[pass..]);
+        let step = step.map_err(|flaw| io::Error::new(io::ErrorKind::InvalidData, flaw))?;
+        if let Some(judgement) = step.head {
+            client.flaws.borrow_mut().push_back(judgement.err());
+        }
+        pass += step.pass;
+        if step.pass == 0 || pass == bytes.len() || framing.is_stopped() {
+            return Ok(pass);
         }
-        read
     }
 }
 
 impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.client.wrote(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -415,7 +522,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.client.wrote(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -12,10 +12,10 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use ivygate_gateway::{
-    Action, Arrival, Done, Event, Gateway, ListKind, Load, Member, Millis, Outcome, RequestId, ServerId,
-    ServerState,
+    Action, Arrival, Done, Event, Gateway, ListKind, Load, Member, Millis, Outcome, Refusal, RequestId,
+    ServerId, ServerState,
 };
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -105,7 +105,7 @@
     /// Served, or failed in a server's own words: what comes is passed on.
     Passed(Box<Response<Streamed>>),
     /// Refused; the client should stay away this long, or is told nothing if it is 0.
-    Refused(Millis),
+    Refused(Millis, Refusal),
     /// Failed.
     Failed,
     /// Failed because the time was up.
@@ -174,6 +174,7 @@
     clock: Clock,
     /// A timer became the first.
     sooner: Notify,
+    retired: Cell<bool>,
 }
 
 impl Driver {
@@ -190,7 +191,13 @@
             events: VecDeque::new(),
             actions: Vec::new(),
         };
-        let driver = Rc::new(Self { state: RefCell::new(state), upstream, clock, sooner: Notify::new() });
+        let driver = Rc::new(Self {
+            state: RefCell::new(state),
+            upstream,
+            clock,
+            sooner: Notify::new(),
+            retired: Cell::new(false),
+        });
         driver.set_timer(&mut driver.state.borrow_mut(), clock.now() + SWEEP, Timer::Sweep);
         driver
     }
@@ -320,7 +327,7 @@
 
     /// Fires timers for as long as the node runs.
     pub async fn run_timers(self: Rc<Self>) {
-        loop {
+        while !self.retired.get() || self.open() > 0 {
             let first = self.state.borrow().timers.keys().next().copied();
             match first {
                 Some((at, _)) => {
@@ -387,8 +394,8 @@
     fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
             Action::Send { request, server, give_up_at } => self.send(state, request, server, give_up_at),
-            Action::Refuse { request, retry_after } => {
-                state.answer(&request, Answer::Refused(retry_after));
+            Action::Refuse { request, retry_after, reason } => {
+                state.answer(&request, Answer::Refused(retry_after, reason));
                 state.drop_if_over(&request);
             }
             Action::Fail { request } => {
@@ -400,12 +407,37 @@
                 self.set_timer(state, at, Timer::Gateway(token));
             }
             Action::Log { text } => eprintln!("{text}"),
-            // This node's discovery is always subscribed to, and app servers are never probed: the protocol
-            // has no message for it.
-            Action::Subscribe | Action::Probe { .. } => {}
+            Action::Probe { server } => self.probe(state, server),
+            // The list is told without being asked for.
+            Action::Subscribe => {}
         }
     }
 
+    /// Tries whether a server takes a connection, where that is all that can be asked of it.
+    fn probe(self: &Rc<Self>, state: &State, server: ServerId) {
+        // The platform's protocol has no message for it.
+        let Some(listed) = state.servers.get(&server).filter(|_| self.upstream.probes()) else { return };
+        let (driver, address) = (self.clone(), listed.address);
+        tokio::task::spawn_local(async move {
+            let outcome = driver.upstream.probe(address).await;
+            let mut state = driver.state.borrow_mut();
+            state.events.push_back(Event::Probed { server, outcome, load: Load::default() });
+            driver.work(&mut state);
+        });
+    }
+
+    /// Takes nothing new and sends nothing new to any server; ends once what is open has its answer.
+    pub fn retire(self: &Rc<Self>) {
+        self.list(Listing { rev: 0, all: true, targets: Vec::new() });
+        self.retired.set(true);
+        self.sooner.notify_one();
+    }
+
+    /// Requests that have no answer yet or an attempt out.
+    pub fn open(&self) -> usize {
+        self.state.borrow().requests.len()
+    }
+
     fn send(self: &Rc<Self>, state: &mut State, id: RequestId, server: ServerId, give_up_at: Millis) {
         let now = self.clock.now();
         let State { requests, servers, timer_number, timers, .. } = state;
@@ -518,7 +550,7 @@
         let Some(open) = self.requests.get_mut(id) else { return false };
         let Some(sender) = open.answer.take() else { return false };
         let answer = match (answer, open.fallback.take()) {
-            (Answer::Refused(_) | Answer::Failed, Some(words)) => Answer::Passed(words),
+            (Answer::Refused(..) | Answer::Failed, Some(words)) => Answer::Passed(words),
             (answer, _) => answer,
         };
         let guard = open.guard;
--- /dev/null
+++ b/crates/runtime/src/framing.rs
@@ -0,0 +1,323 @@
+//! Where each request on a connection begins and ends, judged more strictly than any server would.
+//!
+//! hyper takes a request with both a length and chunks for chunked, and does not tell that there were both. A
+//! server behind might see it otherwise, and find a second request in the body. So the bytes are looked at
+//! before hyper has them: what can be read in two ways is refused.
+
+use std::fmt;
+
+/// Why a request can't be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    /// A line ends in a bare line feed, or holds a bare carriage return or a NUL.
+    Line,
+    /// A header goes on in a second line.
+    Folded,
+    /// There is a space between a header's name and its colon, or no colon.
+    Name,
+    /// Both a length and a coding.
+    Both,
+    /// More than one length, or one that is no number.
+    Length,
+    /// A coding other than one `chunked`, or any in HTTP/1.0.
+    Coding,
+    /// A chunk that can't be read.
+    Chunk,
+    /// The head is longer than allowed.
+    TooLong,
+}
+
+impl fmt::Display for Flaw {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Flaw::Line => "a line of the head does not end in CR LF or holds a control character",
+            Flaw::Folded => "a header is folded",
+            Flaw::Name => "a header's name is malformed",
+            Flaw::Both => "there are both Content-Length and Transfer-Encoding",
+            Flaw::Length => "Content-Length is repeated or malformed",
+            Flaw::Coding => "Transfer-Encoding is not just `chunked`",
+            Flaw::Chunk => "a chunk is malformed",
+            Flaw::TooLong => "the head is too long",
+        })
+    }
+}
+
+impl std::error::Error for Flaw {}
+
+/// Longest extension of one chunk; nobody needs any.
+const EXTENSION_MOST: usize = 256;
+/// Longest trailers.
+const TRAILERS_MOST: usize = 8 << 10;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// In a head.
+    Head,
+    /// In a body with a length, of which this much is left.
+    Body(u64),
+    /// In a chunk's size: its value and digits so far.
+    Size(u64, u8),
+    /// In a chunk's extension, so many bytes long.
+    Extension(u64, usize),
+    /// Behind the CR of a chunk's first line.
+    SizeEnd(u64),
+    /// In a chunk's data.
+    Data(u64),
+    /// Behind a chunk's data.
+    DataCr,
+    /// Behind the CR there.
+    DataLf,
+    /// In trailers: bytes of this line, and of all.
+    Trailer(usize, usize),
+    /// Behind the CR of a trailer's line.
+    TrailerEnd(usize, usize),
+    /// Behind a flaw: nothing more is let through.
+    Stopped,
+}
+
+/// What may go on of the bytes given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// So many bytes have been judged and may go on. The others are to be given again, with more behind them.
+    pub pass: usize,
+    /// They end with a head, of which this is the judgement.
+    pub head: Option<Result<(), Flaw>>,
+}
+
+/// The state of one connection's input.
+#[derive(Debug)]
+pub struct Framing {
+    state: State,
+    head_most: usize,
+    /// Bytes of the present head that have been looked at and end no line.
+    seen: usize,
+}
+
+impl Framing {
+    /// A connection on which nothing has come; heads are at most this long.
+    pub fn new(head_most: usize) -> Self {
+        Self { state: State::Head, head_most, seen: 0 }
+    }
+
+    /// Whether nothing more is let through.
+    pub fn is_stopped(&self) -> bool {
+        self.state == State::Stopped
+    }
+
+    /// Judges bytes up to the end of the next head at the most. With nothing passed more bytes are needed.
+    ///
+    /// # Errors
+    /// If a body can't be read: the connection must end.
+    pub fn step(&mut self, bytes: &[u8]) -> Result<Step, Flaw> {
+        let mut at = 0;
+        while at < bytes.len() {
+            match self.state {
+                State::Head => return Ok(self.head(bytes, at)),
+                State::Stopped => break,
+                State::Body(left) => {
+                    let take = left.min((bytes.len() - at) as u64);
+                    at += take as usize;
+                    self.state = if take == left { State::Head } else { State::Body(left - take) };
+                }
+                State::Data(left) => {
+                    let take = left.min((bytes.len() - at) as u64);
+                    at += take as usize;
+                    self.state = if take == left { State::DataCr } else { State::Data(left - take) };
+                }
+                state => {
+                    self.state = chunk_byte(state, bytes[at]).inspect_err(|_| self.state = State::Stopped)?;
+                    at += 1;
+                }
+            }
+        }
+        Ok(Step { pass: at, head: None })
+    }
+
+    /// A head that begins at `from`, if it is whole.
+    fn head(&mut self, bytes: &[u8], from: usize) -> Step {
+        let head = &bytes[from..];
+        while let Some(end) = head[self.seen..].iter().position(|b| *b == b'\n') {
+            let line_start = self.seen;
+            self.seen += end + 1;
+            let line = &head[line_start..self.seen];
+            // Empty lines before a request are passed over, as hyper does.
+            let empty = matches!(line, b"\n" | b"\r\n");
+            if empty && !head[..line_start].iter().all(|b| matches!(b, b'\r' | b'\n')) {
+                let whole = &head[..self.seen];
+                let length = self.seen;
+                self.seen = 0;
+                let judged = judge(whole);
+                self.state = judged.unwrap_or(State::Stopped);
+                return Step { pass: from + length, head: Some(judged.map(|_| ())) };
+            }
+        }
+        if head.len() > self.head_most {
+            self.state = State::Stopped;
+            self.seen = 0;
+            // What is passed is no whole head: hyper, at its own limit, answers it.
+            return Step { pass: bytes.len(), head: Some(Err(Flaw::TooLong)) };
+        }
+        Step { pass: from, head: None }
+    }
+}
+
+/// Judges a whole head and tells what follows it.
+fn judge(head: &[u8]) -> Result<State, Flaw> {
+    let mut lines = head.split_inclusive(|b| *b == b'\n').skip_while(|line| matches!(*line, b"\r\n" | b"\n"));
+    let mut next = || -> Result<Option<&[u8]>, Flaw> {
+        let Some(line) = lines.next() else { return Ok(None) };
+        let line = line.strip_suffix(b"\r\n").ok_or(Flaw::Line)?;
+        if line.iter().any(|b| matches!(b, b'\r' | 0)) {
+            return Err(Flaw::Line);
+        }
+        Ok(Some(line).filter(|line| !line.is_empty()))
+    };
+    let first = next()?.unwrap_or_default();
+    let (mut length, mut chunked) = (None, false);
+    while let Some(line) = next()? {
+        if matches!(line[0], b' ' | b'\t') {
+            return Err(Flaw::Folded);
+        }
+        let colon = line.iter().position(|b| *b == b':').ok_or(Flaw::Name)?;
+        let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
+        if name.is_empty() || name.iter().any(|b| b.is_ascii_whitespace()) {
+            return Err(Flaw::Name);
+        }
+        if name.eq_ignore_ascii_case(b"content-length") {
+            let digits = !value.is_empty() && value.len() <= 18 && value.iter().all(u8::is_ascii_digit);
+            let number = std::str::from_utf8(value).ok().filter(|_| digits).and_then(|v| v.parse().ok());
+            // Also where they agree: a server might not look at both.
+            if length.replace(number.ok_or(Flaw::Length)?).is_some() {
+                return Err(Flaw::Length);
+            }
+        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            if chunked || !value.eq_ignore_ascii_case(b"chunked") || first.ends_with(b"HTTP/1.0") {
+                return Err(Flaw::Coding);
+            }
+            chunked = true;
+        }
+    }
+    match (length, chunked) {
+        (Some(_), true) => Err(Flaw::Both),
+        (None, true) => Ok(State::Size(0, 0)),
+        (Some(length), false) if length > 0 => Ok(State::Body(length)),
+        _ => Ok(State::Head),
+    }
+}
+
+fn chunk_byte(state: State, byte: u8) -> Result<State, Flaw> {
+    Ok(match (state, byte) {
+        (State::Size(size, digits), b) if b.is_ascii_hexdigit() && digits < 15 => {
+            let digit = char::from(b).to_digit(16).unwrap_or(0);
+            State::Size(size * 16 + u64::from(digit), digits + 1)
+        }
+        (State::Size(size, 1..), b'\r') => State::SizeEnd(size),
+        (State::Size(size, 1..), b';') => State::Extension(size, 0),
+        (State::Extension(size, _), b'\r') => State::SizeEnd(size),
+        (State::Extension(size, length), b) if b != b'\n' && b != 0 && length < EXTENSION_MOST => {
+            State::Extension(size, length + 1)
+        }
+        (State::SizeEnd(0), b'\n') => State::Trailer(0, 0),
+        (State::SizeEnd(size), b'\n') => State::Data(size),
+        (State::DataCr, b'\r') => State::DataLf,
+        (State::DataLf, b'\n') => State::Size(0, 0),
+        (State::Trailer(line, all), b'\r') => State::TrailerEnd(line, all),
+        (State::Trailer(line, all), b) if b != b'\n' && b != 0 && all < TRAILERS_MOST => {
+            State::Trailer(line + 1, all + 1)
+        }
+        (State::TrailerEnd(0, _), b'\n') => State::Head,
+        (State::TrailerEnd(_, all), b'\n') => State::Trailer(0, all),
+        _ => return Err(Flaw::Chunk),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    type Fed = (Vec<u8>, Vec<Result<(), Flaw>>);
+
+    /// Feeds bytes in pieces of a size; tells what passed and the judgements on heads.
+    fn feed(bytes: &[u8], piece: usize) -> Result<Fed, Flaw> {
+        let mut framing = Framing::new(1024);
+        let (mut passed, mut heads, mut held) = (Vec::new(), Vec::new(), Vec::new());
+        for part in bytes.chunks(piece) {
+            held.extend_from_slice(part);
+            loop {
+                let step = framing.step(&held)?;
+                passed.extend(held.drain(..step.pass));
+                heads.extend(step.head);
+                if step.pass == 0 || held.is_empty() || framing.is_stopped() {
+                    break;
+                }
+            }
+        }
+        Ok((passed, heads))
+    }
+
+    #[test]
+    fn heads_that_can_be_read_in_two_ways_are_refused() {
+        let cases: [(&str, Flaw); 16] = [
+            ("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", Flaw::Both),
+            ("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", Flaw::Both),
+            ("Content-Length: 3\r\nContent-Length: 4\r\n", Flaw::Length),
+            ("Content-Length: 3\r\ncontent-length: 3\r\n", Flaw::Length),
+            ("Content-Length: 3, 3\r\n", Flaw::Length),
+            ("Content-Length: +3\r\n", Flaw::Length),
+            ("Content-Length: 0x3\r\n", Flaw::Length),
+            ("Content-Length:\r\n", Flaw::Length),
+            ("Transfer-Encoding: identity, chunked\r\n", Flaw::Coding),
+            ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Flaw::Coding),
+            ("Transfer-Encoding: xchunked\r\n", Flaw::Coding),
+            ("Transfer-Encoding : chunked\r\n", Flaw::Name),
+            ("X: a\r\n b\r\n", Flaw::Folded),
+            ("X: a\n", Flaw::Line),
+            ("X: a\rTransfer-Encoding: chunked\r\n", Flaw::Line),
+            ("no colon\r\n", Flaw::Name),
+        ];
+        for (headers, flaw) in cases {
+            let text = format!("POST / HTTP/1.1\r\nHost: h\r\n{headers}\r\nGET /hidden HTTP/1.1\r\n\r\n");
+            for piece in [1, 7, 1000] {
+                let (passed, heads) = feed(text.as_bytes(), piece).expect("no body is read");
+                assert_eq!(heads, [Err(flaw)], "{headers}");
+                assert!(!passed.windows(7).any(|w| w == b"/hidden"), "{headers}");
+            }
+        }
+    }
+
+    #[test]
+    fn requests_behind_each_other_are_told_apart_however_they_are_cut() {
+        let text = b"\r\nPOST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nGET /POST /b HTTP/1.1\r\n\
+            Transfer-Encoding: Chunked\r\n\r\n3;x=1\r\nab\n\r\n0\r\nT: v\r\n\r\nGET /c HTTP/1.1\r\n\r\n";
+        for piece in 1..text.len() {
+            let (passed, heads) = feed(text, piece).expect("nothing is wrong");
+            assert_eq!((passed.as_slice(), heads.as_slice()), (&text[..], &[Ok(()), Ok(()), Ok(())][..]));
+        }
+    }
+
+    #[test]
+    fn chunks_that_cannot_be_read_end_the_connection() {
+        for body in [
+            "x\r\n",
+            "\r\n",
+            "3\n",
+            "3 \r\nabc\r\n",
+            "3\r\nabcd",
+            "3;\n",
+            "-1\r\n",
+            "1234567890abcdef0\r\n",
+            "0\r\nT: v\n",
+        ] {
+            let text = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{body}");
+            assert_eq!(feed(text.as_bytes(), 1), Err(Flaw::Chunk), "{body:?}");
+        }
+        let long = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;{}", "x".repeat(300));
+        assert_eq!(feed(long.as_bytes(), 100), Err(Flaw::Chunk));
+    }
+
+    #[test]
+    fn a_head_has_a_bound() {
+        let text = format!("GET / HTTP/1.1\r\nX: {}", "x".repeat(2000));
+        assert_eq!(feed(text.as_bytes(), 64).expect("no body").1, [Err(Flaw::TooLong)]);
+    }
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod clock;
 mod driver;
+mod framing;
 mod headers;
 mod listing;
 mod payload;
@@ -16,6 +17,7 @@
 pub use clients::{listen, Asked, ClientLimits, Clients, Front, Turn, WHOLE_REQUEST};
 pub use clock::{millis, Clock};
 pub use driver::{Answer, Ask, Driver, Head, Leaving, Message};
+pub use framing::Flaw;
 pub use headers::{end_to_end, retry_after_value};
 pub use listing::{Listing, Target, TargetState};
 pub use payload::{BodyError, Payload, Rest};
--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -247,6 +247,19 @@
         })
     }
 
+    /// Whether servers can be tried without a request.
+    pub(crate) fn probes(&self) -> bool {
+        matches!(self.reading, Reading::Application(_))
+    }
+
+    /// Whether a server takes a connection.
+    pub(crate) async fn probe(&self, address: SocketAddr) -> Outcome {
+        match self.connect(address).await {
+            Ok(_) => Outcome::Ok,
+            Err(outcome) => outcome,
+        }
+    }
+
     /// Notes that an answer broke after it had begun.
     pub(crate) fn stream_broke(&self, server: ServerId) {
         let mut broken = self.broken.borrow_mut();
