--- /dev/null
+++ b/crates/ivygate/src/bin/ivygate-adapter.rs
@@ -0,0 +1,7 @@
+//! The decisions on the simulator's wire.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ivygate_adapter::main()
+}
--- a/crates/runtime/src/headers.rs
+++ b/crates/runtime/src/headers.rs
@@ -3,8 +3,18 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use ivygate_gateway::Millis;
 
-/// The headers that go on: all but those that belong to the client's connection.
-pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+/// The headers of a request that go on: all but those that belong to the client's connection.
+pub fn end_to_end(headers: HeaderMap) -> HeaderMap {
+    let mut headers = without_hop_by_hop(headers);
+    // The length is written anew from the body.
+    for name in [header::CONTENT_LENGTH, header::EXPECT, header::PROXY_AUTHORIZATION] {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// The headers of a message without those that belong to one connection.
+pub fn without_hop_by_hop(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -15,20 +25,12 @@
     for name in named {
         headers.remove(name);
     }
-    // The length is written anew from the body.
-    for name in [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-    ] {
+    for name in [header::CONNECTION, header::TE, header::TRAILER, header::TRANSFER_ENCODING, header::UPGRADE]
+    {
         headers.remove(name);
     }
     headers.remove("keep-alive");
+    headers.remove("proxy-connection");
     headers
 }
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -18,7 +18,7 @@
 pub use clock::{millis, Clock};
 pub use driver::{Answer, Ask, Driver, Head, Leaving, Message};
 pub use framing::Flaw;
-pub use headers::{end_to_end, retry_after_value};
+pub use headers::{end_to_end, retry_after_value, without_hop_by_hop};
 pub use listing::{Listing, Target, TargetState};
 pub use payload::{BodyError, Payload, Rest};
 pub use streamed::{Stalled, Streamed};
--- a/crates/runtime/src/payload.rs
+++ b/crates/runtime/src/payload.rs
@@ -51,6 +51,11 @@
         self.streamed
     }
 
+    /// Whether trailers are held with it.
+    pub fn has_trailers(&self) -> bool {
+        self.trailers.is_some()
+    }
+
     /// Whether it can't be sent any more.
     pub fn is_spent(&self) -> bool {
         self.begun.get()
--- a/crates/runtime/src/streamed.rs
+++ b/crates/runtime/src/streamed.rs
@@ -10,7 +10,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::time::{sleep, Instant, Sleep};
 
@@ -53,7 +53,11 @@
 
     /// Gives the connection back: the answer is whole.
     fn finish(&mut self) {
-        if let Some(link) = self.link.take().filter(Link::stands) {
+        let Some(mut link) = self.link.take() else { return };
+        // hyper notes only on its next turn that the answer was the last; one whose request is still being
+        // written is not given back.
+        link.drive(&mut Context::from_waker(Waker::noop()));
+        if link.is_ready() {
             self.upstream.put_back(self.server, link);
         }
     }
--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -215,6 +215,11 @@
         });
         tokio::task::unconstrained(look).await;
         self.resting.set(false);
+        self.is_ready()
+    }
+
+    /// Whether the connection stands and waits for a request.
+    pub(crate) fn is_ready(&self) -> bool {
         self.stands() && self.sender.is_ready()
     }
 
--- /dev/null
+++ b/crates/sidecar/src/forward.rs
@@ -0,0 +1,137 @@
+//! Headers on their way to an application and back.
+
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use ivygate_runtime::{end_to_end, without_hop_by_hop};
+use std::net::IpAddr;
+
+const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
+const FORWARDED_HOST: HeaderName = HeaderName::from_static("x-forwarded-host");
+const FORWARDED_PROTO: HeaderName = HeaderName::from_static("x-forwarded-proto");
+/// A request's id, made if missing.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("req-id");
+
+/// Where a request came from.
+pub struct Origin<'a> {
+    /// The peer's address.
+    pub peer: IpAddr,
+    /// Whether its word is believed.
+    pub trusted: bool,
+    /// The host that was asked for.
+    pub host: &'a str,
+}
+
+/// The headers that an application gets. `trailers` says that trailers may come behind the body.
+pub fn to_application(headers: HeaderMap, origin: &Origin, trailers: bool, id: &str) -> HeaderMap {
+    let announced: Vec<HeaderValue> = headers.get_all(header::TRAILER).iter().cloned().collect();
+    let takes_trailers =
+        headers.get_all(header::TE).iter().any(|v| v.as_bytes().eq_ignore_ascii_case(b"trailers"));
+    let mut headers = end_to_end(headers);
+    if trailers {
+        for value in announced {
+            headers.append(header::TRAILER, value);
+        }
+    }
+    if takes_trailers {
+        headers.insert(header::TE, HeaderValue::from_static("trailers"));
+        headers.insert(header::CONNECTION, HeaderValue::from_static("te"));
+    }
+    let peer = origin.peer.to_canonical().to_string();
+    let chain = if origin.trusted {
+        let told = headers.get_all(&FORWARDED_FOR).iter().filter_map(|v| v.to_str().ok());
+        told.chain([peer.as_str()]).collect::<Vec<_>>().join(", ")
+    } else {
+        // What an untrusted peer says of others is not passed on.
+        for name in [&FORWARDED_FOR, &FORWARDED_HOST, &FORWARDED_PROTO, &header::FORWARDED] {
+            headers.remove(name);
+        }
+        peer.clone()
+    };
+    if let Ok(chain) = HeaderValue::try_from(chain) {
+        headers.insert(FORWARDED_FOR, chain);
+    }
+    if let Some(told) = headers.get(header::FORWARDED).and_then(|v| v.to_str().ok()) {
+        let own = if origin.peer.is_ipv6() { format!("\"[{peer}]\"") } else { peer };
+        if let Ok(value) = HeaderValue::try_from(format!("{told}, for={own};proto=http")) {
+            headers.insert(header::FORWARDED, value);
+        }
+    }
+    if let Ok(host) = HeaderValue::try_from(origin.host) {
+        headers.entry(FORWARDED_HOST).or_insert(host);
+    }
+    headers.entry(FORWARDED_PROTO).or_insert(HeaderValue::from_static("http"));
+    if let Ok(id) = HeaderValue::try_from(id) {
+        headers.entry(REQUEST_ID).or_insert(id);
+    }
+    headers
+}
+
+/// The headers of an application's answer that its client gets.
+pub fn to_client(headers: HeaderMap) -> HeaderMap {
+    let announced: Vec<HeaderValue> = headers.get_all(header::TRAILER).iter().cloned().collect();
+    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
+    let mut headers = without_hop_by_hop(headers);
+    if chunked {
+        headers.remove(header::CONTENT_LENGTH);
+        for value in announced {
+            headers.append(header::TRAILER, value);
+        }
+    }
+    headers
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn origin(trusted: bool) -> Origin<'static> {
+        Origin { peer: "10.0.0.1".parse().unwrap(), trusted, host: "h" }
+    }
+
+    fn told() -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        for (name, value) in [
+            ("x-forwarded-for", "1.1.1.1"),
+            ("x-forwarded-proto", "https"),
+            ("x-forwarded-host", "told"),
+            ("forwarded", "for=1.1.1.1"),
+            ("connection", "x-mine, close"),
+            ("x-mine", "1"),
+            ("keep-alive", "1"),
+            ("x-kept", "1"),
+        ] {
+            headers.insert(HeaderName::from_static(name), HeaderValue::from_static(value));
+        }
+        headers
+    }
+
+    #[test]
+    fn untrusted_peers_say_nothing_of_others() {
+        let headers = to_application(told(), &origin(false), false, "id");
+        assert_eq!(headers["x-forwarded-for"], "10.0.0.1");
+        assert_eq!(
+            (&headers["x-forwarded-proto"], &headers["x-forwarded-host"]),
+            (&HeaderValue::from_static("http"), &HeaderValue::from_static("h"))
+        );
+        assert!(!headers.contains_key("forwarded") && headers["req-id"] == "id");
+    }
+
+    #[test]
+    fn trusted_peers_are_passed_on_with_the_peer_behind_them() {
+        let headers = to_application(told(), &origin(true), false, "id");
+        assert_eq!(headers["x-forwarded-for"], "1.1.1.1, 10.0.0.1");
+        assert_eq!(headers["forwarded"], "for=1.1.1.1, for=10.0.0.1;proto=http");
+        assert_eq!(headers["x-forwarded-proto"], "https");
+        assert_eq!(headers["x-forwarded-host"], "told");
+    }
+
+    #[test]
+    fn what_belongs_to_a_connection_stays_there() {
+        let headers = to_application(told(), &origin(false), false, "id");
+        for gone in ["connection", "x-mine", "keep-alive"] {
+            assert!(!headers.contains_key(gone), "{gone}");
+        }
+        assert_eq!(headers["x-kept"], "1");
+        let back = to_client(told());
+        assert!(!back.contains_key("x-mine") && back["x-kept"] == "1");
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,16 @@
+//! The sidecar: several services in one process, chosen by a route table.
+//!
+//! Called by the command line. It reads requests as ordinary applications have them, names their route, class,
+//! customer and plan, and hands all else to the pool's decision module: it must never choose a server, send
+//! anything again or refuse for quota or room by itself.
+
+mod answer;
+mod forward;
+mod front;
+mod identity;
+mod pool;
+mod service;
+mod site;
+mod upload;
+
+pub use service::{run, Sidecar, StartError};
--- /dev/null
+++ b/crates/sidecar/src/pool.rs
@@ -0,0 +1,256 @@
+//! A pool at work: its decision module on sockets, and what its requests may take of the process.
+
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::StatusCode;
+use ivygate_config as config;
+use ivygate_gateway::{Class, Effect, Gateway, KeyScope, Millis, Plan, Settings};
+use ivygate_runtime::{
+    millis, Clock, Driver, Judge, Listing, Reading, Target, TargetState, Upstream, UpstreamLimits,
+};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What is added to a keyed class's name for its requests that come without a key: nobody drops their repeats.
+const UNKEYED: &str = " (no key)";
+/// Longest advice to stay away.
+const RETRY_AFTER_MOST: Millis = 60_000.0;
+
+/// A pool at work.
+pub struct Pool {
+    /// Its part of the configuration.
+    pub settings: config::Pool,
+    /// All that its decisions rest on, for telling whether it has changed.
+    basis: Basis,
+    /// Its decision module on sockets.
+    pub driver: Rc<Driver>,
+    counts: Rc<Counts>,
+}
+
+#[derive(Clone, PartialEq)]
+struct Basis {
+    classes: Vec<config::Class>,
+    plans: Vec<config::Plan>,
+    /// Without its servers.
+    pool: config::Pool,
+}
+
+#[derive(Default)]
+struct Counts {
+    open: Cell<usize>,
+    bytes: Cell<usize>,
+}
+
+/// A class's name for requests without a key.
+pub fn unkeyed(class: &str) -> String {
+    format!("{class}{UNKEYED}")
+}
+
+impl Pool {
+    /// Starts a pool.
+    ///
+    /// # Errors
+    /// If the decision module cannot act on its settings.
+    pub fn start(
+        pool: &config::Pool,
+        classes: &[&config::Class],
+        plans: &[config::Plan],
+        clock: Clock,
+    ) -> Result<Rc<Self>, String> {
+        let settings = settings(pool, classes, plans);
+        let gateway = Gateway::new(settings, fastrand::u64(..)).map_err(|error| error.to_string())?;
+        let limits = UpstreamLimits {
+            connections: pool.connections,
+            connect: millis(pool.connect),
+            keep: millis(pool.keep),
+            // What is there to be read is seen without a rest.
+            rest: Duration::ZERO,
+        };
+        let declined = pool.declined.as_ref().and_then(|(name, value)| {
+            Some((HeaderName::try_from(name).ok()?, HeaderValue::try_from(value).ok()?))
+        });
+        let judge = Judge {
+            errors: pool.errors.iter().filter_map(|status| StatusCode::from_u16(*status).ok()).collect(),
+            declined,
+            stall: millis(pool.answer_stall),
+        };
+        let upstream = Upstream::new(limits, Reading::Application(judge));
+        let driver = Driver::new(gateway, clock, upstream);
+        tokio::task::spawn_local(driver.clone().run_timers());
+        let started = Self {
+            settings: pool.clone(),
+            basis: Basis::new(pool, classes, plans),
+            driver,
+            counts: Rc::default(),
+        };
+        started.list(None);
+        Ok(Rc::new(started))
+    }
+
+    /// The same pool under a configuration in which at most its servers have changed: counts, health and
+    /// connections stay. `None` if more has changed. Nothing happens before [`Self::list`].
+    pub fn carried_on(
+        &self,
+        pool: &config::Pool,
+        classes: &[&config::Class],
+        plans: &[config::Plan],
+    ) -> Option<Rc<Self>> {
+        let basis = Basis::new(pool, classes, plans);
+        (basis == self.basis).then(|| {
+            let (driver, counts) = (self.driver.clone(), self.counts.clone());
+            Rc::new(Self { settings: pool.clone(), basis, driver, counts })
+        })
+    }
+
+    /// Tells the decision module of the servers. Those that `before` did not have count as just started where
+    /// cold servers are to be spared.
+    pub fn list(&self, before: Option<&config::Pool>) {
+        let now = self.driver.now();
+        let is_new = |s: &config::Server| {
+            before.is_some_and(|b| !b.servers.iter().any(|o| o.name == s.name && o.address == s.address))
+        };
+        let target = |server: &config::Server| Target {
+            // A server that has moved is another one.
+            uid: format!("{}@{}", server.name, server.address),
+            endpoint: Some(server.address),
+            az: server.zone.clone(),
+            pod_group: server.cell,
+            state: if server.draining { TargetState::Draining } else { TargetState::Serving },
+            capacity_hint: server.weight,
+            boot_ms: if self.settings.cold.is_some() && is_new(server) { now } else { 0.0 },
+        };
+        let targets = self.settings.servers.iter().map(target).collect();
+        self.driver.list(Listing { rev: 0, all: true, targets });
+    }
+
+    /// A place for one more open request; `None` if the pool has as many as it may.
+    pub fn place(&self) -> Option<Place> {
+        let open = self.counts.open.get();
+        (open < self.settings.requests).then(|| {
+            self.counts.open.set(open + 1);
+            Place(self.counts.clone())
+        })
+    }
+
+    /// Room for a request's body, of no size yet.
+    pub fn hold(&self) -> Bytewise {
+        Bytewise { counts: self.counts.clone(), most: self.settings.buffered, bytes: 0 }
+    }
+}
+
+impl Basis {
+    fn new(pool: &config::Pool, classes: &[&config::Class], plans: &[config::Plan]) -> Self {
+        Self {
+            classes: classes.iter().map(|c| (*c).clone()).collect(),
+            plans: plans.to_vec(),
+            pool: config::Pool { servers: Vec::new(), ..pool.clone() },
+        }
+    }
+}
+
+/// One open request's place in its pool.
+pub struct Place(Rc<Counts>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Bytes of a body that a pool holds.
+pub struct Bytewise {
+    counts: Rc<Counts>,
+    most: usize,
+    bytes: usize,
+}
+
+impl Bytewise {
+    /// Takes room for more, unless the pool holds as much as it may.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let all = self.counts.bytes.get() + bytes;
+        if all > self.most {
+            return false;
+        }
+        self.counts.bytes.set(all);
+        self.bytes += bytes;
+        true
+    }
+}
+
+impl Drop for Bytewise {
+    fn drop(&mut self) {
+        self.counts.bytes.set(self.counts.bytes.get() - self.bytes);
+    }
+}
+
+fn settings(pool: &config::Pool, classes: &[&config::Class], plans: &[config::Plan]) -> Settings {
+    let mut all = Vec::new();
+    for class in classes {
+        let (effect, key_window) = match class.effect {
+            config::Effect::Safe => (Effect::Safe, 0.0),
+            config::Effect::Unsafe => (Effect::Unsafe, 0.0),
+            config::Effect::Keyed(scope, window) => {
+                let scope = match scope {
+                    config::Scope::All => KeyScope::All,
+                    config::Scope::Zone => KeyScope::Zone,
+                    config::Scope::Cell => KeyScope::Cell,
+                };
+                (Effect::Keyed(scope), window)
+            }
+        };
+        let made = Class {
+            name: class.name.clone(),
+            aim: class.aim,
+            deadline: class.deadline,
+            worth: class.worth,
+            late_worth: class.late_worth,
+            effect,
+            key_window,
+        };
+        if let Effect::Keyed(_) = effect {
+            all.push(Class {
+                name: unkeyed(&class.name),
+                effect: Effect::Unsafe,
+                key_window: 0.0,
+                ..made.clone()
+            });
+        }
+        all.push(made);
+    }
+    let cold = pool.cold.unwrap_or(config::Cold { from: 1.0, warm: 0.0, fall: 2.0, window: 1000.0 });
+    Settings {
+        gateways: pool.sidecars,
+        rank: 0,
+        zone: pool.zone.clone(),
+        classes: all,
+        plans: plans.iter().map(plan).collect(),
+        max_attempts: pool.attempts,
+        hedging: false,
+        // A pool of unsafe requests only would else never learn that an ejected server is back.
+        probing: true,
+        cancelling: true,
+        list_on_request: false,
+        max_retry_after: Some(RETRY_AFTER_MOST),
+        meter_period: None,
+        cross_zone_price: pool.cross_zone,
+        cold_from: cold.from,
+        warm_after: cold.warm,
+        fall_multiple: cold.fall,
+        fall_window: cold.window,
+    }
+}
+
+fn plan(plan: &config::Plan) -> Plan {
+    Plan {
+        name: plan.name.clone(),
+        rate: plan.quota,
+        burst: plan.burst,
+        open: plan.open,
+        price: plan.price,
+        extra_worth: plan.excess_worth,
+        excess_cost: plan.excess_cost,
+        ceiling_rate: plan.ceiling,
+        ceiling_burst: plan.ceiling_burst,
+        ceiling_slack: plan.ceiling_slack,
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/service.rs
@@ -0,0 +1,224 @@
+//! The process round the fronts: listeners, reload, signals, end.
+
+use crate::front::{Shared, SidecarFront};
+use crate::site::Site;
+use ivygate_config::{Listener, Loaded, Model};
+use ivygate_runtime::{listen, millis, ClientLimits, Clients, Clock};
+use std::cell::RefCell;
+use std::fmt;
+use std::io::IsTerminal;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::task::{JoinHandle, LocalSet};
+
+/// Why a sidecar does not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// The configuration's file can't be read.
+    Unreadable(String, std::io::Error),
+    /// It can't be used; the report says where and why.
+    Configuration(String),
+    /// An address can't be listened on.
+    Listen(SocketAddr, std::io::Error),
+    /// The system refuses something else that is needed.
+    System(std::io::Error),
+}
+
+impl StartError {
+    /// Whether it is a whole report, with places and all.
+    pub fn is_report(&self) -> bool {
+        matches!(self, StartError::Configuration(_))
+    }
+
+    /// Whether the configuration is to blame, rather than a fault at run time.
+    pub fn is_configuration(&self) -> bool {
+        matches!(self, StartError::Unreadable(..) | StartError::Configuration(_))
+    }
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Unreadable(path, error) => write!(f, "cannot read {path}: {error}"),
+            StartError::Configuration(report) => f.write_str(report.trim_end()),
+            StartError::Listen(address, error) => write!(f, "cannot listen on {address}: {error}"),
+            StartError::System(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// A listener at work.
+struct Port {
+    /// As the configuration has it; its port may be 0.
+    named: SocketAddr,
+    bound: SocketAddr,
+    clients: Rc<Clients<SidecarFront>>,
+    accepting: JoinHandle<()>,
+}
+
+/// A sidecar at work, on the thread that started it.
+pub struct Sidecar {
+    clock: Clock,
+    shared: Rc<Shared>,
+    ports: RefCell<Vec<Port>>,
+}
+
+impl Sidecar {
+    /// Starts one; to be called within a `LocalSet`.
+    ///
+    /// # Errors
+    /// If an address can't be listened on or a decision module can't act on its settings.
+    pub fn start(model: &Model) -> Result<Self, StartError> {
+        let clock = Clock::new();
+        let bound = bind(model.listeners.iter())?;
+        let site = Site::new(model, None, clock).map_err(StartError::Configuration)?;
+        let sidecar = Self { clock, shared: Shared::new(site), ports: RefCell::default() };
+        sidecar.open(bound);
+        Ok(sidecar)
+    }
+
+    /// Where clients connect.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.ports.borrow().iter().map(|port| port.bound).collect()
+    }
+
+    fn open(&self, bound: Vec<(Listener, TcpListener, SocketAddr)>) {
+        for (listener, socket, address) in bound {
+            let (named, limits) = (listener.address, client_limits(&listener));
+            let front = Rc::new(SidecarFront::new(self.shared.clone(), listener));
+            let clients = Clients::new(front, limits);
+            let accepting = tokio::task::spawn_local(clients.clone().accept(socket));
+            self.ports.borrow_mut().push(Port { named, bound: address, clients, accepting });
+        }
+    }
+
+    /// Puts another configuration to work, whole or not at all. Requests that are open end under the one they
+    /// began with.
+    ///
+    /// # Errors
+    /// If it can't be put to work; then nothing has changed.
+    pub fn reload(&self, model: &Model) -> Result<(), StartError> {
+        let is_open = |l: &&Listener| self.ports.borrow().iter().any(|port| port.named == l.address);
+        let bound = bind(model.listeners.iter().filter(|l| !is_open(l)))?;
+        let before = self.shared.site.borrow().clone();
+        let site = Site::new(model, Some(&before), self.clock).map_err(StartError::Configuration)?;
+        // From here on nothing can fail.
+        site.begin(&before);
+        self.shared.site.replace(Rc::new(site));
+        let mut gone = Vec::new();
+        self.ports.borrow_mut().retain_mut(|port| {
+            let Some(listener) = model.listeners.iter().find(|l| l.address == port.named) else {
+                let ended = tokio::task::spawn_local(async {});
+                gone.push((port.clients.clone(), std::mem::replace(&mut port.accepting, ended)));
+                return false;
+            };
+            port.clients.set_limits(client_limits(listener));
+            port.clients.front().listener.replace(Rc::new(listener.clone()));
+            true
+        });
+        for (clients, accepting) in gone {
+            tokio::task::spawn_local(async move { clients.wind_up(accepting).await });
+        }
+        self.open(bound);
+        Ok(())
+    }
+
+    /// Ends in good order: finishes what has been taken and tells clients to go.
+    pub async fn wind_up(&self) {
+        let ports = self.ports.take();
+        let ending: Vec<_> = ports
+            .into_iter()
+            .map(|port| tokio::task::spawn_local(async move { port.clients.wind_up(port.accepting).await }))
+            .collect();
+        for one in ending {
+            // A failure of its own changes nothing about the end.
+            let _ = one.await;
+        }
+    }
+}
+
+fn client_limits(listener: &Listener) -> ClientLimits {
+    ClientLimits {
+        buffer: listener.head,
+        strict: true,
+        read_stall: Some(millis(listener.read_stall)),
+        whole_request: millis(listener.head_within),
+        idle: millis(listener.idle),
+        idle_once: millis(listener.idle),
+        ..ClientLimits::new(listener.connections)
+    }
+}
+
+fn bind<'a>(
+    listeners: impl Iterator<Item = &'a Listener>,
+) -> Result<Vec<(Listener, TcpListener, SocketAddr)>, StartError> {
+    listeners
+        .map(|listener| {
+            let fail = |error| StartError::Listen(listener.address, error);
+            let socket = listen(listener.address).map_err(fail)?;
+            let address = socket.local_addr().map_err(fail)?;
+            Ok((listener.clone(), socket, address))
+        })
+        .collect()
+}
+
+/// Reads and checks a file; warnings go to standard error.
+fn load(path: &Path) -> Result<Model, StartError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| StartError::Unreadable(name.clone(), error))?;
+    let loaded: Loaded = ivygate_config::load(&name, &text);
+    let report = loaded.report(std::io::stderr().is_terminal());
+    match loaded.model {
+        Some(model) => {
+            eprint!("{report}");
+            Ok(model)
+        }
+        None => Err(StartError::Configuration(report)),
+    }
+}
+
+/// Serves by a configuration's file until a signal ends it.
+///
+/// # Errors
+/// If it does not start.
+pub fn run(path: &Path) -> Result<(), StartError> {
+    let model = load(path)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::System)?;
+    LocalSet::new().block_on(&runtime, async {
+        let listen_for = |kind| signal(kind).map_err(StartError::System);
+        let mut terminate = listen_for(SignalKind::terminate())?;
+        let mut interrupt = listen_for(SignalKind::interrupt())?;
+        // Asked for before anything else is done: until then a signal would end the process.
+        let hangups = listen_for(SignalKind::hangup())?;
+        let sidecar = Rc::new(Sidecar::start(&model)?);
+        for address in sidecar.addresses() {
+            eprintln!("ivygate: listening on {address}");
+        }
+        let reloading = tokio::task::spawn_local(reload_on(hangups, sidecar.clone(), path.to_owned()));
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        reloading.abort();
+        sidecar.wind_up().await;
+        // What has been passed on to the system may still be on its way out.
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        Ok(())
+    })
+}
+
+async fn reload_on(mut hangups: Signal, sidecar: Rc<Sidecar>, path: std::path::PathBuf) {
+    while hangups.recv().await.is_some() {
+        match load(&path).and_then(|model| sidecar.reload(&model)) {
+            Ok(()) => eprintln!("ivygate: {} read anew", path.display()),
+            Err(error) => eprintln!("ivygate: the configuration stays as it was: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/site.rs
@@ -0,0 +1,133 @@
+//! One configuration at work: its table, its routes, its pools. Requests end under the site they began with.
+
+use crate::pool::{unkeyed, Pool};
+use hyper::header::HeaderName;
+use ivygate_config::{Effect, Identity, Model};
+use ivygate_routing::{Found, Table};
+use ivygate_runtime::Clock;
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// One configuration at work.
+pub struct Site {
+    /// How customers, plans and deadlines are read.
+    pub identity: Identity,
+    table: Table,
+    routes: Vec<Route>,
+    plans: Vec<Arc<str>>,
+    customers: HashMap<String, usize>,
+    /// The pools by their names.
+    pub pools: HashMap<String, Rc<Pool>>,
+}
+
+/// A route at work.
+pub struct Route {
+    /// Its class.
+    pub class: Arc<str>,
+    /// Its class for requests without a key, and the header that would carry one; keyed classes only.
+    pub unkeyed: Option<(Arc<str>, HeaderName)>,
+    /// Whether its requests must never run twice.
+    pub once: bool,
+    /// Its class's deadline.
+    pub deadline: f64,
+    /// What is added to that where a body is streamed.
+    pub upload: f64,
+    /// Units that a request takes.
+    pub units: f64,
+    /// Its pool.
+    pub pool: Rc<Pool>,
+}
+
+impl Site {
+    /// Puts a configuration to work. Pools that another site has unchanged, but for their servers, carry on;
+    /// nothing happens to them before [`Self::begin`].
+    ///
+    /// # Errors
+    /// If a decision module cannot act on its settings, or routes contradict each other.
+    pub fn new(model: &Model, before: Option<&Site>, clock: Clock) -> Result<Self, String> {
+        let table = Table::build(model.routes.iter().map(|r| r.claim.clone()).collect());
+        let table = table.map_err(|error| error.to_string())?;
+        let mut pools = HashMap::new();
+        for (number, pool) in model.pools.iter().enumerate() {
+            let used: BTreeSet<usize> =
+                model.routes.iter().filter(|r| r.pool == number).map(|r| r.class).collect();
+            if used.is_empty() {
+                // No route leads there.
+                continue;
+            }
+            let classes: Vec<_> = used.into_iter().map(|class| &model.classes[class]).collect();
+            let old = before.and_then(|site| site.pools.get(&pool.name));
+            let pool = match old.and_then(|old| old.carried_on(pool, &classes, &model.plans)) {
+                Some(pool) => pool,
+                None => Pool::start(pool, &classes, &model.plans, clock)
+                    .map_err(|error| format!("pool {}: {error}", pool.name))?,
+            };
+            pools.insert(pool.settings.name.clone(), pool);
+        }
+        let route = |route: &ivygate_config::Route| -> Result<Route, String> {
+            let class = &model.classes[route.class];
+            let key = match class.effect {
+                Effect::Keyed(..) => {
+                    let header =
+                        HeaderName::try_from(&class.key_header).map_err(|error| error.to_string())?;
+                    Some((unkeyed(&class.name).into(), header))
+                }
+                _ => None,
+            };
+            Ok(Route {
+                class: class.name.as_str().into(),
+                unkeyed: key,
+                once: class.effect == Effect::Unsafe,
+                deadline: class.deadline,
+                upload: class.upload,
+                units: class.units,
+                pool: pools[&model.pools[route.pool].name].clone(),
+            })
+        };
+        let routes = model.routes.iter().map(route).collect::<Result<_, _>>()?;
+        Ok(Self {
+            identity: model.identity.clone(),
+            table,
+            routes,
+            plans: model.plans.iter().map(|p| p.name.as_str().into()).collect(),
+            customers: model.customers.iter().cloned().collect(),
+            pools,
+        })
+    }
+
+    /// Takes over from another site: tells pools of their servers, and ends those that are left behind.
+    pub fn begin(&self, before: &Site) {
+        for (name, pool) in &self.pools {
+            let old = before.pools.get(name);
+            if old.is_some_and(|old| Rc::ptr_eq(&old.driver, &pool.driver)) {
+                pool.list(old.map(|old| &old.settings));
+            }
+        }
+        for (name, old) in &before.pools {
+            let carried = self.pools.get(name).is_some_and(|new| Rc::ptr_eq(&new.driver, &old.driver));
+            if !carried {
+                old.driver.retire();
+            }
+        }
+    }
+
+    /// The route that takes a request.
+    ///
+    /// # Errors
+    /// With the methods that the path is claimed for, none if it is not claimed at all.
+    pub fn route(&self, host: &str, path: &str, method: &str) -> Result<&Route, Vec<String>> {
+        match self.table.find(host, path, method) {
+            Found::Route(number, _) => Ok(&self.routes[number]),
+            Found::OtherMethods(methods) => Err(methods),
+            Found::Nothing => Err(Vec::new()),
+        }
+    }
+
+    /// The plan of a customer; `told` is what a trusted peer said.
+    pub fn plan(&self, customer: &str, told: Option<&str>) -> Arc<str> {
+        let told = told.and_then(|told| self.plans.iter().position(|plan| **plan == *told));
+        let number = told.or_else(|| self.customers.get(customer).copied());
+        self.plans[number.unwrap_or(self.identity.default_plan)].clone()
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/upload.rs
@@ -0,0 +1,124 @@
+//! A client's body: held up to a pool's limit so that it can be sent again, streamed beyond it.
+
+use crate::pool::{Bytewise, Pool};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use ivygate_runtime::{BodyError, Payload};
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::{sleep, timeout, Instant, Sleep};
+
+/// Why a body is not taken.
+pub enum Unread {
+    /// It stood still for too long.
+    Stalled,
+    /// The pool holds as many bytes as it may.
+    NoRoom,
+    /// Its connection broke, or it can't be read.
+    Lost(hyper::Error),
+}
+
+/// Reads a body, whole if it is within the limit. What is held counts against the pool for as long as the
+/// second part of the answer lives.
+pub async fn read(
+    mut body: Incoming,
+    pool: &Rc<Pool>,
+    stall: Duration,
+) -> Result<(Payload, Bytewise), Unread> {
+    let limit = pool.settings.repeat_limit;
+    let mut held = BytesMut::new();
+    let mut taken = pool.hold();
+    if body.is_end_stream() {
+        return Ok((Payload::whole(Bytes::new()), taken));
+    }
+    if body.size_hint().lower() > limit as u64 {
+        // It could not be sent again anyway, so nothing of it is held.
+        return Ok((Payload::streamed(Bytes::new(), Box::pin(Upload::new(body, stall))), taken));
+    }
+    loop {
+        let frame = match timeout(stall, body.frame()).await {
+            Err(_) => return Err(Unread::Stalled),
+            Ok(None) => return Ok((Payload::held(held.freeze(), None), taken)),
+            Ok(Some(Err(error))) => return Err(Unread::Lost(error)),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        match frame.into_data() {
+            Ok(data) => {
+                if !taken.grow(data.len()) {
+                    return Err(Unread::NoRoom);
+                }
+                held.extend_from_slice(&data);
+                if held.len() > limit {
+                    let rest = Box::pin(Upload::new(body, stall));
+                    return Ok((Payload::streamed(held.freeze(), rest), taken));
+                }
+            }
+            Err(frame) => {
+                if let Ok(trailers) = frame.into_trailers() {
+                    return Ok((Payload::held(held.freeze(), Some(trailers)), taken));
+                }
+            }
+        }
+    }
+}
+
+/// A client sent nothing for too long in the middle of a body.
+#[derive(Debug)]
+struct Stalled;
+
+impl fmt::Display for Stalled {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the client stopped in the middle of its body")
+    }
+}
+
+impl std::error::Error for Stalled {}
+
+/// The part of a body that is still coming in.
+struct Upload {
+    incoming: Incoming,
+    stall: Duration,
+    timer: Pin<Box<Sleep>>,
+    owed: bool,
+}
+
+impl Upload {
+    fn new(incoming: Incoming, stall: Duration) -> Self {
+        Self { incoming, stall, timer: Box::pin(sleep(stall)), owed: false }
+    }
+}
+
+impl Body for Upload {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = &mut *self;
+        if let Poll::Ready(frame) = Pin::new(&mut this.incoming).poll_frame(cx) {
+            this.owed = false;
+            return Poll::Ready(frame.map(|frame| frame.map_err(Into::into)));
+        }
+        if !this.owed {
+            this.owed = true;
+            let at = Instant::now() + this.stall;
+            this.timer.as_mut().reset(at);
+        }
+        this.timer.as_mut().poll(cx).map(|()| Some(Err(Box::new(Stalled) as BodyError)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
