--- a/crates/ivygate/tests/support/mod.rs
+++ b/crates/ivygate/tests/support/mod.rs
@@ -74,18 +74,13 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        self.signal("-TERM");
+        signal(&self.child, "-TERM");
     }
 
     /// Replaces the file of its configuration and sends SIGHUP.
     pub fn reload(&self, config: &str) {
         std::fs::write(&self.config, config).expect("the file is written");
-        self.signal("-HUP");
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+        signal(&self.child, "-HUP");
     }
 
     /// Waits for the end and gives the exit code.
@@ -122,3 +117,151 @@
         let _ = std::fs::remove_file(&self.config);
     }
 }
+
+/// A sidecar as a process of its own.
+pub struct Sidecar {
+    pub address: SocketAddr,
+    pub config: std::path::PathBuf,
+    said: std::sync::Arc<std::sync::Mutex<Vec<String>>>,
+    child: Child,
+}
+
+/// Classes, plans and customers under which the tests of the sidecar run.
+pub const CLASSES: &str = "
+class read  { effect safe; aim 8s; deadline 20s; }
+class edit  { effect keyed; scope zone; window 15s; aim 8s; deadline 20s; worth 3; }
+class order { effect unsafe; aim 8s; deadline 20s; worth 5; }
+";
+
+/// A pool named as its route's path, of servers that lie in these zones.
+pub fn pool(name: &str, extra: &str, servers: &[(SocketAddr, &str)]) -> String {
+    let servers: String = servers
+        .iter()
+        .enumerate()
+        .map(|(n, (address, zone))| format!("    server s{n} {address} {{ zone {zone}; }}\n"))
+        .collect();
+    format!("pool {name} {{\n    zone north; requests 64; connections 64; {extra}\n{servers}}}\n")
+}
+
+/// A route to a pool of the same name.
+pub fn route(pool: &str, class: &str) -> String {
+    let methods = if class == "read" { "GET HEAD OPTIONS PUT" } else { "POST PUT" };
+    format!(
+        "route {pool}-{class} {{ path prefix /{pool}; methods {methods}; class {class}; pool {pool}; }}\n"
+    )
+}
+
+impl Sidecar {
+    /// Starts one with a listener, the tests' classes and what else is given.
+    pub fn with(parts: &[String]) -> Self {
+        Self::start(&Self::text("", parts))
+    }
+
+    pub fn text(listener: &str, parts: &[String]) -> String {
+        format!("listen 127.0.0.1:0 {{ connections 400; {listener} }}\n{CLASSES}{}", parts.concat())
+    }
+
+    pub fn start(config: &str) -> Self {
+        let path = scratch(config);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_ivygate"))
+            .arg("serve")
+            .arg(&path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the sidecar starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("it has standard error")).lines();
+        let mut before = String::new();
+        let address = loop {
+            let line = lines.next().unwrap_or_else(|| panic!("it ended: {before}")).expect("text");
+            if let Some(address) = line.strip_prefix("ivygate: listening on ") {
+                break address.parse().expect("an address");
+            }
+            before += &(line + "\n");
+        };
+        let said = std::sync::Arc::<std::sync::Mutex<Vec<String>>>::default();
+        let hears = said.clone();
+        std::thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|l| hears.lock().expect("no panic").push(l))
+        });
+        Self { address, config: path, said, child }
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("the sidecar accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
+        Client { stream: BufReader::new(stream) }
+    }
+
+    /// Asks on a connection of its own and waits for the answer.
+    pub fn ask(&self, request: &str) -> Message {
+        self.client().ask(request)
+    }
+
+    pub fn get(&self, path: &str) -> Message {
+        self.ask(&format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n"))
+    }
+
+    pub fn post(&self, path: &str, headers: &str, body: &str) -> Message {
+        let length = body.len();
+        self.ask(&format!(
+            "POST {path} HTTP/1.1\r\nHost: h\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+        ))
+    }
+
+    /// What it has said on standard error since it listens.
+    pub fn said(&self) -> String {
+        self.said.lock().expect("no panic").join("\n")
+    }
+
+    /// Replaces its configuration, sends SIGHUP and waits until it has said that it was taken or not.
+    pub fn reload(&self, config: &str) -> bool {
+        std::fs::write(&self.config, config).expect("the file is written");
+        let heard = self.said.lock().expect("no panic").len();
+        signal(&self.child, "-HUP");
+        let mut taken = None;
+        until("the sidecar has read its configuration", || {
+            let said = self.said.lock().expect("no panic");
+            taken = said[heard..].iter().find_map(|line| match line {
+                line if line.ends_with(" read anew") => Some(true),
+                line if line.contains("stays as it was") => Some(false),
+                _ => None,
+            });
+            taken.is_some()
+        });
+        taken == Some(true)
+    }
+
+    pub fn terminate(&self) {
+        signal(&self.child, "-TERM");
+    }
+
+    /// Waits for the end and gives the exit code.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let mut code = None;
+        until("the sidecar exits", || {
+            code = self.child.try_wait().expect("it can be waited for");
+            code.is_some()
+        });
+        code.and_then(|c| c.code())
+    }
+
+    /// Memory that it holds, in KB.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory is told");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+}
+
+fn signal(child: &Child, name: &str) {
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -53,6 +53,49 @@
 
 /// Reads one message; `None` if the connection ends or breaks before it is whole.
 pub fn read_message(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut message = read_head(stream)?;
+    if message.header("transfer-encoding").is_some() {
+        return read_chunks(stream, &mut message).then_some(message);
+    }
+    let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+    message.body = vec![0; length];
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// Reads a chunked body; its trailers go behind the headers. Tells whether it was whole.
+fn read_chunks(stream: &mut BufReader<TcpStream>, message: &mut Message) -> bool {
+    let line = |stream: &mut BufReader<TcpStream>| {
+        let mut line = String::new();
+        let whole = stream.read_line(&mut line).is_ok() && line.ends_with('\n');
+        whole.then(|| line.trim_end().to_owned())
+    };
+    loop {
+        let Some(size) = line(stream) else { return false };
+        let size = usize::from_str_radix(size.split(';').next().unwrap_or(""), 16).expect("a chunk's size");
+        if size == 0 {
+            break;
+        }
+        let from = message.body.len();
+        message.body.resize(from + size, 0);
+        if stream.read_exact(&mut message.body[from..]).is_err() || line(stream).is_none() {
+            return false;
+        }
+    }
+    loop {
+        match line(stream) {
+            None => return false,
+            Some(trailer) if trailer.is_empty() => return true,
+            Some(trailer) => {
+                let (name, value) = trailer.split_once(':').expect("a trailer");
+                message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+            }
+        }
+    }
+}
+
+/// Reads a head alone, as that of an answer to HEAD.
+pub fn read_head(stream: &mut BufReader<TcpStream>) -> Option<Message> {
     let mut message = Message::default();
     loop {
         let mut line = String::new();
@@ -63,16 +106,56 @@
         if message.start.is_empty() {
             message.start = line.to_owned();
         } else if line.is_empty() {
-            break;
+            return Some(message);
         } else {
             let (name, value) = line.split_once(':')?;
             message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
         }
     }
-    let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
-    message.body = vec![0; length];
-    stream.read_exact(&mut message.body).ok()?;
-    Some(message)
+}
+
+/// An application that does with each of its connections what a script says; connections are numbered from 0.
+#[derive(Clone)]
+pub struct Scripted {
+    pub address: SocketAddr,
+    pub accepted: Arc<AtomicUsize>,
+    pub ended: Arc<AtomicUsize>,
+}
+
+impl Scripted {
+    pub fn start(script: impl Fn(&mut BufReader<TcpStream>, usize) + Send + Sync + 'static) -> Self {
+        Self::on(TcpListener::bind("127.0.0.1:0").expect("a port"), script)
+    }
+
+    /// On a listener that the test has made.
+    pub fn on(
+        listener: TcpListener,
+        script: impl Fn(&mut BufReader<TcpStream>, usize) + Send + Sync + 'static,
+    ) -> Self {
+        let address = listener.local_addr().expect("an address");
+        let app = Self { address, accepted: Arc::default(), ended: Arc::default() };
+        let (served, script) = (app.clone(), Arc::new(script));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (app, script) = (served.clone(), script.clone());
+                let number = app.accepted.fetch_add(1, Ordering::SeqCst);
+                std::thread::spawn(move || {
+                    script(&mut BufReader::new(stream), number);
+                    app.ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        app
+    }
+
+    pub fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::SeqCst)
+    }
+}
+
+/// Ends a connection with a reset rather than in good order.
+pub fn reset(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
 /// What an app server does with the request that it has read.
