--- a/crates/ivygate/src/main.rs
+++ b/crates/ivygate/src/main.rs
@@ -52,8 +52,12 @@
 const MISUSED: u8 = 2;
 
 fn main() -> ExitCode {
-    if std::env::args_os().len() <= 1 && std::env::var_os("RELAY_CONFIG").is_some() {
-        return node();
+    if std::env::args_os().len() <= 1 {
+        if std::env::var_os("RELAY_CONFIG").is_some() {
+            return node();
+        }
+        eprintln!("ivygate: no command is given and RELAY_CONFIG is not set; `ivygate --help` tells more");
+        return ExitCode::from(MISUSED);
     }
     match Cli::parse().command {
         Command::Serve { file } => served(ivygate_sidecar::run(&file)),
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -123,6 +123,8 @@
     attempts: Vec<Attempt>,
     /// A server's own words for a failure, passed on if nothing better comes.
     fallback: Option<Box<Response<Streamed>>>,
+    /// Its last attempt ended for want of time.
+    timed_out: bool,
     guard: TimerKey,
 }
 
@@ -230,6 +232,7 @@
             answer: Some(answer),
             attempts: Vec::new(),
             fallback: None,
+            timed_out: false,
             guard,
         };
         state.requests.insert(head.id.clone(), open);
@@ -399,7 +402,8 @@
                 state.drop_if_over(&request);
             }
             Action::Fail { request } => {
-                state.answer(&request, Answer::Failed);
+                let timed_out = state.requests.get(&request).is_some_and(|open| open.timed_out);
+                state.answer(&request, if timed_out { Answer::TimeUp } else { Answer::Failed });
                 state.drop_if_over(&request);
             }
             Action::Cancel { request, attempt } => self.give_up(state, &request, attempt, Outcome::Cancelled),
@@ -426,11 +430,16 @@
         });
     }
 
-    /// Takes nothing new and sends nothing new to any server; ends once what is open has its answer.
-    pub fn retire(self: &Rc<Self>) {
-        self.list(Listing { rev: 0, all: true, targets: Vec::new() });
+    /// Ends this driver, which must be told of no request any more: what is open may still be sent on for the
+    /// grace, and ends after it with the attempts that are out.
+    pub fn retire(self: &Rc<Self>, grace: Millis) {
         self.retired.set(true);
         self.sooner.notify_one();
+        let driver = self.clone();
+        tokio::task::spawn_local(async move {
+            sleep_until(driver.clock.instant(driver.now() + grace)).await;
+            driver.list(Listing { rev: 0, all: true, targets: Vec::new() });
+        });
     }
 
     /// Requests that have no answer yet or an attempt out.
@@ -516,6 +525,7 @@
             (_, answer) => {
                 if let Some(open) = state.requests.get_mut(id) {
                     open.fallback = answer;
+                    open.timed_out = end.outcome == Outcome::Timeout;
                     if open.message.body.is_spent() {
                         // The gateway's word for what belongs to the client and is never sent anew.
                         let request = id.clone();
--- a/crates/sidecar/src/site.rs
+++ b/crates/sidecar/src/site.rs
@@ -9,6 +9,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// How long a pool that is left behind may still send on what it had taken. Requests that are just being sent
+/// would else be refused for nothing.
+const RETIRE_GRACE: f64 = 500.0;
+
 /// One configuration at work.
 pub struct Site {
     /// How customers, plans and deadlines are read.
@@ -107,7 +111,7 @@
         for (name, old) in &before.pools {
             let carried = self.pools.get(name).is_some_and(|new| Rc::ptr_eq(&new.driver, &old.driver));
             if !carried {
-                old.driver.retire();
+                old.driver.retire(RETIRE_GRACE);
             }
         }
     }
