--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,78 @@
+//! Measurements of the sidecar. Each command prints a table; none passes or fails.
+//!
+//! Called by people. It measures the program as built beside it (`target/release/ivygate`) in processes of
+//! their own, and must not reach into the program.
+
+mod application;
+mod bodies;
+mod isolation;
+mod load;
+mod pass_through;
+mod process;
+mod proxy;
+mod routes;
+
+use clap::{Parser, Subcommand};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "ivygate-bench", about = "Measurements of the sidecar")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Requests a second, latency and CPU against a pass-through with no decisions
+    Proxy {
+        /// Seconds for each figure
+        #[arg(long, default_value_t = 3.0)]
+        seconds: f64,
+        /// Times that everything is measured
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+    },
+    /// Look-ups and memory of the route table
+    Routes,
+    /// Paid orders alone, and beside a pool of tiles that stalls
+    Isolation {
+        /// Seconds for each of the two
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+    },
+    /// Memory while large bodies pass in both directions
+    Bodies {
+        /// Sizes in MiB
+        #[arg(default_values_t = [100, 1024])]
+        mib: Vec<u64>,
+    },
+    /// The pass-through itself (run by the others)
+    #[command(hide = true)]
+    PassThrough {
+        /// Where it passes requests
+        upstream: SocketAddr,
+    },
+    /// The application itself (run by the others)
+    #[command(hide = true)]
+    Application,
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Proxy { seconds, rounds } => proxy::measure(seconds, rounds),
+        Command::Routes => routes::measure(),
+        Command::Isolation { seconds } => isolation::measure(seconds),
+        Command::Bodies { mib } => bodies::measure(&mib),
+        Command::PassThrough { upstream } => pass_through::run(upstream),
+        Command::Application => application::run(),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ivygate-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/routes.rs
@@ -0,0 +1,70 @@
+//! The route table: time of a look-up and memory, by the number of routes.
+
+use ivygate_routing::{Claim, Found, Host, Methods, PathClaim, Table};
+use std::hint::black_box;
+use std::io;
+use std::time::Instant;
+
+/// Measures and prints.
+pub fn measure() -> io::Result<()> {
+    println!(
+        "{:>8} {:>10} {:>12} {:>12} {:>14}",
+        "routes", "build ms", "ns, 3 parts", "ns, 12 parts", "bytes a route"
+    );
+    for count in [10, 1_000, 100_000] {
+        let claims = claims(count);
+        let start = Instant::now();
+        let table = Table::build(claims).map_err(io::Error::other)?;
+        let built = start.elapsed().as_secs_f64() * 1e3;
+        let times = [3, 12].map(|parts| look_up(&table, count, parts));
+        let memory = table.memory() as f64 / count as f64;
+        println!("{count:>8} {built:>10.2} {:>12.0} {:>12.0} {memory:>14.0}", times[0], times[1]);
+    }
+    Ok(())
+}
+
+/// A third each of exact paths, prefixes and patterns, over a hundred hosts.
+fn claims(count: usize) -> Vec<Claim> {
+    let claim = |n: usize| {
+        let text = format!("/service-{}/resource-{n}", n % 50);
+        let path = match n % 3 {
+            0 => PathClaim::exact(&text),
+            1 => PathClaim::prefix(&text),
+            _ => PathClaim::pattern(&format!("{text}/*/edit")),
+        };
+        let host = Host::parse(&format!("h{}.example.org", n % 100));
+        Some(Claim { host: host.ok()?, path: path.ok()?, methods: Methods::Any })
+    };
+    (0..count).filter_map(claim).collect()
+}
+
+/// Nanoseconds of a look-up of paths with so many segments.
+fn look_up(table: &Table, count: usize, parts: usize) -> f64 {
+    let mut rng = fastrand::Rng::with_seed(5);
+    let asked: Vec<_> = (0..10_000)
+        .map(|_| {
+            let n = rng.usize(..count);
+            let mut path = format!("/service-{}/resource-{n}", n % 50);
+            match n % 3 {
+                0 => {}
+                1 => path += &"/x".repeat(parts - 2),
+                _ => path += "/x/edit",
+            }
+            (format!("h{}.example.org", n % 100), path)
+        })
+        .collect();
+    let mut best = f64::INFINITY;
+    for _ in 0..20 {
+        let start = Instant::now();
+        let found = asked
+            .iter()
+            .filter(|(host, path)| {
+                matches!(table.find(black_box(host), black_box(path), "GET"), Found::Route(..))
+            })
+            .count();
+        let each = start.elapsed().as_nanos() as f64 / asked.len() as f64;
+        assert_eq!(found, asked.len(), "every path is some route's");
+        best = best.min(each);
+    }
+    best
+}
