Config: fifty mistakes, each found at its place; a class may tell its work

At its start a pool refused all but five or six requests at once: an unmeasured request was taken to need a tenth of its aim. A sidecar's class now starts from work (a hundredth of the aim by default); the platform's classes tell none and are decided as before.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -257,12 +257,14 @@
         };
         let effect = effect(&inner);
         let key = inner.word("key").and_then(|word| header(&inner, word));
+        let aim = duration_or(&inner, "aim", deadline / 2.0);
         let class = Class {
             name: name.text.clone(),
             effect: effect.unwrap_or(Effect::Unsafe),
             key_header: key.unwrap_or_else(|| "idempotency-key".to_owned()),
-            aim: duration_or(&inner, "aim", deadline / 2.0),
+            aim,
             deadline,
+            work: duration_or(&inner, "work", aim / 100.0),
             upload: duration_or(&inner, "upload", 60_000.0),
             worth: inner.positive_or("worth", Quantity::Number, 1.0),
             late_worth: inner.quantity_or("late-worth", Quantity::Share, 0.2),
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -129,6 +129,8 @@
     pub aim: f64,
     /// An answer's head is owed within this time.
     pub deadline: f64,
+    /// Time that a request is taken to need on an idle server until that has been measured.
+    pub work: f64,
     /// What is added to the deadline where a body is streamed.
     pub upload: f64,
     /// Worth of one request.
--- /dev/null
+++ b/crates/config/tests/check.rs
@@ -0,0 +1,207 @@
+//! Mistakes are found at their place, all in one run, and good files become the model that they mean.
+
+use ivygate_config::*;
+
+const GOOD: &str = "\
+listen 127.0.0.1:8080 { trusted 127.0.0.1 10.0.0.0/8; connections 200; idle 30s; }
+class read { effect safe; aim 250ms; deadline 2s; worth 2; }
+class edit { effect keyed; scope zone; window 15s; deadline 3s; key X-Key; }
+class order { effect unsafe; deadline 5s; }
+plan small { quota 300/m; burst 10; ceiling 10/s; ceiling-burst 20; }
+plan large { }
+identity { customer cookie who; plan header X-Plan; default-plan large; deadline header Req-Deadline; }
+customer \"a b\" { plan small; }
+pool app {
+    zone north; sidecars 3; requests 64; repeat-limit 1MiB; errors 500 503; declined Srv-Declined 1;
+    cold { from 0.3; warm 20s; }
+    server one 127.0.0.1:9001 { weight 2; cell 4; }
+    server two [::1]:9002 { zone south; state draining; }
+}
+route all { class read; pool app; }
+route edits { host *.example.org; path pattern /trails/*/edits; class edit; pool app; methods POST; }
+route orders { host shop.example.org; path exact /orders; class order; pool app; }
+";
+
+fn model(text: &str) -> Model {
+    let loaded = load("test.conf", text);
+    loaded.model.unwrap_or_else(|| panic!("{}", load("test.conf", text).report(false)))
+}
+
+#[test]
+fn a_good_file_becomes_the_model_that_it_means() {
+    let model = model(GOOD);
+    let listener = &model.listeners[0];
+    assert_eq!((listener.connections, listener.idle, listener.trusted.len()), (200, 30_000.0, 2));
+    assert_eq!(model.classes[1].effect, Effect::Keyed(Scope::Zone, 15_000.0));
+    assert_eq!((model.classes[1].key_header.as_str(), model.classes[0].aim), ("x-key", 250.0));
+    assert_eq!((model.plans[0].quota, model.plans[0].ceiling), (5.0, 10.0));
+    assert_eq!(model.customers, [("a b".to_owned(), 0)]);
+    assert_eq!(model.identity.default_plan, 1);
+    let pool = &model.pools[0];
+    assert_eq!((pool.sidecars, pool.repeat_limit, pool.errors.as_slice()), (3, 1 << 20, &[500, 503][..]));
+    assert_eq!(pool.cold.map(|c| (c.from, c.warm, c.fall)), Some((0.3, 20_000.0, 2.0)));
+    let [one, two] = &pool.servers[..] else { panic!("two servers") };
+    assert_eq!((one.zone.as_str(), one.weight, one.cell, one.draining), ("north", 2.0, 4, false));
+    assert_eq!((two.zone.as_str(), two.draining), ("south", true));
+    assert_eq!(model.routes.iter().map(|r| (r.class, r.pool)).collect::<Vec<_>>(), [(0, 0), (1, 0), (2, 0)]);
+}
+
+#[test]
+fn a_safe_class_takes_only_methods_that_change_nothing_unless_told() {
+    let named = |text: &str| match &model(text).routes[0].claim.methods {
+        ivygate_routing::Methods::Any => vec!["any".to_owned()],
+        ivygate_routing::Methods::Named(names) => names.clone(),
+    };
+    assert_eq!(named(GOOD), ["GET", "HEAD", "OPTIONS"]);
+    assert_eq!(named(&GOOD.replace("route all { class read;", "route all { class order;")), ["any"]);
+    let told = GOOD.replace("route all { class read;", "route all { methods POST; class read;");
+    assert_eq!(named(&told), ["POST"]);
+    let warned = load("test.conf", &told);
+    assert_eq!((warned.findings.len(), warned.findings[0].code), (1, "IV0101"));
+}
+
+#[test]
+fn places_do_not_count_when_configurations_are_compared() {
+    assert!(model(GOOD) == model(&GOOD.replace("; ", ";\n  ").replace("pool app", "# comment\n\npool app")));
+    assert!(model(GOOD) != model(&GOOD.replace("250ms", "251ms")));
+}
+
+#[test]
+fn each_mistake_is_found_at_its_place_and_told_plainly() {
+    // What is replaced by what, the code, and what stands at the place.
+    let cases = [
+        ("idle 30s", "idle 30", "IV0021", "30"),
+        ("idle 30s", "idle 30KiB", "IV0022", "30KiB"),
+        ("idle 30s", "idle long", "IV0020", "long"),
+        ("idle 30s", "idle 0s", "IV0024", "0s"),
+        ("idle 30s", "idle 25h", "IV0023", "25h"),
+        ("idle 30s", "idle", "IV0014", "idle"),
+        ("idle 30s", "idel 30s", "IV0010", "idel"),
+        ("idle 30s;", "idle 30s; idle 40s;", "IV0012", "idle"),
+        ("connections 200", "connections 2.5", "IV0023", "2.5"),
+        ("connections 200", "connections 20s", "IV0022", "20s"),
+        ("127.0.0.1:8080", "localhost:8080", "IV0038", "localhost:8080"),
+        ("10.0.0.0/8", "10.0.0.0/99", "IV0039", "10.0.0.0/99"),
+        ("effect safe", "effect save", "IV0037", "save"),
+        ("effect safe; aim", "aim", "IV0011", "class read"),
+        ("deadline 2s; worth 2", "worth 2", "IV0011", "class read"),
+        ("aim 250ms", "aim 3s", "IV0041", "aim 3s;"),
+        ("scope zone; ", "", "IV0011", "class edit"),
+        ("window 15s; ", "", "IV0011", "class edit"),
+        ("scope zone", "scope town", "IV0036", "town"),
+        ("effect unsafe;", "effect unsafe; window 15s;", "IV0042", "window 15s;"),
+        ("quota 300/m", "quota 300", "IV0021", "300"),
+        ("ceiling 10/s", "ceiling 1/s", "IV0040", "ceiling 1/s;"),
+        ("plan large", "plan small", "IV0032", "small"),
+        ("customer cookie who", "customer coookie who", "IV0034", "coookie"),
+        ("plan header X-Plan", "plan cookie X-Plan", "IV0035", "cookie"),
+        ("header X-Plan", "header X:Plan", "IV0030", "X:Plan"),
+        ("{ plan small; }", "{ plan smal; }", "IV0033", "smal"),
+        ("cold { from 0.3", "cold { from 30", "IV0023", "30"),
+        ("cold { from 0.3", "cold { from 30%", "IV0022", "30%"),
+        ("errors 500 503", "errors 404", "IV0046", "404"),
+        ("[::1]:9002", "127.0.0.1:9001", "IV0047", "127.0.0.1:9001"),
+        ("server two [::1]:9002", "server one [::1]:9002", "IV0032", "one"),
+        ("state draining", "state drained", "IV0048", "drained"),
+        ("host *.example.org", "host *.example..org", "IV0050", "*.example..org"),
+        ("pattern /trails/*/edits", "glob /trails/*/edits", "IV0051", "glob"),
+        ("pattern /trails/*/edits", "pattern /tr*/edits", "IV0052", "/tr*/edits"),
+        ("exact /orders", "exact /a//orders", "IV0052", "/a//orders"),
+        ("methods POST", "methods post", "IV0053", "post"),
+        ("class order; pool app", "class order; pool apps", "IV0033", "apps"),
+        ("route orders", "route edits", "IV0032", "edits"),
+        (
+            "host *.example.org; path pattern /trails/*/edits; class edit; pool app; methods POST;",
+            "class order; pool app; methods GET;",
+            "IV0054",
+            "route edits",
+        ),
+        ("zone north;", "", "IV0055", "server one 127.0.0.1:9001"),
+        ("connections 200", "connections 20000", "IV0056", "listen 127.0.0.1:8080"),
+        ("requests 64", "requests 190", "IV0057", "listen 127.0.0.1:8080"),
+        ("weight 2; cell 4; }", "weight 2; cell 4;", "IV0003", "{"),
+        ("route all { class read; pool app; }", "route all { class read; pool app; } }", "IV0002", "}"),
+        ("route all { class read", "{ class read", "IV0004", "{"),
+        ("class read; pool app; }", "class read; pool app }", "IV0006", "app"),
+        ("aim 250ms;", "aim 250ms", "IV0015", "deadline"),
+        ("\"a b\"", "\"a b", "IV0001", "\"a b {"),
+    ];
+    for (from, to, code, place) in &cases {
+        assert!(GOOD.contains(from), "{from}");
+        let text = GOOD.replacen(from, to, 1);
+        let loaded = load("test.conf", &text);
+        assert!(loaded.model.is_none(), "{to}: taken");
+        let found: Vec<_> =
+            loaded.findings.iter().map(|f| (f.code, &text[f.at.0.start..f.at.0.end])).collect();
+        let hit = loaded
+            .findings
+            .iter()
+            .find(|f| f.code == *code && text[f.at.0.start..f.at.0.end].starts_with(place));
+        let hit = hit.unwrap_or_else(|| panic!("{to}: {found:?}"));
+        let report = loaded.report(false);
+        let line = text[..hit.at.0.start].matches('\n').count() + 1;
+        assert!(report.contains(&format!("test.conf:{line}:")) && report.contains(code), "{report}");
+    }
+    assert_eq!(cases.len(), 50);
+}
+
+#[test]
+fn one_run_finds_the_mistakes_of_all_blocks() {
+    let text = GOOD
+        .replace("idle 30s", "idle 30")
+        .replace("effect safe", "effect save")
+        .replace("pool app; methods", "pool ap; methods");
+    let loaded = load("test.conf", &text);
+    let codes: Vec<_> = loaded.findings.iter().map(|f| f.code).collect();
+    assert_eq!(codes, ["IV0021", "IV0037", "IV0033"]);
+    assert!(loaded.report(false).contains("is `app` meant?"));
+}
+
+#[test]
+fn nothing_that_is_given_makes_the_reader_fail() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let pieces = [
+        "{",
+        "}",
+        ";",
+        "\"",
+        "#",
+        "listen",
+        "pool",
+        "a",
+        "15s",
+        "\n",
+        " ",
+        "\\",
+        "é",
+        "\0",
+        "class",
+        "effect keyed;",
+        "server a 127.0.0.1:1",
+    ];
+    for _ in 0..3_000 {
+        let text: String = (0..rng.usize(0..40)).map(|_| pieces[rng.usize(..pieces.len())]).collect();
+        let loaded = load("test.conf", &text);
+        assert!(loaded.model.is_none() && !loaded.findings.is_empty(), "{text:?}");
+        loaded.report(false);
+    }
+    let deep = "a {".repeat(100_000);
+    assert!(load("test.conf", &deep).model.is_none());
+    // A good file that is cut anywhere is either refused or still a whole one.
+    for end in 0..GOOD.len() {
+        let loaded = load("test.conf", &GOOD[..end]);
+        assert!(loaded.model.is_some() || !loaded.findings.is_empty());
+    }
+}
+
+#[test]
+fn comments_stay_in_the_tree_with_the_statement_that_they_stand_before() {
+    let (block, errors) = parse("# first\na b; # behind\nc { # inside\n d; }\n# last\n", 0);
+    assert!(errors.is_empty());
+    let texts = |comments: &[Comment]| comments.iter().map(|c| c.text.clone()).collect::<Vec<_>>();
+    assert_eq!(texts(&block.statements[0].comments), ["# first"]);
+    assert_eq!(texts(&block.statements[1].comments), ["# behind"]);
+    let inner = block.statements[1].block.as_ref().expect("a block");
+    assert_eq!(texts(&inner.statements[0].comments), ["# inside"]);
+    assert_eq!(texts(&block.trailing), ["# last"]);
+}
--- a/crates/gateway/examples/one_gateway.rs
+++ b/crates/gateway/examples/one_gateway.rs
@@ -15,6 +15,7 @@
             worth: 1.0,
             late_worth: 0.0,
             effect: Effect::Safe,
+            first_work: None,
             key_window: 0.0,
         }],
         plans: vec![Plan {
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -87,6 +87,8 @@
     pub late_worth: f64,
     /// Whether it may run again.
     pub effect: Effect,
+    /// Work of a request on an idle server, as far as it is told; a part of the aim where it is not.
+    pub first_work: Option<Millis>,
     /// How long repeats of a keyed request are dropped, from the first send that may have run.
     pub key_window: Millis,
 }
--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -439,7 +439,8 @@
 
     /// Expected work of a request on an idle server of the fleet.
     fn work(&self, class: usize, units: f64) -> Millis {
-        let (view, first) = (&self.classes[class], FIRST_WORK * self.settings.classes[class].aim);
+        let (view, first) = (&self.classes[class], &self.settings.classes[class]);
+        let first = first.first_work.unwrap_or(FIRST_WORK * first.aim);
         (FIRST_ANSWERS * first + view.answers * view.unit_work * units) / (FIRST_ANSWERS + view.answers)
     }
 
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -192,6 +192,7 @@
         worth: c.worth,
         late_worth: c.late_worth,
         effect,
+        first_work: None,
         key_window: c.window_ms,
     })
 }
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -48,6 +48,7 @@
         worth: 1.0,
         late_worth: 0.0,
         effect,
+        first_work: None,
         key_window: 3000.0,
     }
 }
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -145,6 +145,9 @@
     if bytes.first() != Some(&b'/') {
         return Err(TargetError::Form);
     }
+    if is_plainly_normal(bytes) {
+        return Ok(path.to_owned());
+    }
     let mut segments: Vec<String> = Vec::new();
     let mut ends_in_slash = true;
     for raw in bytes[1..].split(|b| *b == b'/') {
@@ -172,6 +175,29 @@
     Ok(normal)
 }
 
+/// Whether a path has nothing in it that could be written in another way: most have not, and are taken as they
+/// are.
+fn is_plainly_normal(path: &[u8]) -> bool {
+    let mut depth = 0;
+    let mut before = 0;
+    for b in path {
+        let fits = match *b {
+            // No empty segment, and none that begins with a dot.
+            b'/' => before != b'/',
+            b'.' => before != b'/',
+            // Parameters may hide dots.
+            b';' => false,
+            b => unreserved(b) || plain(b),
+        };
+        if !fits {
+            return false;
+        }
+        depth += usize::from(*b == b'/');
+        before = *b;
+    }
+    depth <= SEGMENTS_MOST
+}
+
 fn normal_segment(raw: &[u8]) -> Result<String, TargetError> {
     let mut segment = String::with_capacity(raw.len());
     let mut divides = false;
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -126,7 +126,12 @@
             };
             held.bytes = Some(bytes);
             let id = self.shared.id();
-            let uri = Uri::try_from(target.path_and_query()).map_err(|_| bad("the target is malformed"))?;
+            let normal = parts.uri.authority().is_none() && parts.uri.path() == target.path;
+            let uri = if normal {
+                parts.uri
+            } else {
+                Uri::try_from(target.path_and_query()).map_err(|_| bad("the target is malformed"))?
+            };
             let chunked = has_body && payload.is_streamed() || payload.has_trailers();
             let method = parts.method;
             let headers = to_application(parts.headers, &origin, chunked, &id);
@@ -201,7 +206,11 @@
     if parts.headers.contains_key(header::UPGRADE) {
         return Err(Words::new(StatusCode::NOT_IMPLEMENTED, "no other protocol is offered").closing());
     }
-    let target = Target::parse(&parts.uri.to_string()).map_err(|error| bad(error.to_string()))?;
+    let target = match parts.uri.path_and_query() {
+        Some(path) if parts.uri.authority().is_none() => Target::parse(path.as_str()),
+        _ => Target::parse(&parts.uri.to_string()),
+    };
+    let target = target.map_err(|error| bad(error.to_string()))?;
     let mut hosts = parts.headers.get_all(header::HOST).iter();
     let host = match (hosts.next(), hosts.next()) {
         (Some(_), Some(_)) => return Err(bad("Host is given twice")),
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -205,6 +205,7 @@
             worth: class.worth,
             late_worth: class.late_worth,
             effect,
+            first_work: Some(class.work),
             key_window,
         };
         if let Effect::Keyed(_) = effect {
