--- a/crates/ivygate/src/main.rs
+++ b/crates/ivygate/src/main.rs
@@ -48,6 +48,10 @@
     },
 }
 
+/// The system's allocator took a tenth of the processor time of a request.
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 /// For usage and configuration.
 const MISUSED: u8 = 2;
 
