A pool that was slow beyond its aim takes requests again; drain bound; bursts checked

Settings may now say that a gateway with nothing out sends one request on (trial). Sidecars do; the platform's settings don't, so its decisions are the same.

SIGTERM waits for streams no longer than limits { drain }. A burst below one unit, or below a class's units, is an error. Tests for each, seen to fail before.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -57,13 +57,14 @@
 }
 
 fn limits(fields: &Fields) -> Limits {
-    let mut descriptors = 1024.0;
+    let (mut descriptors, mut drain) = (1024.0, 30_000.0);
     if let Some(statement) = fields.one("limits") {
         let inner = fields.inner("limits block", statement);
         descriptors = inner.positive_or("descriptors", Quantity::Count, descriptors);
+        drain = duration_or(&inner, "drain", drain);
         inner.finish();
     }
-    Limits { descriptors: descriptors as usize }
+    Limits { descriptors: descriptors as usize, drain }
 }
 
 fn is_token(text: &str) -> bool {
@@ -163,6 +164,22 @@
             excess_cost: inner.positive_or("excess-cost", Quantity::Number, 1.0),
             at: At(inner.head),
         };
+        for (name, rate, burst) in
+            [("burst", plan.quota, plan.burst), ("ceiling-burst", plan.ceiling, plan.ceiling_burst)]
+        {
+            if rate > 0.0 && burst < 1.0 {
+                let at = inner.one(name).map_or(inner.head, |s| s.span);
+                let error = Diagnostic::error(
+                    "IV0049",
+                    format!("`{name}` holds less than one unit"),
+                    at,
+                    "nothing passes",
+                );
+                inner.note(
+                    error.help(format!("write `{name} 1;` or more: what a customer may use at one moment")),
+                );
+            }
+        }
         if plan.quota > 0.0 && plan.ceiling > 0.0 && plan.ceiling < plan.quota {
             let at = inner.one("ceiling").map_or(inner.head, |s| s.span);
             let quota = inner.one("quota").map_or(inner.head, |s| s.span);
@@ -662,6 +679,20 @@
             }
         }
     }
+    for class in &model.classes {
+        let small = |p: &&Plan| {
+            (p.quota > 0.0 && p.burst < class.units) || (p.ceiling > 0.0 && p.ceiling_burst < class.units)
+        };
+        if let Some(plan) = model.plans.iter().find(|p| class.units > 1.0 && small(p)) {
+            let what = format!(
+                "a request of the class `{}` takes more units than a burst of `{}` holds",
+                class.name, plan.name
+            );
+            let error = Diagnostic::error("IV0049", what, plan.at.0, "none would pass under this plan");
+            fields
+                .note(error.also(class.at.0, format!("{} units each", class.units)).help("raise the burst"));
+        }
+    }
     let clients: usize = model.listeners.iter().map(|l| l.connections).sum();
     let servers: usize = model.pools.iter().map(|p| p.connections).sum();
     let total = clients + servers + RESERVE;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -43,6 +43,8 @@
 pub struct Limits {
     /// Most file descriptors.
     pub descriptors: usize,
+    /// Longest time from the signal to end to the end.
+    pub drain: f64,
 }
 
 /// How a customer, its plan and a deadline are read off a request.
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -92,6 +92,8 @@
         ("effect unsafe;", "effect unsafe; window 15s;", "IV0042", "window 15s;"),
         ("quota 300/m", "quota 300", "IV0021", "300"),
         ("ceiling 10/s", "ceiling 1/s", "IV0040", "ceiling 1/s;"),
+        ("burst 10;", "burst 0.5;", "IV0049", "burst 0.5;"),
+        ("worth 2; }", "worth 2; units 12; }", "IV0049", "plan small"),
         ("plan large", "plan small", "IV0032", "small"),
         ("customer cookie who", "customer coookie who", "IV0034", "coookie"),
         ("plan header X-Plan", "plan cookie X-Plan", "IV0035", "cookie"),
@@ -142,7 +144,7 @@
         let line = text[..hit.at.0.start].matches('\n').count() + 1;
         assert!(report.contains(&format!("test.conf:{line}:")) && report.contains(code), "{report}");
     }
-    assert_eq!(cases.len(), 50);
+    assert_eq!(cases.len(), 52);
 }
 
 #[test]
--- a/crates/gateway/examples/one_gateway.rs
+++ b/crates/gateway/examples/one_gateway.rs
@@ -33,6 +33,7 @@
         max_attempts: 3,
         hedging: false,
         probing: false,
+        trial: false,
         cancelling: true,
         list_on_request: false,
         max_retry_after: Some(1_000.0),
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -30,6 +30,9 @@
     pub hedging: bool,
     /// Whether servers may be probed.
     pub probing: bool,
+    /// Whether a gateway that has nothing out sends one request on however slow servers are thought to be. Where
+    /// nobody else asks them, what was learned in a bad time would else be believed for good.
+    pub trial: bool,
     /// Whether an attempt may be cancelled.
     pub cancelling: bool,
     /// Whether changes of the server list come only when asked for.
--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -613,8 +613,9 @@
         let factor = (value / self.mean_value).clamp(QUEUE_FACTOR.0, QUEUE_FACTOR.1);
         let factor = if standing == Standing::Beyond { QUEUE_FACTOR.0 } else { factor };
         let queue_room = QUEUE_ROOM * self.shortest_aim * factor;
+        let trial = self.settings.trial && self.servers.values().all(|s| s.out.is_empty());
         match self.pick(&request) {
-            Some((server, wait, queue)) if wait <= ROOM * left && queue <= queue_room => {
+            Some((server, wait, queue)) if trial || (wait <= ROOM * left && queue <= queue_room) => {
                 self.count(plan, &arrival.customer, arrival.units, standing == Standing::Within);
                 self.retries = (self.retries + RETRY_PART).min(RETRY_STORE);
                 self.requests.insert(id.clone(), request);
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -159,6 +159,7 @@
             max_attempts: self.allowed.most_tries,
             hedging: self.allowed.second_copies,
             probing: self.allowed.may_probe,
+            trial: false,
             cancelling: self.allowed.cancel,
             list_on_request: match self.discovery.as_str() {
                 "automatic" => false,
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -28,6 +28,7 @@
         max_attempts: 3,
         hedging: false,
         probing: false,
+        trial: false,
         cancelling: true,
         list_on_request: false,
         max_retry_after: Some(1000.0),
@@ -904,3 +905,49 @@
     assert!((600.0..1_000.0).contains(&second), "{second}");
     assert!(ticks <= 16, "{ticks} ticks in 10 s");
 }
+
+/// A gateway that has answered `count` requests one after the other, each in twice the aim.
+fn made_slow(settings: Settings, count: u32) -> Rig {
+    let mut rig = Rig::new(settings, vec![member(1, 0, ServerState::Ready)]);
+    for n in 0..count {
+        let at = 10_000.0 * f64::from(n + 1);
+        let (request, actions) = rig.arrive(at, "read", &format!("c{n}"));
+        if sent_to(&actions).is_some() {
+            let done = Done {
+                request,
+                attempt: 0,
+                server: 1,
+                outcome: Outcome::Ok,
+                elapsed: 2000.0,
+                closed: true,
+                use_percent: None,
+                load: Load::default(),
+            };
+            rig.handle(at + 2000.0, Event::Done(done));
+        }
+    }
+    rig
+}
+
+#[test]
+fn a_gateway_with_nothing_out_lets_one_request_through_where_it_may_try() {
+    // What was learned does not fade: even an hour later everything is refused.
+    let mut stuck = made_slow(settings(), 30);
+    assert!(refused(&stuck.arrive(4_000_000.0, "read", "a").1));
+    let mut trying = made_slow(Settings { trial: true, ..settings() }, 30);
+    assert_eq!(sent_to(&trying.arrive(4_000_000.0, "read", "a").1), Some(1));
+    // With one out the rest wait for what it tells.
+    assert!(refused(&trying.arrive(4_000_001.0, "read", "b").1));
+}
+
+#[test]
+fn a_class_that_tells_its_work_is_let_in_by_it_from_the_start() {
+    let let_in = |first_work| {
+        let mut settings = settings();
+        settings.classes.iter_mut().for_each(|c| c.first_work = first_work);
+        let mut rig = Rig::new(settings, vec![member(1, 0, ServerState::Ready)]);
+        (0..40).filter(|n| sent_to(&rig.arrive(1.0, "read", &format!("c{n}")).1).is_some()).count()
+    };
+    // A tenth of the aim for each, untold; a hundredth, told.
+    assert!(let_in(None) < 8 && let_in(Some(10.0)) > 20, "{} {}", let_in(None), let_in(Some(10.0)));
+}
--- a/crates/ivygate/tests/sidecar_pools.rs
+++ b/crates/ivygate/tests/sidecar_pools.rs
@@ -452,6 +452,32 @@
     until("orders go through again", || sidecar.post("/app", "", "paid").status() == 200);
 }
 
+#[test]
+fn a_pool_that_was_slow_beyond_its_aim_takes_requests_again() {
+    let slow = Arc::new(AtomicBool::new(true));
+    let app = App::start({
+        let slow = slow.clone();
+        move |_| {
+            if slow.load(Ordering::SeqCst) {
+                std::thread::sleep(Duration::from_millis(300));
+            }
+            Reply::ok("x")
+        }
+    });
+    let parts = [pool("app", "", &[(app.address, "north")]), route("app", "order")];
+    let text = Sidecar::text("", &parts)
+        .replace("aim 8s; deadline 20s; worth 5", "aim 100ms; deadline 10s; worth 5");
+    let sidecar = Sidecar::start(&text);
+    // Twenty answers that take three times the aim: it is known to be slow. One at a time is let through still.
+    for _ in 0..20 {
+        assert_eq!(sidecar.post("/app", "", "x").status(), 200);
+    }
+    slow.store(false, Ordering::SeqCst);
+    for _ in 0..20 {
+        assert_eq!(sidecar.post("/app", "", "x").status(), 200);
+    }
+}
+
 #[test]
 fn a_stray_second_answer_is_not_the_next_ones() {
     let app = Scripted::start(|stream, _| {
--- a/crates/ivygate/tests/sidecar_reload.rs
+++ b/crates/ivygate/tests/sidecar_reload.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -228,6 +229,29 @@
     assert_eq!(sidecar.exit_code(), Some(0));
 }
 
+#[test]
+fn a_stream_that_does_not_end_holds_up_the_end_for_the_drain_only() {
+    let app = Scripted::start(|stream, _| {
+        read_message(stream);
+        let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let _ = stream.get_mut().write_all(head);
+        while stream.get_mut().write_all(b"1\r\nx\r\n").is_ok() {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    });
+    let parts = [pool("app", "", &[(app.address, "north")]), route("app", "read")];
+    let mut sidecar = Sidecar::start(&format!("limits {{ drain 1s; }}\n{}", Sidecar::text("", &parts)));
+    let mut client = sidecar.client();
+    client.write(b"GET /app HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert_eq!(read_head(&mut client.stream).expect("a head").status(), 200);
+    sidecar.terminate();
+    assert_eq!(sidecar.exit_code(), Some(0));
+    let mut rest = Vec::new();
+    // The last chunk is missing, so that the client can tell.
+    let _ = client.stream.read_to_end(&mut rest);
+    assert!(!rest.ends_with(b"0\r\n\r\n"));
+}
+
 fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_ivygate"))
         .args(arguments)
@@ -263,6 +287,13 @@
     }
 }
 
+#[test]
+fn the_example_under_deploy_is_a_good_one() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/sidecar.conf");
+    let (code, said, error) = run(&["check", file]);
+    assert_eq!((code, error.as_str()), (Some(0), ""), "{said}");
+}
+
 #[test]
 fn the_routes_of_a_file_are_told_with_their_reasons() {
     let text = Sidecar::text(
--- a/crates/runtime/src/streamed.rs
+++ b/crates/runtime/src/streamed.rs
@@ -22,7 +22,8 @@
     server: ServerId,
     upstream: Rc<Upstream>,
     stall: Duration,
-    timer: Pin<Box<Sleep>>,
+    /// Made when the server first makes us wait; most answers come at once.
+    timer: Option<Pin<Box<Sleep>>>,
     /// The timer runs: the server owes the next bytes.
     owed: bool,
 }
@@ -47,8 +48,7 @@
         upstream: Rc<Upstream>,
         stall: Duration,
     ) -> Self {
-        let timer = Box::pin(sleep(stall));
-        Self { link: Some(link), incoming, server, upstream, stall, timer, owed: false }
+        Self { link: Some(link), incoming, server, upstream, stall, timer: None, owed: false }
     }
 
     /// Gives the connection back: the answer is whole.
@@ -105,12 +105,13 @@
                 Poll::Ready(None)
             }
             Poll::Pending => {
+                let stall = this.stall;
+                let timer = this.timer.get_or_insert_with(|| Box::pin(sleep(stall)));
                 if !this.owed {
                     this.owed = true;
-                    let at = Instant::now() + this.stall;
-                    this.timer.as_mut().reset(at);
+                    timer.as_mut().reset(Instant::now() + stall);
                 }
-                match this.timer.as_mut().poll(cx) {
+                match timer.as_mut().poll(cx) {
                     Poll::Ready(()) => this.fail(Box::new(Stalled)),
                     Poll::Pending => Poll::Pending,
                 }
--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -50,6 +50,9 @@
 /// And where they tell no time for connecting.
 const CONNECT_UNTOLD: Duration = Duration::from_secs(1);
 
+const API_USAGE: HeaderName = HeaderName::from_static("api-usage");
+const SRV_LOAD: HeaderName = HeaderName::from_static("srv-load");
+
 /// What an attempt came to.
 pub struct End {
     /// Its outcome, by the protocol's table.
@@ -82,10 +85,9 @@
     /// Takes in what an answer's headers tell besides. One that cannot be read is as good as none: it is a
     /// hint, and the answer itself is whole.
     fn tell(&mut self, headers: &HeaderMap) {
-        let usage =
-            headers.get("api-usage").and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse().ok());
+        let usage = headers.get(API_USAGE).and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse().ok());
         self.use_percent = usage.filter(|u: &f64| (0.0..=USE_MOST).contains(u));
-        let load = headers.get("srv-load").and_then(|v| serde_json::from_slice(v.as_bytes()).ok());
+        let load = headers.get(SRV_LOAD).and_then(|v| serde_json::from_slice(v.as_bytes()).ok());
         self.load = load.map_or_else(Load::default, LoadReport::load);
     }
 }
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -233,6 +233,7 @@
         hedging: false,
         // A pool of unsafe requests only would else never learn that an ejected server is back.
         probing: true,
+        trial: true,
         cancelling: true,
         list_on_request: false,
         max_retry_after: Some(RETRY_AFTER_MOST),
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -4,7 +4,7 @@
 use crate::site::Site;
 use ivygate_config::{Listener, Loaded, Model};
 use ivygate_runtime::{listen, millis, ClientLimits, Clients, Clock};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::io::IsTerminal;
 use std::net::SocketAddr;
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::timeout;
 
 /// Why a sidecar does not start.
 #[derive(Debug)]
@@ -67,6 +68,7 @@
     clock: Clock,
     shared: Rc<Shared>,
     ports: RefCell<Vec<Port>>,
+    drain: Cell<f64>,
 }
 
 impl Sidecar {
@@ -78,7 +80,12 @@
         let clock = Clock::new();
         let bound = bind(model.listeners.iter())?;
         let site = Site::new(model, None, clock).map_err(StartError::Configuration)?;
-        let sidecar = Self { clock, shared: Shared::new(site), ports: RefCell::default() };
+        let sidecar = Self {
+            clock,
+            shared: Shared::new(site),
+            ports: RefCell::default(),
+            drain: Cell::new(model.limits.drain),
+        };
         sidecar.open(bound);
         Ok(sidecar)
     }
@@ -110,6 +117,7 @@
         let site = Site::new(model, Some(&before), self.clock).map_err(StartError::Configuration)?;
         // From here on nothing can fail.
         site.begin(&before);
+        self.drain.set(model.limits.drain);
         self.shared.site.replace(Rc::new(site));
         let mut gone = Vec::new();
         self.ports.borrow_mut().retain_mut(|port| {
@@ -129,8 +137,15 @@
         Ok(())
     }
 
-    /// Ends in good order: finishes what has been taken and tells clients to go.
+    /// Ends in good order: finishes what has been taken and tells clients to go. Streams that take longer than
+    /// the configuration allows are broken off, which their clients can tell.
     pub async fn wind_up(&self) {
+        if timeout(millis(self.drain.get()), self.finish()).await.is_err() {
+            eprintln!("ivygate: broke off what was still open after {} s", self.drain.get() / 1000.0);
+        }
+    }
+
+    async fn finish(&self) {
         let ports = self.ports.take();
         let ending: Vec<_> = ports
             .into_iter()
