--- a/crates/ivygate/src/main.rs
+++ b/crates/ivygate/src/main.rs
@@ -37,7 +37,7 @@
         /// A method, such as GET
         #[arg(requires = "url")]
         method: Option<String>,
-        /// A URL, such as http://tiles.example.org/tiles/1, or a path
+        /// A URL with scheme and host, or a path
         url: Option<String>,
     },
     /// Run three small applications and a sidecar in one process, to try things out
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -15,7 +15,7 @@
     AboveRoot,
     /// A dot segment that a server might see although it is none here: `..;x`, `..%2F`, `..%5C`.
     HiddenDots,
-    /// Longer than [`PATH_MOST`] or deeper than [`SEGMENTS_MOST`].
+    /// Longer than 8 KiB without its query, or deeper than 256 segments.
     TooLong,
     /// A host with characters that no host has, or a port that is none.
     Host,
