--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -5,7 +5,7 @@
 use hyper::http::request::Parts;
 use hyper::Method;
 use ivygate_gateway::{Bounds, Effect, Millis, Settings};
-use ivygate_runtime::Head;
+use ivygate_runtime::{one, Head};
 use std::sync::Arc;
 
 /// Longest id; far more than any client's.
@@ -90,16 +90,6 @@
     }
 }
 
-/// A header's only value; one that is repeated with another value, or is no text, is an error.
-fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, &'static str> {
-    let mut values = headers.get_all(name).iter();
-    let Some(value) = values.next() else { return Ok(None) };
-    if values.any(|other| other != value) {
-        return Err("a header is repeated with another value");
-    }
-    value.to_str().map(|text| Some(text.trim())).map_err(|_| "a header is no text")
-}
-
 fn is_name(text: &str, most: usize) -> bool {
     let fits = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b':' | b'~');
     !text.is_empty() && text.len() <= most && text.bytes().all(fits)
--- a/crates/runtime/src/headers.rs
+++ b/crates/runtime/src/headers.rs
@@ -51,3 +51,16 @@
     let wait = wait.ceil();
     (wait > 0.0).then(|| HeaderValue::try_from(format!("{:.3}", wait / 1000.0)).ok()).flatten()
 }
+
+/// A header's only value; one that is repeated with another value, or is no text, is an error.
+///
+/// # Errors
+/// Says which of the two it is.
+pub fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, &'static str> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.any(|other| other != value) {
+        return Err("a header is repeated with another value");
+    }
+    value.to_str().map(|text| Some(text.trim())).map_err(|_| "a header is no text")
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -11,6 +11,7 @@
 mod headers;
 mod listing;
 mod payload;
+mod stall;
 mod streamed;
 mod upstream;
 
@@ -18,8 +19,9 @@
 pub use clock::{millis, Clock};
 pub use driver::{Answer, Ask, Driver, Head, Leaving, Message};
 pub use framing::Flaw;
-pub use headers::{end_to_end, retry_after_value, without_hop_by_hop};
+pub use headers::{end_to_end, one, retry_after_value, without_hop_by_hop};
 pub use listing::{Listing, Target, TargetState};
 pub use payload::{BodyError, Payload, Rest};
-pub use streamed::{Stalled, Streamed};
+pub use stall::{StallWatch, Stalled};
+pub use streamed::Streamed;
 pub use upstream::{Judge, Reading, Upstream, UpstreamLimits, BODY_MOST};
--- a/crates/runtime/src/streamed.rs
+++ b/crates/runtime/src/streamed.rs
@@ -2,17 +2,16 @@
 //! back when it is whole.
 
 use crate::payload::BodyError;
+use crate::stall::StallWatch;
 use crate::upstream::{Link, Upstream};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use ivygate_gateway::ServerId;
 use std::fmt;
-use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
-use tokio::time::{sleep, Instant, Sleep};
 
 /// The body of an answer that is passed on.
 pub struct Streamed {
@@ -21,25 +20,9 @@
     incoming: Incoming,
     server: ServerId,
     upstream: Rc<Upstream>,
-    stall: Duration,
-    /// Made when the server first makes us wait; most answers come at once.
-    timer: Option<Pin<Box<Sleep>>>,
-    /// The timer runs: the server owes the next bytes.
-    owed: bool,
+    pauses: StallWatch,
 }
 
-/// A server sent nothing for too long in the middle of an answer.
-#[derive(Debug)]
-pub struct Stalled;
-
-impl fmt::Display for Stalled {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the server stopped in the middle of its answer")
-    }
-}
-
-impl std::error::Error for Stalled {}
-
 impl Streamed {
     pub(crate) fn new(
         link: Box<Link>,
@@ -48,7 +31,7 @@
         upstream: Rc<Upstream>,
         stall: Duration,
     ) -> Self {
-        Self { link: Some(link), incoming, server, upstream, stall, timer: None, owed: false }
+        Self { link: Some(link), incoming, server, upstream, pauses: StallWatch::new(stall) }
     }
 
     /// Gives the connection back: the answer is whole.
@@ -93,7 +76,7 @@
         }
         match frame {
             Poll::Ready(Some(Ok(frame))) => {
-                this.owed = false;
+                this.pauses.came();
                 if this.incoming.is_end_stream() {
                     this.finish();
                 }
@@ -104,18 +87,10 @@
                 this.finish();
                 Poll::Ready(None)
             }
-            Poll::Pending => {
-                let stall = this.stall;
-                let timer = this.timer.get_or_insert_with(|| Box::pin(sleep(stall)));
-                if !this.owed {
-                    this.owed = true;
-                    timer.as_mut().reset(Instant::now() + stall);
-                }
-                match timer.as_mut().poll(cx) {
-                    Poll::Ready(()) => this.fail(Box::new(Stalled)),
-                    Poll::Pending => Poll::Pending,
-                }
-            }
+            Poll::Pending => match this.pauses.poll(cx) {
+                Poll::Ready(stalled) => this.fail(Box::new(stalled)),
+                Poll::Pending => Poll::Pending,
+            },
         }
     }
 
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::{AnswerBody, Held, Words};
 use crate::forward::{to_application, to_client, Origin};
-use crate::identity::{client_address, customer, duration, is_trusted, one};
+use crate::identity::{client_address, customer, duration, is_trusted};
 use crate::site::{Route, Site};
 use crate::upload::{self, Unread};
 use hyper::body::Body;
@@ -12,7 +12,7 @@
 use ivygate_config::Listener;
 use ivygate_gateway::{Refusal, RequestId};
 use ivygate_routing::{host_of, Target};
-use ivygate_runtime::{millis, Answer, Ask, Asked, Front, Head, Leaving, Message};
+use ivygate_runtime::{millis, one, Answer, Ask, Asked, Front, Head, Leaving, Message};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
--- a/crates/sidecar/src/identity.rs
+++ b/crates/sidecar/src/identity.rs
@@ -3,22 +3,13 @@
 use hyper::header::{self, HeaderMap};
 use ipnet::IpNet;
 use ivygate_config::CustomerFrom;
+use ivygate_runtime::one;
 use std::net::IpAddr;
 use std::sync::Arc;
 
 /// Longest name of a customer.
 const NAME_MOST: usize = 128;
 
-/// A header's only value; one that is repeated with another value, or is no text, is an error.
-pub fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, &'static str> {
-    let mut values = headers.get_all(name).iter();
-    let Some(value) = values.next() else { return Ok(None) };
-    if values.any(|other| other != value) {
-        return Err("a header is repeated with another value");
-    }
-    value.to_str().map(|text| Some(text.trim())).map_err(|_| "a header is no text")
-}
-
 /// Whether a peer's word is believed.
 pub fn is_trusted(trusted: &[IpNet], address: IpAddr) -> bool {
     let address = address.to_canonical();
--- a/crates/sidecar/src/upload.rs
+++ b/crates/sidecar/src/upload.rs
@@ -4,14 +4,12 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use ivygate_runtime::{BodyError, Payload};
-use std::fmt;
-use std::future::Future;
+use ivygate_runtime::{BodyError, Payload, StallWatch};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::time::{sleep, timeout, Instant, Sleep};
+use tokio::time::timeout;
 
 /// Why a body is not taken.
 pub enum Unread {
@@ -67,29 +65,15 @@
     }
 }
 
-/// A client sent nothing for too long in the middle of a body.
-#[derive(Debug)]
-struct Stalled;
-
-impl fmt::Display for Stalled {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the client stopped in the middle of its body")
-    }
-}
-
-impl std::error::Error for Stalled {}
-
 /// The part of a body that is still coming in.
 struct Upload {
     incoming: Incoming,
-    stall: Duration,
-    timer: Pin<Box<Sleep>>,
-    owed: bool,
+    pauses: StallWatch,
 }
 
 impl Upload {
     fn new(incoming: Incoming, stall: Duration) -> Self {
-        Self { incoming, stall, timer: Box::pin(sleep(stall)), owed: false }
+        Self { incoming, pauses: StallWatch::new(stall) }
     }
 }
 
@@ -103,15 +87,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = &mut *self;
         if let Poll::Ready(frame) = Pin::new(&mut this.incoming).poll_frame(cx) {
-            this.owed = false;
+            this.pauses.came();
             return Poll::Ready(frame.map(|frame| frame.map_err(Into::into)));
         }
-        if !this.owed {
-            this.owed = true;
-            let at = Instant::now() + this.stall;
-            this.timer.as_mut().reset(at);
-        }
-        this.timer.as_mut().poll(cx).map(|()| Some(Err(Box::new(Stalled) as BodyError)))
+        this.pauses.poll(cx).map(|stalled| Some(Err(Box::new(stalled) as BodyError)))
     }
 
     fn is_end_stream(&self) -> bool {
