Test rigs share what they do with a process; the demonstration's flaky server is plain

The rigs of the node and of the sidecar each had their own way to connect, to wait for the exit code and to read memory; they call one now. The demonstration's flaky server had a parameter that was always the same and a branch that nothing reached.

--- a/crates/ivygate/src/demo.rs
+++ b/crates/ivygate/src/demo.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
 
 /// The configuration, with places for addresses.
 const CONFIG: &str = include_str!("demo.conf");
@@ -16,7 +15,7 @@
     for (place, app) in [
         ("TILES-A", App::start(tiles)),
         ("TILES-B", App::start(tiles)),
-        ("EDITS-A", App::start(flaky("edit"))),
+        ("EDITS-A", App::start(flaky_edits())),
         ("EDITS-B", App::start(edits)),
         ("ORDERS", App::start(orders)),
     ] {
@@ -65,12 +64,11 @@
 }
 
 /// Breaks off the first request, and serves those that come later.
-fn flaky(what: &'static str) -> impl Fn(&Message) -> Reply + Send + Sync + 'static {
+fn flaky_edits() -> impl Fn(&Message) -> Reply + Send + Sync + 'static {
     let count = AtomicUsize::new(0);
     move |request| match count.fetch_add(1, Ordering::SeqCst) {
         0 => Reply::Close,
-        _ if what == "edit" => edits(request),
-        _ => Reply::Slow(Duration::from_millis(5)),
+        _ => edits(request),
     }
 }
 
--- a/crates/ivygate/tests/support/mod.rs
+++ b/crates/ivygate/tests/support/mod.rs
@@ -62,9 +62,7 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).expect("the node accepts");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
-        Client { stream: BufReader::new(stream) }
+        connect(self.address)
     }
 
     /// Asks on a connection of its own and waits for the answer.
@@ -85,12 +83,7 @@
 
     /// Waits for the end and gives the exit code.
     pub fn exit_code(&mut self) -> Option<i32> {
-        let mut code = None;
-        until("the node exits", || {
-            code = self.child.try_wait().expect("it can be waited for");
-            code.is_some()
-        });
-        code.and_then(|c| c.code())
+        exit_code(&mut self.child)
     }
 
     pub fn runs(&mut self) -> bool {
@@ -99,9 +92,7 @@
 
     /// Memory that it holds, in KB.
     pub fn memory(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory is told");
-        line.trim().trim_end_matches(" kB").parse().expect("a number")
+        memory(&self.child)
     }
 
     /// File descriptors that it holds.
@@ -187,9 +178,7 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).expect("the sidecar accepts");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
-        Client { stream: BufReader::new(stream) }
+        connect(self.address)
     }
 
     /// Asks on a connection of its own and waits for the answer.
@@ -237,22 +226,36 @@
 
     /// Waits for the end and gives the exit code.
     pub fn exit_code(&mut self) -> Option<i32> {
-        let mut code = None;
-        until("the sidecar exits", || {
-            code = self.child.try_wait().expect("it can be waited for");
-            code.is_some()
-        });
-        code.and_then(|c| c.code())
+        exit_code(&mut self.child)
     }
 
     /// Memory that it holds, in KB.
     pub fn memory(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory is told");
-        line.trim().trim_end_matches(" kB").parse().expect("a number")
+        memory(&self.child)
     }
 }
 
+fn connect(address: SocketAddr) -> Client {
+    let stream = TcpStream::connect(address).expect("the program accepts");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
+    Client { stream: BufReader::new(stream) }
+}
+
+fn exit_code(child: &mut Child) -> Option<i32> {
+    let mut code = None;
+    until("the program exits", || {
+        code = child.try_wait().expect("it can be waited for");
+        code.is_some()
+    });
+    code.and_then(|c| c.code())
+}
+
+fn memory(child: &Child) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).expect("it runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory is told");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
 fn signal(child: &Child, name: &str) {
     let id = child.id().to_string();
     assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
