--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,11 +1,13 @@
 //! Statements to the checked model: types, units, references and meaning.
 
 use crate::diagnostic::{Diagnostic, Severity, Span};
+use crate::expand::nearest;
 use crate::fields::{head_span, Fields, Findings, Quantity};
+use crate::meaning;
 use crate::model::*;
 use crate::syntax::{Block, Statement, Word};
 use ipnet::IpNet;
-use ivygate_routing::{Claim, Host, Methods, PathClaim, Table};
+use ivygate_routing::{Claim, Host, Methods, PathClaim};
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 
@@ -15,7 +17,7 @@
 /// Methods that change nothing by their definition; a safe class claims these where a route names none.
 pub const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
 /// Longest time of any kind.
-const LONGEST: f64 = 86_400_000.0;
+pub const LONGEST: f64 = 86_400_000.0;
 
 /// Checks a parsed file. The model comes back unless there is an error.
 pub fn check(root: &Block, findings: &Findings) -> Option<Model> {
@@ -33,12 +35,24 @@
     if model.plans.is_empty() {
         model.plans.push(no_plan());
     }
-    whole(&fields, &model);
+    meaning::check(&fields, &model);
     fields.finish();
     let bad = findings.borrow().iter().any(|f| f.severity == Severity::Error);
     (!bad).then_some(model)
 }
 
+/// Words that stand for a variable, and where that is defined.
+pub fn defined(block: &Block) -> HashMap<Span, Span> {
+    let mut all = HashMap::new();
+    for statement in &block.statements {
+        all.extend(statement.words.iter().filter_map(|word| Some((word.span, word.defined?))));
+        if let Some(inner) = &statement.block {
+            all.extend(defined(inner));
+        }
+    }
+    all
+}
+
 /// Where the file has no plans: one without any quota.
 fn no_plan() -> Plan {
     Plan {
@@ -57,14 +71,17 @@
 }
 
 fn limits(fields: &Fields) -> Limits {
-    let (mut descriptors, mut drain) = (1024.0, 30_000.0);
+    let (mut descriptors, mut drain, mut memory) = (1024.0, 30_000.0, None);
+    let mut at = At::default();
     if let Some(statement) = fields.one("limits") {
         let inner = fields.inner("limits block", statement);
+        at = At(inner.head);
         descriptors = inner.positive_or("descriptors", Quantity::Count, descriptors);
         drain = duration_or(&inner, "drain", drain);
+        memory = inner.quantity("memory", Quantity::Size).map(|bytes| bytes as usize);
         inner.finish();
     }
-    Limits { descriptors: descriptors as usize, drain }
+    Limits { descriptors: descriptors as usize, drain, memory, at }
 }
 
 fn is_token(text: &str) -> bool {
@@ -116,18 +133,8 @@
     if found.is_none() {
         let what = format!("there is no {kind} named `{}`", word.text);
         let error = Diagnostic::error("IV0033", what, word.span, "not defined in this file");
-        let near =
-            all.iter().map(|one| (strsim::damerau_levenshtein(name(one), &word.text), name(one))).min();
-        fields.note(match near {
-            Some((distance, near)) if distance <= 2 => error.help(format!("is `{near}` meant?")),
-            _ => {
-                let known: Vec<_> = all.iter().map(|one| format!("`{}`", name(one))).collect();
-                error.help(format!(
-                    "defined are: {}",
-                    if known.is_empty() { "none".into() } else { known.join(", ") }
-                ))
-            }
-        });
+        let known: Vec<&str> = all.iter().map(name).collect();
+        fields.note(error.help(nearest(&word.text, &known)));
     }
     found
 }
@@ -200,9 +207,11 @@
         plan_header: None,
         default_plan: 0,
         deadline_header: None,
+        at: At::default(),
     };
     let Some(statement) = fields.one("identity") else { return identity };
     let inner = fields.inner("identity block", statement);
+    identity.at = At(inner.head);
     if let Some(words) = inner.one("customer").and_then(|s| inner.words(s, 1, 2)) {
         let from = match (words[0].text.as_str(), words.get(1)) {
             ("header", Some(name)) => header(&inner, name).map(CustomerFrom::Header),
@@ -243,7 +252,7 @@
     identity
 }
 
-fn customers(fields: &Fields, plans: &[Plan]) -> Vec<(String, usize)> {
+fn customers(fields: &Fields, plans: &[Plan]) -> Vec<Customer> {
     let mut seen = HashMap::new();
     let mut customers = Vec::new();
     for statement in fields.all("customer") {
@@ -254,7 +263,7 @@
         let inner = fields.inner("customer", statement);
         if let Some(word) = inner.needed("plan", "plan NAME;").and_then(|s| inner.words(s, 1, 1)) {
             if let Some(plan) = refer(&inner, "plan", &word[0], plans, |p| &p.name) {
-                customers.push((name.text.clone(), plan));
+                customers.push(Customer { name: name.text.clone(), plan, at: At(inner.head) });
             }
         }
         inner.finish();
@@ -278,6 +287,10 @@
         let class = Class {
             name: name.text.clone(),
             effect: effect.unwrap_or(Effect::Unsafe),
+            repeat: repeat(&inner).unwrap_or(match effect {
+                Some(Effect::Safe | Effect::Keyed(..)) => Repeat::Sent,
+                Some(Effect::Unsafe) | None => Repeat::Unsent,
+            }),
             key_header: key.unwrap_or_else(|| "idempotency-key".to_owned()),
             aim,
             deadline,
@@ -288,6 +301,21 @@
             units: inner.positive_or("units", Quantity::Number, 1.0),
             at: At(inner.head),
         };
+        if class.effect == Effect::Unsafe && class.repeat == Repeat::Sent && effect.is_some() {
+            let at = inner.one("repeat").map_or(inner.head, |s| s.span);
+            let also = inner.one("effect").map_or(inner.head, |s| s.span);
+            let error = Diagnostic::error(
+                "IV0072",
+                "an unsafe class cannot be repeated after a send",
+                at,
+                "would run twice",
+            );
+            inner.note(
+                error
+                    .also(also, "must never run twice")
+                    .help("write `repeat unsent;`, or `effect keyed;` if servers drop repeats by a key"),
+            );
+        }
         if class.aim > class.deadline {
             let at = inner.one("aim").map_or(inner.head, |s| s.span);
             let also = inner.one("deadline").map_or(inner.head, |s| s.span);
@@ -304,6 +332,53 @@
     classes
 }
 
+fn repeat(inner: &Fields) -> Option<Repeat> {
+    let word = inner.word("repeat")?;
+    match word.text.as_str() {
+        "unsent" => Some(Repeat::Unsent),
+        "sent" => Some(Repeat::Sent),
+        other => {
+            let what = format!("repeats after `{other}` are not known");
+            let error = Diagnostic::error("IV0071", what, word.span, "here");
+            inner.note(error.help(
+                "write `repeat unsent;` (only if no attempt can have run) or `repeat sent;` (also after one \
+                 that may have run)",
+            ));
+            None
+        }
+    }
+}
+
+fn scope(inner: &Fields, word: &Word) -> Option<Scope> {
+    match word.text.as_str() {
+        "all" => Some(Scope::All),
+        "zone" => Some(Scope::Zone),
+        "cell" => Some(Scope::Cell),
+        other => {
+            let error =
+                Diagnostic::error("IV0036", format!("there is no scope `{other}`"), word.span, "here");
+            inner.note(
+                error.help("write `all`, `zone` or `cell`: the servers that drop each other's repeats"),
+            );
+            None
+        }
+    }
+}
+
+fn yes_or_no(inner: &Fields, name: &'static str) -> bool {
+    match inner.word(name).map(|word| (word, word.text.as_str())) {
+        None | Some((_, "no")) => false,
+        Some((_, "yes")) => true,
+        Some((word, other)) => {
+            let what = format!("`{name}` is `yes` or `no`, not `{other}`");
+            inner.note(
+                Diagnostic::error("IV0086", what, word.span, "here").help(format!("write `{name} no;`")),
+            );
+            false
+        }
+    }
+}
+
 fn effect(inner: &Fields) -> Option<Effect> {
     let statement = inner.needed("effect", "effect safe;`, `effect keyed;` or `effect unsafe;")?;
     let word = &inner.words(statement, 1, 1)?[0];
@@ -323,24 +398,7 @@
             let scope = &inner.words(inner.needed("scope", "scope zone;")?, 1, 1)?[0];
             inner.needed("window", "window 15s;")?;
             let window = duration_or(inner, "window", 1000.0);
-            let scope =
-                match scope.text.as_str() {
-                    "all" => Scope::All,
-                    "zone" => Scope::Zone,
-                    "cell" => Scope::Cell,
-                    other => {
-                        let error = Diagnostic::error(
-                            "IV0036",
-                            format!("there is no scope `{other}`"),
-                            scope.span,
-                            "here",
-                        );
-                        inner.note(error.help(
-                            "write `all`, `zone` or `cell`: the servers that drop each other's repeats",
-                        ));
-                        return None;
-                    }
-                };
+            let scope = self::scope(inner, scope)?;
             Some(Effect::Keyed(scope, window))
         }
         other => {
@@ -408,6 +466,7 @@
             body_stall: duration_or(&inner, "body-stall", 10_000.0),
             read_stall: duration_or(&inner, "read-stall", 30_000.0),
             idle: duration_or(&inner, "idle", 60_000.0),
+            answer_within: duration_or(&inner, "answer-within", LONGEST),
             at: At(inner.head),
         });
         if let Some(word) = inner.word("head").filter(|_| listeners.last().is_some_and(|l| l.head < 8192)) {
@@ -451,6 +510,12 @@
             block.finish();
             cold
         });
+        let drops_repeats = inner.one("drops-repeats").and_then(|s| inner.words(s, 2, 2)).and_then(|words| {
+            let time = inner.quantity_in(&words[1], Quantity::Duration)?;
+            Some((scope(&inner, &words[0])?, time.min(LONGEST)))
+        });
+        let shares = inner.one("shares-servers-with").and_then(|s| inner.words(s, 1, 64));
+        let shares = shares.unwrap_or_default().iter().map(|word| word.text.clone()).collect();
         let servers = servers(&inner, &zone);
         if servers.is_empty() && inner.all("server").is_empty() {
             let error = Diagnostic::error("IV0045", "this pool has no server", inner.head, "in here");
@@ -471,6 +536,9 @@
             errors,
             declined,
             cold,
+            drops_repeats,
+            second_copies: yes_or_no(&inner, "second-copies"),
+            shares,
             cross_zone: inner.quantity_or("cross-zone", Quantity::Share, 0.0),
             servers,
             at: At(inner.head),
@@ -565,18 +633,53 @@
         let pool = inner.needed("pool", "pool NAME;").and_then(|s| inner.words(s, 1, 1));
         let pool = pool.and_then(|w| refer(&inner, "pool", &w[0], pools, |p| &p.name));
         let methods = methods(&inner, class.and_then(|c| classes.get(c)));
+        let repeat = route_repeat(&inner, class.and_then(|c| classes.get(c)));
+        if let Some(statement) = inner.one("sign-in") {
+            let at = head_span(statement);
+            inner.note(if statement.words.len() < 2 {
+                Diagnostic::error(
+                    "IV0084",
+                    "this route wants a sign-in and names no service",
+                    at,
+                    "of which pool?",
+                )
+                .help("write `sign-in POOL;`, or remove it if the route is open to all")
+            } else {
+                Diagnostic::error("IV0085", "sign-in is not offered yet", at, "it would not be asked for")
+                    .help("nothing is served open that should be closed: keep the sign-in in the application")
+            });
+        }
         let at = At(inner.head);
         inner.finish();
         if let (Some(host), Some(path), Some(methods), Some(class), Some(pool)) =
             (host, path, methods, class, pool)
         {
             let claim = Claim { host, path, methods };
-            routes.push(Route { name: name.text.clone(), claim, class, pool, at });
+            routes.push(Route { name: name.text.clone(), claim, class, pool, repeat, at });
         }
     }
     routes
 }
 
+/// What a route says of repeats; it may only narrow what its class says.
+fn route_repeat(inner: &Fields, class: Option<&Class>) -> Repeat {
+    let of_class = class.map_or(Repeat::Unsent, |c| c.repeat);
+    let told = repeat(inner).unwrap_or(of_class);
+    // Of an unsafe class that says so itself the error stands there.
+    if let (Some(class), true) = (class, told > of_class) {
+        let at = inner.one("repeat").map_or(inner.head, |s| s.span);
+        let what = format!("this route repeats what its class `{}` does not", class.name);
+        let error = Diagnostic::error("IV0072", what, at, "this could run a request twice");
+        inner.note(
+            error
+                .also(class.at.0, "its class")
+                .help("remove it, or give the route a class that is `safe` or `keyed`"),
+        );
+        return of_class;
+    }
+    told
+}
+
 fn path(inner: &Fields) -> Option<PathClaim> {
     let Some(statement) = inner.one("path") else {
         return PathClaim::prefix("/").ok();
@@ -636,93 +739,3 @@
     }
     Some(Methods::Named(names))
 }
-
-/// What only the whole shows.
-fn whole(fields: &Fields, model: &Model) {
-    let need = |there: bool, what: &str, example: &str| {
-        if !there {
-            let error =
-                Diagnostic::error("IV0011", format!("this file has no {what}"), fields.head, "in here");
-            fields.note(error.help(format!("write `{example}`")));
-        }
-    };
-    need(!fields.all("listen").is_empty(), "listener", "listen 127.0.0.1:8080;");
-    need(!fields.all("class").is_empty(), "class", "class reads { effect safe; deadline 2s; }");
-    need(!fields.all("pool").is_empty(), "pool", "pool app { server a 127.0.0.1:9000; }");
-    need(!fields.all("route").is_empty(), "route", "route all { class reads; pool app; }");
-    let claims = model.routes.iter().map(|r| r.claim.clone()).collect();
-    if let Err(error) = Table::build(claims) {
-        for conflict in error.conflicts {
-            let (first, second) = (&model.routes[conflict.first], &model.routes[conflict.second]);
-            let what = format!("the routes `{}` and `{}` claim the same requests", first.name, second.name);
-            let error =
-                Diagnostic::error("IV0054", what, second.at.0, format!("{}, as above", second.claim.path));
-            fields.note(
-                error
-                    .also(first.at.0, "claimed first here")
-                    .help("give one of them another host, path or method"),
-            );
-        }
-    }
-    for route in &model.routes {
-        let (class, pool) = (&model.classes[route.class], &model.pools[route.pool]);
-        if let Effect::Keyed(Scope::Zone, _) = class.effect {
-            if let Some(server) = pool.servers.iter().find(|s| s.zone.is_empty()) {
-                let what =
-                    format!("the class `{}` is keyed by zone, and a server of its pool has none", class.name);
-                let error = Diagnostic::error("IV0055", what, server.at.0, "its zone is not told");
-                fields.note(
-                    error
-                        .also(route.at.0, "routed here")
-                        .help("write `zone NAME;` in the pool or the server"),
-                );
-            }
-        }
-    }
-    for class in &model.classes {
-        let small = |p: &&Plan| {
-            (p.quota > 0.0 && p.burst < class.units) || (p.ceiling > 0.0 && p.ceiling_burst < class.units)
-        };
-        if let Some(plan) = model.plans.iter().find(|p| class.units > 1.0 && small(p)) {
-            let what = format!(
-                "a request of the class `{}` takes more units than a burst of `{}` holds",
-                class.name, plan.name
-            );
-            let error = Diagnostic::error("IV0049", what, plan.at.0, "none would pass under this plan");
-            fields
-                .note(error.also(class.at.0, format!("{} units each", class.units)).help("raise the burst"));
-        }
-    }
-    let clients: usize = model.listeners.iter().map(|l| l.connections).sum();
-    let servers: usize = model.pools.iter().map(|p| p.connections).sum();
-    let total = clients + servers + RESERVE;
-    if total > model.limits.descriptors {
-        let at = fields.one("limits").map_or(fields.head, |s| s.span);
-        let what = "listeners and pools may use more descriptors than the process has";
-        let label = format!("{clients} for clients, {servers} for servers, {RESERVE} kept: {total}");
-        let error = Diagnostic::error("IV0056", what, at, label);
-        let help = format!(
-            "the limit is {}; lower `connections`, or write `limits {{ descriptors {total}; }}`",
-            model.limits.descriptors
-        );
-        fields.note(error.help(help));
-    }
-    let open: usize = model.pools.iter().map(|p| p.requests).sum();
-    for listener in &model.listeners {
-        // Waiting requests hold their client's connection: with more of them than connections one slow pool
-        // could hold them all. An eighth is kept free for those that come next.
-        if open + listener.connections / 8 > listener.connections {
-            let what = "requests of slow pools could hold all connections of this listener";
-            let label = format!("{} connections, an eighth of them kept free", listener.connections);
-            let error = Diagnostic::error("IV0057", what, listener.at.0, label);
-            let mut error = error.help(format!(
-                "the pools take {open} requests together; write `connections {};` or lower their `requests`",
-                (open * 8).div_ceil(7) + 1
-            ));
-            for pool in &model.pools {
-                error = error.also(pool.at.0, format!("up to {} requests", pool.requests));
-            }
-            fields.note(error);
-        }
-    }
-}
--- a/crates/config/src/diagnostic.rs
+++ b/crates/config/src/diagnostic.rs
@@ -17,6 +17,8 @@
 /// How bad it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Severity {
+    /// Works, and is worth knowing.
+    Note,
     /// Works, and is probably not meant.
     Warning,
     /// Cannot be used.
@@ -57,6 +59,16 @@
         Self { severity: Severity::Warning, ..Self::error(code, message, at, label) }
     }
 
+    /// A note at a place.
+    pub fn remark(
+        code: &'static str,
+        message: impl Into<String>,
+        at: Span,
+        label: impl Into<String>,
+    ) -> Self {
+        Self { severity: Severity::Note, ..Self::error(code, message, at, label) }
+    }
+
     /// Says what to write instead.
     #[must_use]
     pub fn help(mut self, text: impl Into<String>) -> Self {
@@ -75,30 +87,50 @@
 /// The files that were read: names and texts.
 #[derive(Clone, Debug, Default)]
 pub struct Sources {
-    files: Vec<(String, String)>,
+    files: Vec<Source>,
+}
+
+#[derive(Clone, Debug)]
+struct Source {
+    name: String,
+    text: String,
+    /// Where its lines begin.
+    lines: Vec<usize>,
 }
 
 impl Sources {
     /// Adds a file and gives its number.
     pub fn add(&mut self, name: impl Into<String>, text: impl Into<String>) -> u32 {
-        self.files.push((name.into(), text.into()));
+        let text = text.into();
+        let lines = std::iter::once(0).chain(text.match_indices('\n').map(|(n, _)| n + 1)).collect();
+        self.files.push(Source { name: name.into(), text, lines });
         self.files.len() as u32 - 1
     }
 
     /// A file's text.
     pub fn text(&self, file: u32) -> &str {
-        self.files.get(file as usize).map_or("", |(_, text)| text)
+        self.files.get(file as usize).map_or("", |source| &source.text)
+    }
+
+    /// The files' names.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.files.iter().map(|source| source.name.as_str())
+    }
+
+    /// The text of a place.
+    pub fn excerpt(&self, span: Span) -> &str {
+        self.text(span.file).get(span.start..span.end).unwrap_or("")
     }
 
     /// File, line and column of a place, as editors count them.
     pub fn place(&self, span: Span) -> Place<'_> {
-        let Some((name, text)) = self.files.get(span.file as usize) else {
+        let Some(source) = self.files.get(span.file as usize) else {
             return Place { file: "", line: 0, column: 0 };
         };
-        let before = &text[..span.start.min(text.len())];
-        let line_start = before.rfind('\n').map_or(0, |n| n + 1);
-        let line = before.matches('\n').count() + 1;
-        Place { file: name, line, column: before[line_start..].chars().count() + 1 }
+        let start = span.start.min(source.text.len());
+        let line = source.lines.partition_point(|begin| *begin <= start);
+        let begin = source.lines[line - 1];
+        Place { file: &source.name, line, column: source.text[begin..start].chars().count() + 1 }
     }
 
     /// Findings as people read them; with colours on a terminal.
@@ -111,19 +143,22 @@
         let level = match finding.severity {
             Severity::Error => Level::ERROR,
             Severity::Warning => Level::WARNING,
+            Severity::Note => Level::NOTE,
         };
-        let mut group = level.primary_title(finding.message.as_str()).id(finding.code).element(
-            self.snippet(finding.at.0.file)
-                .annotation(AnnotationKind::Primary.span(range(finding.at.0)).label(finding.at.1.as_str()))
-                .annotations(
-                    finding.also.iter().filter(|(span, _)| span.file == finding.at.0.file).map(
-                        |(span, label)| AnnotationKind::Context.span(range(*span)).label(label.as_str()),
-                    ),
-                ),
-        );
-        for (span, label) in finding.also.iter().filter(|(span, _)| span.file != finding.at.0.file) {
-            let annotation = AnnotationKind::Context.span(range(*span)).label(label.as_str());
-            group = group.element(self.snippet(span.file).annotation(annotation));
+        let (snippet, from) = self.snippet(finding.at.0);
+        let shown = snippet
+            .annotation(AnnotationKind::Primary.span(range(finding.at.0, from)).label(finding.at.1.as_str()));
+        let long = self.text(finding.at.0.file).len() > LONG;
+        let here = |span: &Span| span.file == finding.at.0.file && !long;
+        let near = finding.also.iter().filter(|(span, _)| here(span));
+        let near =
+            near.map(|(span, label)| AnnotationKind::Context.span(range(*span, from)).label(label.as_str()));
+        let mut group =
+            level.primary_title(finding.message.as_str()).id(finding.code).element(shown.annotations(near));
+        for (span, label) in finding.also.iter().filter(|(span, _)| !here(span)) {
+            let (snippet, from) = self.snippet(*span);
+            let annotation = AnnotationKind::Context.span(range(*span, from)).label(label.as_str());
+            group = group.element(snippet.annotation(annotation));
         }
         for help in &finding.help {
             group = group.element(Level::HELP.message(help.as_str()));
@@ -131,16 +166,33 @@
         renderer.render(&[group])
     }
 
-    fn snippet<'a, T: Clone>(&'a self, file: u32) -> Snippet<'a, T> {
-        let (name, text) = self.files.get(file as usize).map_or(("", ""), |(n, t)| (n, t));
-        Snippet::source(text).path(name)
+    fn snippet<'a, T: Clone>(&'a self, span: Span) -> (Snippet<'a, T>, usize) {
+        let Some(source) = self.files.get(span.file as usize) else { return (Snippet::source(""), 0) };
+        // Lines that no terminal shows would be looked through letter by letter: only what is near is handed on.
+        let place = self.place(span);
+        let (mut from, mut to) = (0, source.text.len());
+        if source.text.len() > LONG {
+            let line = place.line - 1;
+            from = source.lines[line.saturating_sub(2)].max(span.start.saturating_sub(LONG));
+            to = source.lines.get(line + 3).copied().unwrap_or(to).min(span.end + LONG);
+            while !source.text.is_char_boundary(from) {
+                from += 1;
+            }
+            while !source.text.is_char_boundary(to) {
+                to -= 1;
+            }
+        }
+        let first = source.lines.partition_point(|begin| *begin <= from);
+        (Snippet::source(&source.text[from..to]).path(source.name.as_str()).line_start(first), from)
     }
 }
 
-fn range(span: Span) -> std::ops::Range<usize> {
-    span.start..span.end
-}
+/// A text longer than this is shown in part.
+const LONG: usize = 4096;
 
+fn range(span: Span, from: usize) -> std::ops::Range<usize> {
+    span.start.saturating_sub(from)..span.end.saturating_sub(from)
+}
 /// A place as editors name it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place<'a> {
--- /dev/null
+++ b/crates/config/src/expand.rs
@@ -0,0 +1,459 @@
+//! Includes, named blocks and variables: from the statements of all files to those that are checked.
+//!
+//! Texts come through a [`Loader`]; nothing here touches a file.
+
+use crate::diagnostic::{Diagnostic, Sources, Span};
+use crate::fields::head_span;
+use crate::syntax::{parse, Block, Statement, Word};
+use crate::units;
+use std::collections::{HashMap, HashSet};
+
+/// Deepest chain of includes.
+const DEPTH_MOST: usize = 16;
+/// Most files, bytes and statements of one configuration, with all repetitions; they guard the memory.
+const FILES_MOST: usize = 10_000;
+const BYTES_MOST: usize = 64 << 20;
+const STATEMENTS_MOST: usize = 1_000_000;
+
+/// Finds and reads files for an include.
+pub trait Loader {
+    /// The names of the files that a path or pattern means, relative to the file `from`, in order; a name that
+    /// comes back twice means the same file. A pattern that matches nothing gives none.
+    ///
+    /// # Errors
+    /// In words, if a path without a pattern names no file.
+    fn find(&self, from: &str, pattern: &str) -> Result<Vec<String>, String>;
+
+    /// A file's bytes.
+    ///
+    /// # Errors
+    /// In words, if it cannot be read, is no plain file, or is too large.
+    fn read(&self, name: &str) -> Result<Vec<u8>, String>;
+}
+
+/// A loader that knows of no file.
+pub struct NoFiles;
+
+impl Loader for NoFiles {
+    fn find(&self, _: &str, _: &str) -> Result<Vec<String>, String> {
+        Err("there are no files beside this text".to_owned())
+    }
+
+    fn read(&self, _: &str) -> Result<Vec<u8>, String> {
+        Err("there are no files beside this text".to_owned())
+    }
+}
+
+/// All statements, and what is wrong so far.
+pub struct Expanded {
+    /// The files.
+    pub sources: Sources,
+    /// The statements with includes, named blocks and variables put in.
+    pub root: Block,
+    /// What is wrong.
+    pub findings: Vec<Diagnostic>,
+    /// Whether statements are missing for a mistake, so that what is missing further on says nothing.
+    pub broken: bool,
+}
+
+/// Reads a configuration from its first file on.
+pub fn expand(name: &str, bytes: &[u8], loader: &dyn Loader) -> Expanded {
+    let mut files = Files {
+        loader,
+        sources: Sources::default(),
+        findings: Vec::new(),
+        broken: false,
+        bytes: 0,
+        count: 0,
+        chain: Vec::new(),
+    };
+    let mut root = files.file(name, bytes, None);
+    files.includes(&mut root);
+    let Files { sources, findings, broken, .. } = files;
+    let mut names = Names {
+        blocks: HashMap::new(),
+        variables: HashMap::new(),
+        findings,
+        broken,
+        used: HashSet::new(),
+        statements: 0,
+        using: Vec::new(),
+    };
+    names.collect(&mut root);
+    let root = names.block(root, true);
+    names.unused();
+    Expanded { sources, root, findings: names.findings, broken: names.broken }
+}
+
+struct Files<'a> {
+    loader: &'a dyn Loader,
+    sources: Sources,
+    findings: Vec<Diagnostic>,
+    broken: bool,
+    bytes: usize,
+    count: usize,
+    /// The files that are being read, with the place of the include that led to each.
+    chain: Vec<(String, Option<Span>)>,
+}
+
+impl Files<'_> {
+    fn error(&mut self, error: Diagnostic) {
+        self.broken = true;
+        self.findings.push(error);
+    }
+
+    /// One file's statements; its includes are still to be put in.
+    fn file(&mut self, name: &str, bytes: &[u8], from: Option<Span>) -> Block {
+        self.count += 1;
+        self.bytes += bytes.len();
+        self.chain.push((name.to_owned(), from));
+        let text = match std::str::from_utf8(bytes) {
+            Ok(text) => text,
+            Err(error) => {
+                // What comes before can be shown, and the place counted in it.
+                let good = String::from_utf8_lossy(&bytes[..error.valid_up_to()]);
+                let end = good.len();
+                let file = self.sources.add(name, format!("{good}\u{FFFD}"));
+                let at = Span { file, start: end, end: end + '\u{FFFD}'.len_utf8() };
+                let error = Diagnostic::error("IV0060", "this file is not UTF-8", at, "not UTF-8 from here");
+                self.error(error.help("save it as UTF-8"));
+                return Block::default();
+            }
+        };
+        let file = self.sources.add(name, text);
+        let (block, errors) = parse(text, file);
+        self.broken |= !errors.is_empty();
+        self.findings.extend(errors);
+        block
+    }
+
+    /// Puts the files in for the includes of a block, at any depth.
+    fn includes(&mut self, block: &mut Block) {
+        if !block.statements.iter().any(has_include) {
+            return;
+        }
+        for mut statement in std::mem::take(&mut block.statements) {
+            if !is(&statement, "include") {
+                if let Some(inner) = &mut statement.block {
+                    self.includes(inner);
+                }
+                block.statements.push(statement);
+                continue;
+            }
+            self.include(&statement, block);
+        }
+    }
+
+    fn include(&mut self, statement: &Statement, into: &mut Block) {
+        let [word, path] = &statement.words[..] else {
+            let at = head_span(statement);
+            let error = Diagnostic::error("IV0061", "an include names one file or pattern", at, "this one");
+            self.error(error.help("write `include routes/*.conf;`"));
+            return;
+        };
+        if statement.block.is_some() {
+            let error = Diagnostic::error("IV0013", "`include` takes no block", word.span, "here");
+            self.error(error.help("end it with `;`"));
+            return;
+        }
+        let from = self.chain.last().map_or(String::new(), |(name, _)| name.clone());
+        let names = match self.loader.find(&from, &path.text) {
+            Ok(names) => names,
+            Err(why) => return self.unreadable(&path.text, path.span, &why),
+        };
+        if names.is_empty() {
+            let what = format!("no file matches `{}`", path.text);
+            let warning = Diagnostic::warning("IV0104", what, path.span, "nothing is included");
+            self.findings.push(warning.help("this is right where files may come later"));
+        }
+        for name in names {
+            if let Some(at) = self.chain.iter().position(|(open, _)| *open == name) {
+                let mut error =
+                    Diagnostic::error("IV0062", "files include each other in a circle", path.span, "")
+                        .help("move what both need into a file that includes neither");
+                error.at.1 = format!("this includes `{name}`, which is being read");
+                for (name, from) in &self.chain[at + 1..] {
+                    if let Some(from) = from {
+                        error = error.also(*from, format!("this includes `{name}`"));
+                    }
+                }
+                self.error(error);
+                continue;
+            }
+            if self.chain.len() >= DEPTH_MOST {
+                let what = format!("files are included more than {DEPTH_MOST} deep");
+                self.error(Diagnostic::error("IV0063", what, path.span, "by this"));
+                continue;
+            }
+            let bytes = match self.loader.read(&name) {
+                Ok(bytes) => bytes,
+                Err(why) => {
+                    self.unreadable(&name, path.span, &why);
+                    continue;
+                }
+            };
+            if self.count >= FILES_MOST || self.bytes + bytes.len() > BYTES_MOST {
+                let what = format!("this configuration has more than {FILES_MOST} files or 64 MiB");
+                self.error(Diagnostic::error("IV0063", what, path.span, "no more is read from here"));
+                return;
+            }
+            let mut block = self.file(&name, &bytes, Some(path.span));
+            self.includes(&mut block);
+            self.chain.pop();
+            into.statements.append(&mut block.statements);
+        }
+    }
+
+    fn unreadable(&mut self, name: &str, at: Span, why: &str) {
+        let error = Diagnostic::error("IV0064", format!("`{name}` cannot be included"), at, why.to_owned());
+        self.error(error.help("paths are relative to the file that includes them"));
+    }
+}
+
+fn is(statement: &Statement, name: &str) -> bool {
+    !statement.words[0].quoted && statement.words[0].text == name
+}
+
+fn has_include(statement: &Statement) -> bool {
+    is(statement, "include") || statement.block.as_ref().is_some_and(|b| b.statements.iter().any(has_include))
+}
+
+struct Variable {
+    value: Word,
+    at: Span,
+}
+
+struct Names {
+    blocks: HashMap<String, (Block, Span)>,
+    variables: HashMap<String, Variable>,
+    findings: Vec<Diagnostic>,
+    broken: bool,
+    used: HashSet<String>,
+    statements: usize,
+    /// The named blocks that are being put in, with the place of each `use`.
+    using: Vec<(String, Span)>,
+}
+
+/// What a variable's type may be, and how a value of it reads.
+const TYPES: [(&str, &str); 8] = [
+    ("time", "a time such as `15s`"),
+    ("size", "a size such as `64KiB`"),
+    ("rate", "a rate such as `20/s`"),
+    ("number", "a number such as `0.5`"),
+    ("count", "a whole number such as `3`"),
+    ("share", "a share from 0 to 1 such as `0.2`"),
+    ("address", "an address with a port such as `127.0.0.1:9000`"),
+    ("text", "any word"),
+];
+
+fn fits(kind: &str, text: &str) -> bool {
+    match kind {
+        "time" => units::duration(text).is_ok(),
+        "size" => units::size(text).is_ok(),
+        "rate" => units::rate(text).is_ok(),
+        "number" => units::plain(text).is_ok(),
+        "count" => units::plain(text).is_ok_and(|n| n.fract() == 0.0),
+        "share" => units::plain(text).is_ok_and(|n| n <= 1.0),
+        "address" => text.parse::<std::net::SocketAddr>().is_ok(),
+        _ => true,
+    }
+}
+
+impl Names {
+    fn error(&mut self, error: Diagnostic) {
+        self.broken = true;
+        self.findings.push(error);
+    }
+
+    /// Takes the definitions out of the outermost statements.
+    fn collect(&mut self, root: &mut Block) {
+        for statement in std::mem::take(&mut root.statements) {
+            if is(&statement, "let") {
+                self.variable(statement);
+            } else if is(&statement, "block") {
+                self.named_block(statement);
+            } else {
+                root.statements.push(statement);
+            }
+        }
+    }
+
+    fn variable(&mut self, statement: Statement) {
+        let at = head_span(&statement);
+        let [_, name, kind, value] = &statement.words[..] else {
+            let error =
+                Diagnostic::error("IV0065", "a variable has a name, a type and one value", at, "here");
+            return self.error(error.help("write `let patience time 2s;`"));
+        };
+        if statement.block.is_some() || !is_name(&name.text) {
+            let error = Diagnostic::error("IV0065", "this cannot be a variable", name.span, "here");
+            return self
+                .error(error.help("write `let patience time 2s;`, the name of letters, digits and `-`"));
+        }
+        let Some((_, example)) = TYPES.iter().find(|(known, _)| *known == kind.text) else {
+            let what = format!("there is no type `{}`", kind.text);
+            let known: Vec<_> = TYPES.iter().map(|(name, _)| format!("`{name}`")).collect();
+            let error = Diagnostic::error("IV0066", what, kind.span, "here");
+            return self.error(error.help(format!("types are {}", known.join(", "))));
+        };
+        if !value.quoted && value.text.starts_with('$') {
+            let error = Diagnostic::error("IV0065", "a variable's value is written out", value.span, "here");
+            return self.error(error.help("write the value itself"));
+        }
+        if !fits(&kind.text, &value.text) {
+            let what = format!("`{}` is not {}", value.text, example.split(" such").next().unwrap_or(""));
+            let error = Diagnostic::error("IV0067", what, value.span, format!("its type is `{}`", kind.text));
+            return self.error(error.help(format!("write {example}")));
+        }
+        let variable = Variable { value: value.clone(), at };
+        if let Some(first) = self.variables.get(&name.text) {
+            let what = format!("two variables are named `{}`", name.text);
+            let error = Diagnostic::error("IV0032", what, name.span, "named again here");
+            let error = error.also(first.at, "first named here");
+            return self.error(error.help("give one of them another name"));
+        }
+        self.variables.insert(name.text.clone(), variable);
+    }
+
+    fn named_block(&mut self, statement: Statement) {
+        let at = head_span(&statement);
+        let (2, Some(block)) = (statement.words.len(), statement.block) else {
+            let error = Diagnostic::error("IV0068", "a named block has one name and a block", at, "here");
+            return self.error(error.help("write `block quick { aim 200ms; deadline 2s; }`"));
+        };
+        let name = &statement.words[1];
+        if let Some((_, first)) = self.blocks.get(&name.text) {
+            let what = format!("two blocks are named `{}`", name.text);
+            let error =
+                Diagnostic::error("IV0032", what, name.span, "named again here").also(*first, "first here");
+            return self.error(error.help("give one of them another name"));
+        }
+        self.blocks.insert(name.text.clone(), (block, at));
+    }
+
+    /// Puts named blocks and variables in.
+    fn block(&mut self, block: Block, outermost: bool) -> Block {
+        let mut done =
+            Block { statements: Vec::with_capacity(block.statements.len()), trailing: block.trailing };
+        for statement in block.statements {
+            if self.statements >= STATEMENTS_MOST {
+                return done;
+            }
+            if is(&statement, "use") {
+                self.put_in(&statement, outermost, &mut done);
+                continue;
+            }
+            self.statements += 1;
+            if self.statements == STATEMENTS_MOST {
+                let what = format!("this configuration has more than {STATEMENTS_MOST} statements");
+                let error = Diagnostic::error("IV0063", what, statement.span, "no more is read from here");
+                self.error(error.help("named blocks that use others many times grow fast"));
+            }
+            let words =
+                statement.words.into_iter().enumerate().map(|(n, word)| self.word(word, n == 0)).collect();
+            let inner = statement.block.map(|inner| self.block(inner, false));
+            done.statements.push(Statement { words, block: inner, ..statement });
+        }
+        done
+    }
+
+    fn put_in(&mut self, statement: &Statement, outermost: bool, into: &mut Block) {
+        let [_, name] = &statement.words[..] else {
+            let error = Diagnostic::error("IV0069", "`use` names one block", head_span(statement), "here");
+            return self.error(error.help("write `use NAME;`"));
+        };
+        if statement.block.is_some() {
+            let error = Diagnostic::error("IV0013", "`use` takes no block", name.span, "here");
+            return self.error(error.help("end it with `;`"));
+        }
+        let Some((block, at)) = self.blocks.get(&name.text).cloned() else {
+            let known: Vec<&str> = self.blocks.keys().map(String::as_str).collect();
+            let help = nearest(&name.text, &known);
+            let error = Diagnostic::error(
+                "IV0033",
+                format!("there is no block named `{}`", name.text),
+                name.span,
+                "not defined",
+            );
+            return self.error(error.help(help));
+        };
+        self.used.insert(format!("block {}", name.text));
+        if let Some(open) = self.using.iter().position(|(open, _)| *open == name.text) {
+            let mut error = Diagnostic::error("IV0062", "blocks use each other in a circle", name.span, "");
+            error.at.1 = format!("this uses `{}`, which is being put in", name.text);
+            for (name, from) in &self.using[open + 1..] {
+                error = error.also(*from, format!("this uses `{name}`"));
+            }
+            return self.error(error.also(at, "defined here").help("move what both need into a third block"));
+        }
+        if self.using.len() >= DEPTH_MOST {
+            let what = format!("blocks use each other more than {DEPTH_MOST} deep");
+            return self.error(Diagnostic::error("IV0063", what, name.span, "by this"));
+        }
+        self.using.push((name.text.clone(), name.span));
+        let mut block = self.block(block, outermost);
+        self.using.pop();
+        into.statements.append(&mut block.statements);
+    }
+
+    fn word(&mut self, word: Word, first: bool) -> Word {
+        let Some(name) = word.text.strip_prefix('$').filter(|_| !word.quoted) else { return word };
+        if first {
+            let error = Diagnostic::error("IV0070", "a variable cannot name a statement", word.span, "here");
+            self.error(error.help("write the statement's name, or the word in quotes"));
+            return word;
+        }
+        match self.variables.get(name) {
+            Some(variable) => {
+                self.used.insert(format!("variable {name}"));
+                let Word { text, quoted, .. } = variable.value.clone();
+                // Never taken for a keyword such as `meant`.
+                Word { text, quoted, span: word.span, defined: Some(variable.at) }
+            }
+            None => {
+                let known: Vec<&str> = self.variables.keys().map(String::as_str).collect();
+                let help = nearest(name, &known);
+                let error = Diagnostic::error(
+                    "IV0033",
+                    format!("there is no variable named `{name}`"),
+                    word.span,
+                    "not defined",
+                );
+                self.error(error.help(help));
+                word
+            }
+        }
+    }
+
+    fn unused(&mut self) {
+        let blocks = self.blocks.iter().map(|(name, (_, at))| ("block", name, *at));
+        let variables = self.variables.iter().map(|(name, variable)| ("variable", name, variable.at));
+        let unused: Vec<_> = blocks
+            .chain(variables)
+            .filter(|(kind, name, _)| !self.used.contains(&format!("{kind} {name}")))
+            .map(|(kind, name, at)| {
+                Diagnostic::warning("IV0105", format!("the {kind} `{name}` is not used"), at, "defined here")
+            })
+            .collect();
+        self.findings.extend(unused);
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_')
+}
+
+/// What may have been meant.
+pub fn nearest(text: &str, known: &[&str]) -> String {
+    let near = known.iter().map(|name| (strsim::damerau_levenshtein(name, text), *name)).min();
+    match near {
+        Some((distance, near)) if distance <= 2 => format!("is `{near}` meant?"),
+        _ if known.is_empty() => "none is defined".to_owned(),
+        _ => {
+            let mut known: Vec<_> = known.iter().map(|name| format!("`{name}`")).collect();
+            known.sort_unstable();
+            known.truncate(12);
+            format!("defined are: {}", known.join(", "))
+        }
+    }
+}
--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -1,11 +1,15 @@
 //! Reads the statements of one block by name, and notes what is missing, unknown, repeated or malformed.
 
-use crate::diagnostic::{Diagnostic, Span};
+use crate::diagnostic::{Diagnostic, Severity, Span};
+use crate::slips;
 use crate::syntax::{Block, Statement, Word};
 use crate::units::{self, QuantityError};
 use std::cell::RefCell;
 use std::collections::HashSet;
 
+/// Most findings that are kept.
+const FINDINGS_MOST: usize = 2000;
+
 /// Findings that a whole check shares.
 pub type Findings = RefCell<Vec<Diagnostic>>;
 
@@ -52,7 +56,7 @@
             Quantity::Size => "a size with its unit, such as `512B`, `64KiB` or `8MiB`",
             Quantity::Rate => "a rate with its unit, such as `20/s` or `300/m`",
             Quantity::Number => "a number without a unit, such as `2` or `0.5`",
-            Quantity::Share => "a share from 0 to 1, such as `0.2`",
+            Quantity::Share => "a share from 0 to 1, such as `0.2` for 20 percent",
             Quantity::Count => "a whole number without a unit, such as `3`",
         }
     }
@@ -66,7 +70,12 @@
 
     /// Notes a finding.
     pub fn note(&self, finding: Diagnostic) {
-        self.findings.borrow_mut().push(finding);
+        let mut findings = self.findings.borrow_mut();
+        // Guards the memory. Errors go on being noted for as long again, so that none hides behind warnings.
+        let most = if finding.severity == Severity::Error { 2 * FINDINGS_MOST } else { FINDINGS_MOST };
+        if findings.len() < most {
+            findings.push(finding);
+        }
     }
 
     /// All statements of this name.
@@ -111,7 +120,11 @@
             self.note(Diagnostic::error("IV0013", what, at, "not expected here").help("end it with `;`"));
             return None;
         }
-        let words = &statement.words[1..];
+        let mut words = &statement.words[1..];
+        // Says that a value which looks like a slip is right; see `slips`.
+        if words.len() > least && words.last().is_some_and(is_meant) {
+            words = &words[..words.len() - 1];
+        }
         if (least..=most).contains(&words.len()) {
             return Some(words);
         }
@@ -168,15 +181,27 @@
         fits.then_some(value)
     }
 
+    /// Whether a statement says that its value is meant.
+    pub fn is_meant(&self, name: &'static str) -> bool {
+        self.all(name).first().is_some_and(|s| s.words.len() > 2 && s.words.last().is_some_and(is_meant))
+    }
+
     /// A quantity, if it is given.
     pub fn quantity(&self, name: &'static str, quantity: Quantity) -> Option<f64> {
-        self.quantity_in(self.word(name)?, quantity)
+        let word = self.word(name)?;
+        let value = self.quantity_in(word, quantity)?;
+        if !self.is_meant(name) {
+            if let Some(suspicion) = slips::suspicion(self.kind, name, &word.text, value) {
+                self.note(suspicion.diagnostic(name, word));
+            }
+        }
+        Some(value)
     }
 
     /// A quantity above nothing, or what it is by default.
     pub fn positive_or(&self, name: &'static str, quantity: Quantity, default: f64) -> f64 {
         let Some(word) = self.word(name) else { return default };
-        let Some(value) = self.quantity_in(word, quantity) else { return default };
+        let Some(value) = self.quantity(name, quantity) else { return default };
         if value <= 0.0 {
             self.note(Diagnostic::error(
                 "IV0024",
@@ -224,6 +249,10 @@
     }
 }
 
+fn is_meant(word: &Word) -> bool {
+    !word.quoted && word.defined.is_none() && word.text == "meant"
+}
+
 /// The words that open a statement.
 pub fn head_span(statement: &Statement) -> Span {
     let (first, last) = (statement.words[0].span, statement.words[statement.words.len() - 1].span);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,17 +4,26 @@
 //! plain data of [`Model`] only.
 
 mod check;
+mod codes;
 mod diagnostic;
+mod expand;
 mod fields;
+mod meaning;
 mod model;
+mod slips;
 mod syntax;
 mod units;
 
 pub use check::{RESERVE, SAFE_METHODS};
+pub use codes::{Code, CODES};
 pub use diagnostic::{Diagnostic, Place, Severity, Sources, Span};
+pub use expand::{Loader, NoFiles};
 pub use model::*;
 pub use syntax::{parse, Block, Comment, Statement, Word};
 
+/// Most findings that a report shows; the first mistakes explain the others.
+const SHOWN_MOST: usize = 100;
+
 /// What came of reading a configuration.
 #[derive(Debug)]
 pub struct Loaded {
@@ -27,22 +36,53 @@
 }
 
 impl Loaded {
-    /// The findings as people read them.
-    pub fn report(&self, colours: bool) -> String {
-        self.sources.render(&self.findings, colours)
+    /// The findings that are at least this bad, as people read them.
+    pub fn report(&self, least: Severity, colours: bool) -> String {
+        let found: Vec<_> = self.findings.iter().filter(|f| f.severity >= least).cloned().collect();
+        let shown = &found[..found.len().min(SHOWN_MOST)];
+        let mut report = self.sources.render(shown, colours);
+        if found.len() > shown.len() {
+            report += &format!("... and {} more findings\n\n", found.len() - shown.len());
+        }
+        report
+    }
+
+    /// How many findings are this bad.
+    pub fn count(&self, severity: Severity) -> usize {
+        self.findings.iter().filter(|f| f.severity == severity).count()
     }
 }
 
-/// Reads and checks a configuration.
+/// What may follow from a mistake of another kind: missing statements and names, and sums over what is there.
+const FOLLOWING: [&str; 17] = [
+    "IV0010", "IV0011", "IV0013", "IV0014", "IV0015", "IV0033", "IV0045", "IV0049", "IV0054", "IV0055",
+    "IV0056", "IV0057", "IV0077", "IV0081", "IV0102", "IV0103", "IV0105",
+];
+
+/// Reads and checks a configuration of one file.
 pub fn load(name: &str, text: &str) -> Loaded {
-    let mut sources = Sources::default();
-    let file = sources.add(name, text);
-    let (root, errors) = parse(text, file);
-    let broken = !errors.is_empty();
-    let findings = std::cell::RefCell::new(errors);
+    load_with(name, text.as_bytes(), &NoFiles)
+}
+
+/// Reads and checks a configuration, with the files that it includes.
+pub fn load_with(name: &str, bytes: &[u8], loader: &dyn Loader) -> Loaded {
+    let expand::Expanded { sources, root, findings, broken } = expand::expand(name, bytes, loader);
+    let before = findings.len();
+    let findings = std::cell::RefCell::new(findings);
     let model = check::check(&root, &findings).filter(|_| !broken);
     let mut findings = findings.into_inner();
+    if broken {
+        // Statements that could not be read are missing below; no one can act on what follows from that.
+        let first = findings.split_off(before).into_iter().filter(|f| !FOLLOWING.contains(&f.code));
+        findings.extend(first);
+    }
     findings.sort_by_key(|f| (f.at.0, std::cmp::Reverse(f.severity)));
     findings.dedup();
+    let defined = check::defined(&root);
+    for finding in &mut findings {
+        if let Some(at) = defined.get(&finding.at.0) {
+            finding.also.push((*at, "its value is defined here".to_owned()));
+        }
+    }
     Loaded { sources, findings, model }
 }
--- /dev/null
+++ b/crates/config/src/meaning.rs
@@ -0,0 +1,449 @@
+//! What only the whole configuration shows: values that contradict each other, routes that no request reaches,
+//! limits that do not add up.
+
+use crate::check::{LONGEST, RESERVE};
+use crate::diagnostic::{Diagnostic, Span};
+use crate::fields::{head_span, Fields};
+use crate::model::*;
+use crate::syntax::Statement;
+use ivygate_routing::{Methods, Table};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+/// Servers are taken to drop repeats for this long where their pool does not say.
+const KEY_KEPT: f64 = 15_000.0;
+/// Memory of the process by itself, for each client connection at work, and for each to a server; in bytes.
+const MEMORY_BASE: usize = 16 << 20;
+const MEMORY_CLIENT: usize = 200 << 10;
+const MEMORY_SERVER: usize = 136 << 10;
+
+/// Checks a model as a whole.
+pub fn check(fields: &Fields, model: &Model) {
+    needed(fields);
+    tables(fields, model);
+    repeats(fields, model);
+    times(fields, model);
+    plans(fields, model);
+    servers(fields, model);
+    trust(fields, model);
+    sums(fields, model);
+    unused(fields, model);
+}
+
+/// The statement in a block of this kind and name.
+fn part<'a>(fields: &Fields<'a>, kind: &'static str, name: &str, part: &str) -> Option<&'a Statement> {
+    let named = |s: &&Statement| s.words.get(1).is_some_and(|w| w.text == name);
+    let block = fields.all(kind).into_iter().find(named)?.block.as_ref()?;
+    block.statements.iter().find(|s| s.words[0].text == part)
+}
+
+/// Where that statement stands, or else the block.
+fn place(fields: &Fields, kind: &'static str, name: &str, statement: &str, at: At) -> Span {
+    part(fields, kind, name, statement).map_or(at.0, head_span)
+}
+
+fn needed(fields: &Fields) {
+    for (name, what, example) in [
+        ("listen", "listener", "listen 127.0.0.1:8080;"),
+        ("class", "class", "class reads { effect safe; deadline 2s; }"),
+        ("pool", "pool", "pool app { server a 127.0.0.1:9000; }"),
+        ("route", "route", "route all { class reads; pool app; }"),
+    ] {
+        if fields.all(name).is_empty() {
+            let error =
+                Diagnostic::error("IV0011", format!("this file has no {what}"), fields.head, "in here");
+            fields.note(error.help(format!("write `{example}`")));
+        }
+    }
+}
+
+fn tables(fields: &Fields, model: &Model) {
+    let claims = model.routes.iter().map(|r| r.claim.clone()).collect();
+    let table = match Table::build(claims) {
+        Ok(table) => table,
+        Err(error) => {
+            for conflict in error.conflicts {
+                let (first, second) = (&model.routes[conflict.first], &model.routes[conflict.second]);
+                let what =
+                    format!("the routes `{}` and `{}` claim the same requests", first.name, second.name);
+                let label = format!("{}, as above", second.claim.path);
+                let error = Diagnostic::error("IV0054", what, second.at.0, label);
+                fields.note(
+                    error
+                        .also(first.at.0, "claimed first here")
+                        .help("give one of them another host, path or method"),
+                );
+            }
+            return;
+        }
+    };
+    for (number, takers) in table.unreachable() {
+        let route = &model.routes[number];
+        let what = format!("no request ever reaches the route `{}`", route.name);
+        let mut error = Diagnostic::error("IV0081", what, route.at.0, format!("{}", route.claim.path));
+        for taker in takers.iter().take(3) {
+            let taker = &model.routes[*taker];
+            error = error.also(taker.at.0, format!("`{}` takes what it claims", taker.name));
+        }
+        fields.note(error.help("remove it, or write it before the patterns that cover it, or narrow those"));
+    }
+    for route in &model.routes {
+        if matches!(&route.claim.methods, Methods::Named(names) if names.iter().all(|m| m == "CONNECT")) {
+            let at = place(fields, "route", &route.name, "methods", route.at);
+            let error =
+                Diagnostic::error("IV0082", "CONNECT is answered 501 before any route", at, "never matches");
+            fields.note(error.help("remove the route: a sidecar opens no tunnels"));
+        }
+    }
+}
+
+fn repeats(fields: &Fields, model: &Model) {
+    for (number, pool) in model.pools.iter().enumerate() {
+        if !pool.second_copies {
+            continue;
+        }
+        let once = |r: &&Route| r.pool == number && r.repeat == Repeat::Unsent;
+        if let Some(route) = model.routes.iter().find(once) {
+            let class = &model.classes[route.class];
+            let what = format!(
+                "second copies are allowed in a pool that gets `{}`, which must not run twice",
+                class.name
+            );
+            let at = place(fields, "pool", &pool.name, "second-copies", pool.at);
+            let error = Diagnostic::error("IV0073", what, at, "allowed here");
+            fields.note(
+                error
+                    .also(route.at.0, "routed here")
+                    .help("write `second-copies no;`, or give that route a pool of its own"),
+            );
+        }
+    }
+    let mut told = BTreeSet::new();
+    for route in &model.routes {
+        let (class, pool) = (&model.classes[route.class], &model.pools[route.pool]);
+        let Effect::Keyed(scope, window) = class.effect else { continue };
+        if !told.insert((route.class, route.pool)) || route.repeat == Repeat::Unsent {
+            continue;
+        }
+        keyed(fields, class, pool, route, scope, window);
+    }
+}
+
+fn keyed(fields: &Fields, class: &Class, pool: &Pool, route: &Route, scope: Scope, window: f64) {
+    let at = place(fields, "class", &class.name, "window", class.at);
+    let (kept, by) = match pool.drops_repeats {
+        Some((_, kept)) => (kept, place(fields, "pool", &pool.name, "drops-repeats", pool.at)),
+        None => (KEY_KEPT, pool.at.0),
+    };
+    if window > kept {
+        let what = format!("`{}` may be repeated for longer than `{}` drops repeats", class.name, pool.name);
+        let error = Diagnostic::error("IV0074", what, at, "a repeat after that would run twice");
+        let label = match pool.drops_repeats {
+            Some(_) => format!("{} s here", kept / 1000.0),
+            None => format!("{} s unless the pool says otherwise", kept / 1000.0),
+        };
+        fields.note(error.also(by, label).help(format!(
+            "write `window {0}s;`, or `drops-repeats {1} {2}s;` in the pool if its servers do so",
+            kept / 1000.0,
+            scope_name(scope),
+            window / 1000.0
+        )));
+    }
+    if let Some((dropped, _)) = pool.drops_repeats.filter(|(dropped, _)| width(scope) > width(*dropped)) {
+        let at = place(fields, "class", &class.name, "scope", class.at);
+        let what = format!("`{}` may be repeated to servers that do not drop its repeats", class.name);
+        let error = Diagnostic::error("IV0075", what, at, "wider than the servers that drop repeats");
+        let label = format!("dropped by servers of one {} only", scope_name(dropped));
+        fields.note(error.also(by, label).help(format!("write `scope {};`", scope_name(dropped))));
+    }
+    let group = |server: &Server| match scope {
+        Scope::All => String::new(),
+        Scope::Zone => server.zone.clone(),
+        Scope::Cell => server.cell.to_string(),
+    };
+    if let Some(server) = pool.servers.iter().find(|s| scope == Scope::Zone && s.zone.is_empty()) {
+        let what = format!("the class `{}` is keyed by zone, and a server of its pool has none", class.name);
+        let error = Diagnostic::error("IV0055", what, server.at.0, "its zone is not told");
+        fields
+            .note(error.also(route.at.0, "routed here").help("write `zone NAME;` in the pool or the server"));
+        return;
+    }
+    let mut sizes = HashMap::new();
+    for server in &pool.servers {
+        *sizes.entry(group(server)).or_insert(0) += 1;
+    }
+    let meant = part(fields, "class", &class.name, "scope").is_some_and(|s| s.words.len() > 2);
+    if pool.servers.len() > 1 && !meant && sizes.values().all(|size| *size == 1) {
+        let what = format!(
+            "no {} of `{}` has two servers, so `{}` can never be repeated",
+            scope_name(scope),
+            pool.name,
+            class.name
+        );
+        let at = place(fields, "class", &class.name, "scope", class.at);
+        let error = Diagnostic::error("IV0077", what, at, "a repeat needs a second server in it");
+        fields.note(
+            error
+                .also(pool.at.0, "its servers")
+                .help("add servers, or widen the scope if more of them drop repeats"),
+        );
+    }
+}
+
+fn scope_name(scope: Scope) -> &'static str {
+    match scope {
+        Scope::All => "all",
+        Scope::Zone => "zone",
+        Scope::Cell => "cell",
+    }
+}
+
+/// How wide a scope is against others.
+pub(crate) fn width(scope: Scope) -> u8 {
+    match scope {
+        Scope::Cell => 0,
+        Scope::Zone => 1,
+        Scope::All => 2,
+    }
+}
+
+fn times(fields: &Fields, model: &Model) {
+    for (number, pool) in model.pools.iter().enumerate() {
+        let told = |name| part(fields, "pool", &pool.name, name);
+        let (Some(at), all) = (told("connect").or(told("attempts")), pool.connect * f64::from(pool.attempts))
+        else {
+            continue;
+        };
+        let tight = model.routes.iter().filter(|r| r.pool == number).map(|r| &model.classes[r.class]);
+        if let Some(class) =
+            tight.filter(|c| c.deadline < all).min_by(|a, b| a.deadline.total_cmp(&b.deadline))
+        {
+            let what = format!(
+                "{} attempts of up to {} ms for connecting do not fit the deadline of `{}`",
+                pool.attempts, pool.connect, class.name
+            );
+            let error = Diagnostic::error("IV0076", what, head_span(at), format!("{all} ms together"));
+            let also = place(fields, "class", &class.name, "deadline", class.at);
+            let help = format!(
+                "write `connect {}ms;` or less, or fewer `attempts`",
+                (class.deadline / f64::from(pool.attempts)).floor()
+            );
+            fields.note(error.also(also, format!("{} ms", class.deadline)).help(help));
+        }
+    }
+    for class in &model.classes {
+        let at = place(fields, "class", &class.name, "deadline", class.at);
+        if let Some(listener) = model.listeners.iter().find(|l| l.answer_within < class.deadline) {
+            let what =
+                format!("the deadline of `{}` is longer than a listener lets any request wait", class.name);
+            let error = Diagnostic::error("IV0087", what, at, "longer");
+            fields.note(
+                error
+                    .also(listener.at.0, format!("`answer-within` is {} ms", listener.answer_within))
+                    .help("shorten the deadline or raise `answer-within`"),
+            );
+        }
+        if model.limits.drain < class.deadline {
+            let what = format!("`{}` may still be open when the process ends", class.name);
+            let warning = Diagnostic::warning("IV0107", what, at, "longer than `limits { drain }`");
+            fields.note(
+                warning.help(format!(
+                    "write `limits {{ drain {}s; }}` or more",
+                    (class.deadline / 1000.0).ceil()
+                )),
+            );
+        }
+        if let Effect::Keyed(_, window) = class.effect {
+            if window < class.deadline && window < LONGEST {
+                let at = place(fields, "class", &class.name, "window", class.at);
+                let what = format!("keys of `{}` are forgotten before its deadline", class.name);
+                let warning = Diagnostic::warning("IV0106", what, at, "nothing is repeated after this");
+                fields.note(warning.help("lengthen the window if servers keep keys for longer"));
+            }
+        }
+    }
+}
+
+fn plans(fields: &Fields, model: &Model) {
+    for class in &model.classes {
+        let small = |p: &&Plan| {
+            (p.quota > 0.0 && p.burst < class.units) || (p.ceiling > 0.0 && p.ceiling_burst < class.units)
+        };
+        if let Some(plan) = model.plans.iter().find(|p| class.units > 1.0 && small(p)) {
+            let what = format!(
+                "a request of the class `{}` takes more units than a burst of `{}` holds",
+                class.name, plan.name
+            );
+            let error = Diagnostic::error("IV0049", what, plan.at.0, "none would pass under this plan");
+            fields
+                .note(error.also(class.at.0, format!("{} units each", class.units)).help("raise the burst"));
+        }
+    }
+    for plan in &model.plans {
+        let meant = part(fields, "plan", &plan.name, "burst").is_some_and(|s| s.words.len() > 2);
+        if plan.quota > 0.0 && plan.burst > 24.0 * 3600.0 * plan.quota && !meant {
+            let at = place(fields, "plan", &plan.name, "burst", plan.at);
+            let what = format!(
+                "`burst` looks like a slip: it holds {:.0} hours of the quota",
+                plan.burst / plan.quota / 3600.0
+            );
+            let error = Diagnostic::error("IV0080", what, at, "is this meant?");
+            let also = place(fields, "plan", &plan.name, "quota", plan.at);
+            fields.note(
+                error
+                    .also(also, "is this a rate a second?")
+                    .help(format!("write `burst {} meant;` if it is right", plan.burst)),
+            );
+        }
+    }
+}
+
+fn servers(fields: &Fields, model: &Model) {
+    let mut seen: HashMap<SocketAddr, (&Pool, &Server)> = HashMap::new();
+    for pool in &model.pools {
+        for name in &pool.shares {
+            if !model.pools.iter().any(|p| p.name == *name) {
+                let at = place(fields, "pool", &pool.name, "shares-servers-with", pool.at);
+                let error = Diagnostic::error(
+                    "IV0033",
+                    format!("there is no pool named `{name}`"),
+                    at,
+                    "not defined",
+                );
+                fields.note(error.help("name pools of this configuration"));
+            }
+        }
+        for server in &pool.servers {
+            let Some((other, first)) = seen.get(&server.address) else {
+                seen.insert(server.address, (pool, server));
+                continue;
+            };
+            let meant = pool.shares.contains(&other.name) || other.shares.contains(&pool.name);
+            if other.name != pool.name && !meant {
+                let what = format!("the pools `{}` and `{}` have the same server", other.name, pool.name);
+                let error = Diagnostic::error("IV0078", what, server.at.0, "again here");
+                fields.note(error.also(first.at.0, "first here").help(format!(
+                    "pools stay apart: a server in two of them gets twice its share; write \
+                     `shares-servers-with {};` if this is meant",
+                    other.name
+                )));
+            }
+        }
+    }
+}
+
+fn trust(fields: &Fields, model: &Model) {
+    let identity = &model.identity;
+    let by = match (&identity.customer, &identity.plan_header, &identity.deadline_header) {
+        (CustomerFrom::Header(_), ..) => "customer",
+        (_, Some(_), _) => "plan",
+        (.., Some(_)) => "deadline",
+        _ => return,
+    };
+    for listener in &model.listeners {
+        let statement = fields.all("listen").into_iter().find(|s| head_span(s) == listener.at.0);
+        let words = statement.and_then(|s| s.block.as_ref()).into_iter().flat_map(|b| &b.statements);
+        let mut words = words.filter(|s| s.words[0].text == "trusted").flat_map(|s| &s.words[1..]);
+        let Some(open) = listener.trusted.iter().find(|net| net.prefix_len() == 0) else { continue };
+        let at = words.find(|w| w.text.parse() == Ok(*open)).map_or(listener.at.0, |w| w.span);
+        let error = Diagnostic::error(
+            "IV0083",
+            "every peer is trusted, and identity comes from headers",
+            at,
+            "this is everyone",
+        );
+        let also = fields.one("identity").and_then(|s| s.block.as_ref());
+        let also = also.and_then(|b| b.statements.iter().find(|s| s.words[0].text == by));
+        let error = match also {
+            Some(statement) => error.also(statement.span, "anyone could write this header"),
+            None => error,
+        };
+        fields.note(error.help("name the networks of the proxies that stand before this listener"));
+    }
+}
+
+fn sums(fields: &Fields, model: &Model) {
+    let clients: usize = model.listeners.iter().map(|l| l.connections).sum();
+    let servers: usize = model.pools.iter().map(|p| p.connections).sum();
+    let total = clients + servers + RESERVE;
+    if total > model.limits.descriptors {
+        let at = fields.one("limits").map_or(fields.head, |s| s.span);
+        let what = "listeners and pools may use more descriptors than the process has";
+        let label = format!("{clients} for clients, {servers} for servers, {RESERVE} kept: {total}");
+        let error = Diagnostic::error("IV0056", what, at, label);
+        let help = format!(
+            "the limit is {}; lower `connections`, or write `limits {{ descriptors {total}; }}`",
+            model.limits.descriptors
+        );
+        fields.note(error.help(help));
+    }
+    if let Some(memory) = model.limits.memory {
+        let bodies: usize = model.pools.iter().map(|p| p.buffered).sum();
+        let total = MEMORY_BASE + clients * MEMORY_CLIENT + servers * MEMORY_SERVER + bodies;
+        if total > memory {
+            let at = fields.one("limits").map_or(fields.head, |s| s.span);
+            let mib = |bytes: usize| bytes.div_ceil(1 << 20);
+            let what = "listeners and pools may use more memory than the process has";
+            let label = format!(
+                "{} MiB for clients, {} for servers, {} for bodies, {} by itself: {} MiB",
+                mib(clients * MEMORY_CLIENT),
+                mib(servers * MEMORY_SERVER),
+                mib(bodies),
+                mib(MEMORY_BASE),
+                mib(total)
+            );
+            let error = Diagnostic::error("IV0079", what, at, label);
+            fields.note(error.help(format!(
+                "lower `connections` or `buffered`, or write `limits {{ memory {}MiB; }}`",
+                mib(total)
+            )));
+        }
+    }
+    let open: usize = model.pools.iter().map(|p| p.requests).sum();
+    for listener in &model.listeners {
+        // Waiting requests hold their client's connection: with more of them than connections one slow pool
+        // could hold them all. An eighth is kept free for those that come next.
+        if open + listener.connections / 8 > listener.connections {
+            let what = "requests of slow pools could hold all connections of this listener";
+            let label = format!("{} connections, an eighth of them kept free", listener.connections);
+            let error = Diagnostic::error("IV0057", what, listener.at.0, label);
+            let mut error = error.help(format!(
+                "the pools take {open} requests together; write `connections {};` or lower their `requests`",
+                (open * 8).div_ceil(7) + 1
+            ));
+            for pool in model.pools.iter().take(8) {
+                error = error.also(pool.at.0, format!("up to {} requests", pool.requests));
+            }
+            fields.note(error);
+        }
+    }
+}
+
+fn unused(fields: &Fields, model: &Model) {
+    let warn = |code, kind: &str, name: &str, at: At| {
+        let what = format!("no route names the {kind} `{name}`");
+        fields.note(Diagnostic::warning(code, what, at.0, "defined here").help("remove it, or route to it"));
+    };
+    if model.routes.len() < fields.all("route").len() {
+        // A route that could not be read may name them.
+        return;
+    }
+    let classes: BTreeSet<usize> = model.routes.iter().map(|r| r.class).collect();
+    let pools: BTreeSet<usize> = model.routes.iter().map(|r| r.pool).collect();
+    for (_, class) in model.classes.iter().enumerate().filter(|(n, _)| !classes.contains(n)) {
+        warn("IV0102", "class", &class.name, class.at);
+    }
+    for (_, pool) in model.pools.iter().enumerate().filter(|(n, _)| !pools.contains(n)) {
+        warn("IV0103", "pool", &pool.name, pool.at);
+    }
+    for pool in &model.pools {
+        if let Some((header, value)) = &pool.declined {
+            let at = place(fields, "pool", &pool.name, "declined", pool.at);
+            let what = format!(
+                "a 503 or 504 of `{}` with `{header}: {value}` counts as proof that nothing ran",
+                pool.name
+            );
+            fields.note(Diagnostic::remark("IV0201", what, at, "also unsafe requests are then sent again"));
+        }
+    }
+}
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -30,8 +30,8 @@
     pub classes: Vec<Class>,
     /// Plans of customers.
     pub plans: Vec<Plan>,
-    /// Customers whose plan is in the file: name and the plan's number.
-    pub customers: Vec<(String, usize)>,
+    /// Customers whose plan is in the file.
+    pub customers: Vec<Customer>,
     /// Pools of servers.
     pub pools: Vec<Pool>,
     /// Routes, in the file's order.
@@ -45,6 +45,10 @@
     pub descriptors: usize,
     /// Longest time from the signal to end to the end.
     pub drain: f64,
+    /// Most memory, if that is told; it is planned with, not enforced.
+    pub memory: Option<usize>,
+    /// Where it stands.
+    pub at: At,
 }
 
 /// How a customer, its plan and a deadline are read off a request.
@@ -58,6 +62,19 @@
     pub default_plan: usize,
     /// A header that shortens the deadline, believed of trusted peers only.
     pub deadline_header: Option<String>,
+    /// Where it stands.
+    pub at: At,
+}
+
+/// A customer whose plan is in the file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Customer {
+    /// Its name.
+    pub name: String,
+    /// Its plan, by its number.
+    pub plan: usize,
+    /// Where it stands.
+    pub at: At,
 }
 
 /// Where a customer's name comes from.
@@ -92,6 +109,8 @@
     pub read_stall: f64,
     /// An idle connection is closed after this time.
     pub idle: f64,
+    /// No request here has a longer deadline.
+    pub answer_within: f64,
     /// Where it stands.
     pub at: At,
 }
@@ -118,6 +137,15 @@
     Cell,
 }
 
+/// After what a request may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Repeat {
+    /// Only if no attempt can have run.
+    Unsent,
+    /// Also after an attempt that may have run.
+    Sent,
+}
+
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -125,6 +153,8 @@
     pub name: String,
     /// Whether it may run again.
     pub effect: Effect,
+    /// After what its requests may be sent again.
+    pub repeat: Repeat,
     /// The header that carries a keyed request's key.
     pub key_header: String,
     /// An answer within this time is worth all of it.
@@ -203,6 +233,12 @@
     pub declined: Option<(String, String)>,
     /// How cold servers are spared; `None` if they need not be.
     pub cold: Option<Cold>,
+    /// Which of its servers drop each other's repeats, and for how long, if that is told.
+    pub drops_repeats: Option<(Scope, f64)>,
+    /// Whether a second copy of a slow request may be sent while the first is out.
+    pub second_copies: bool,
+    /// Pools that may have servers of this one.
+    pub shares: Vec<String>,
     /// Price of crossing zones, as a share of a request's worth.
     pub cross_zone: f64,
     /// The servers.
@@ -254,6 +290,8 @@
     pub class: usize,
     /// The pool that they go to, by its number.
     pub pool: usize,
+    /// After what they may be sent again: what their class says, or less.
+    pub repeat: Repeat,
     /// Where it stands.
     pub at: At,
 }
--- a/crates/config/src/syntax.rs
+++ b/crates/config/src/syntax.rs
@@ -4,7 +4,8 @@
 use logos::Logos;
 
 #[derive(Logos, Clone, Copy, Debug, PartialEq, Eq)]
-#[logos(skip r"[ \t\r\n]+")]
+// A byte order mark means nothing; editors that write one do so at the start.
+#[logos(skip r"[ \t\r\n\u{FEFF}]+")]
 enum Token {
     #[token("{")]
     Open,
@@ -14,9 +15,9 @@
     End,
     #[regex(r"#[^\n]*", allow_greedy = true)]
     Comment,
-    #[regex(r#""([^"\\\n]|\\[^\n])*""#)]
+    #[regex(r#""([^"\\\n\x00-\x08\x0b-\x1f\x7f]|\\[^\n\x00-\x08\x0b-\x1f\x7f])*""#)]
     Quoted,
-    #[regex(r##"[^ \t\r\n{};#"]+"##)]
+    #[regex(r##"[^\x00-\x20\x7f\u{FEFF}{};#"]+"##)]
     Word,
 }
 
@@ -29,6 +30,8 @@
     pub quoted: bool,
     /// Where it stands.
     pub span: Span,
+    /// Where its value is defined, if a variable stood here.
+    pub defined: Option<Span>,
 }
 
 /// A comment, from `#` to the end of its line.
@@ -64,30 +67,49 @@
 
 /// Deepest nesting of blocks; guards the stack.
 const DEPTH_MOST: usize = 16;
+/// Most words of a statement and most mistakes that are told of a file; they guard the memory.
+const WORDS_MOST: usize = 4096;
+const MISTAKES_MOST: usize = 500;
 
 /// Reads a file. What could be read comes back beside the mistakes.
 pub fn parse(text: &str, file: u32) -> (Block, Vec<Diagnostic>) {
-    let tokens = Token::lexer(text)
-        .spanned()
-        .map(|(token, range)| (token.ok(), Span { file, start: range.start, end: range.end }))
-        .collect();
-    let mut parser = Parser { text, tokens, at: 0, errors: Vec::new() };
+    let lexer = Token::lexer(text);
+    let last = Span { file, start: 0, end: 0 };
+    let mut parser = Parser { text, file, lexer, pushed_back: false, last: (None, last), errors: Vec::new() };
     let block = parser.block(None, 0);
     (block, parser.errors)
 }
 
 struct Parser<'a> {
     text: &'a str,
-    tokens: Vec<(Option<Token>, Span)>,
-    at: usize,
+    file: u32,
+    lexer: logos::Lexer<'a, Token>,
+    /// The last token is to be given once more.
+    pushed_back: bool,
+    last: (Option<Token>, Span),
     errors: Vec<Diagnostic>,
 }
 
 impl Parser<'_> {
     fn next(&mut self) -> Option<(Option<Token>, Span)> {
-        let token = self.tokens.get(self.at).copied();
-        self.at += 1;
-        token
+        if std::mem::take(&mut self.pushed_back) {
+            return Some(self.last);
+        }
+        if self.errors.len() >= MISTAKES_MOST {
+            return None;
+        }
+        let token = self.lexer.next()?.ok();
+        let range = self.lexer.span();
+        self.last = (token, Span { file: self.file, start: range.start, end: range.end });
+        Some(self.last)
+    }
+
+    fn error(&mut self, error: Diagnostic) {
+        self.errors.push(error);
+        if self.errors.len() == MISTAKES_MOST {
+            let what = "too many mistakes; the rest of this file was not read";
+            self.errors.push(Diagnostic::error("IV0007", what, self.last.1, "read up to here"));
+        }
     }
 
     fn text(&self, span: Span) -> &str {
@@ -102,7 +124,7 @@
             let Some((token, span)) = self.next() else {
                 if let Some(opened) = opened {
                     let error = Diagnostic::error("IV0003", "a block is not closed", opened, "opened here");
-                    self.errors.push(error.help("write `}` where the block ends"));
+                    self.error(error.help("write `}` where the block ends"));
                 }
                 break;
             };
@@ -113,7 +135,7 @@
                 Some(Token::Close) if opened.is_some() => break,
                 Some(Token::Close) => {
                     let error = Diagnostic::error("IV0002", "a `}` closes nothing", span, "no block is open");
-                    self.errors.push(error.help("remove it, or look for a `}` too many above"));
+                    self.error(error.help("remove it, or look for a `}` too many above"));
                 }
                 // A stray `;` changes nothing.
                 Some(Token::End) => {}
@@ -124,11 +146,11 @@
                         span,
                         "a word must stand before `{`",
                     );
-                    self.errors.push(error);
+                    self.error(error);
                     self.block(Some(span), depth + 1);
                 }
                 Some(Token::Word | Token::Quoted) | None => {
-                    self.at -= 1;
+                    self.pushed_back = true;
                     let comments = std::mem::take(&mut comments);
                     block.statements.extend(self.statement(comments, depth));
                 }
@@ -148,11 +170,11 @@
             match token {
                 Some(Token::Word) => {
                     let text = self.text(span).to_owned();
-                    words.push(Word { text, quoted: false, span });
+                    words.push(Word { text, quoted: false, span, defined: None });
                 }
                 Some(Token::Quoted) => {
                     let text = self.unquote(span);
-                    words.push(Word { text, quoted: true, span });
+                    words.push(Word { text, quoted: true, span, defined: None });
                 }
                 Some(Token::Comment) => {
                     comments.push(Comment { text: self.text(span).trim_end().to_owned(), span });
@@ -161,35 +183,38 @@
                 Some(Token::Open) => {
                     if depth >= DEPTH_MOST {
                         let what = format!("blocks are nested more than {DEPTH_MOST} deep");
-                        self.errors.push(Diagnostic::error("IV0005", what, span, "this one"));
-                        self.at = self.tokens.len();
+                        self.error(Diagnostic::error("IV0005", what, span, "this one"));
+                        self.lexer.bump(self.lexer.remainder().len());
                         return finish(words, None, comments, Some(span));
                     }
                     let block = self.block(Some(span), depth + 1);
-                    let end = self.tokens.get(self.at - 1).map(|(_, span)| *span);
-                    return finish(words, Some(block), comments, end);
+                    return finish(words, Some(block), comments, Some(self.last.1));
                 }
                 Some(Token::Close) => {
                     // The block ends here all the same, so that what follows is read in its place.
-                    self.at -= 1;
+                    self.pushed_back = true;
                     self.missing_end(&words);
                     return finish(words, None, comments, None);
                 }
                 None => {
                     let what = if self.text(span).starts_with('"') {
-                        "a quoted word is not closed on its line"
+                        "a quoted word is not closed on its line, or holds a control character"
                     } else {
                         "this character has no place here"
                     };
-                    self.errors.push(Diagnostic::error("IV0001", what, span, "from here"));
+                    self.error(Diagnostic::error("IV0001", what, span, "from here"));
                     // The rest of the line can't be told apart.
-                    let line_end = self.text[span.end..].find('\n').map_or(self.text.len(), |n| span.end + n);
-                    while self.tokens.get(self.at).is_some_and(|(_, next)| next.start < line_end) {
-                        self.at += 1;
-                    }
+                    let rest = self.lexer.remainder();
+                    self.lexer.bump(rest.find('\n').unwrap_or(rest.len()));
                     return None;
                 }
             }
+            if words.len() > WORDS_MOST {
+                let what = format!("a statement has more than {WORDS_MOST} words");
+                self.error(Diagnostic::error("IV0008", what, words[0].span, "this one"));
+                self.lexer.bump(self.lexer.remainder().len());
+                return None;
+            }
         }
     }
 
@@ -197,7 +222,7 @@
         if let Some(last) = words.last() {
             let error =
                 Diagnostic::error("IV0006", "a statement is not ended", last.span, "`;` expected after this");
-            self.errors.push(error);
+            self.error(error);
         }
     }
 
--- /dev/null
+++ b/crates/files/src/lib.rs
@@ -0,0 +1,152 @@
+//! Reads configurations from disk.
+//!
+//! Called by the command line and the sidecar's process, so that `check` and `serve` read alike. It must not
+//! know what a file says.
+
+use ivygate_config::{load_with, Loaded, Loader};
+use std::fs::{File, Metadata, OpenOptions};
+use std::io::{self, Read};
+use std::path::{Path, PathBuf};
+
+/// Largest file that is read.
+pub const FILE_MOST: u64 = 16 << 20;
+/// How often a file that changes while it is read is read anew.
+const TRIES: usize = 3;
+
+/// Why a file cannot be read.
+#[derive(Debug)]
+pub struct Unreadable {
+    /// Its name.
+    pub name: String,
+    /// Why, in words.
+    pub why: String,
+}
+
+impl std::fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "cannot read {}: {}", self.name, self.why)
+    }
+}
+
+impl std::error::Error for Unreadable {}
+
+/// Reads and checks a configuration with all that it includes; `-` is standard input.
+///
+/// # Errors
+/// If the first file cannot be read; what is wrong with others is a finding at their include.
+pub fn load(path: &Path) -> Result<Loaded, Unreadable> {
+    let bytes = read(path)?;
+    Ok(load_with(&path.display().to_string(), &bytes, &Disk))
+}
+
+/// One file's bytes; `-` is standard input.
+///
+/// # Errors
+/// If it cannot be read, is no plain file, is too large, or does not stay the same while it is read.
+pub fn read(path: &Path) -> Result<Vec<u8>, Unreadable> {
+    let fail = |why: String| Unreadable { name: path.display().to_string(), why };
+    if path == Path::new("-") {
+        let mut bytes = Vec::new();
+        io::stdin().lock().take(FILE_MOST + 1).read_to_end(&mut bytes).map_err(|e| fail(e.to_string()))?;
+        return if bytes.len() as u64 > FILE_MOST { Err(fail(too_large())) } else { Ok(bytes) };
+    }
+    plain(path).map_err(fail)
+}
+
+fn too_large() -> String {
+    format!("it has more than {} MiB", FILE_MOST >> 20)
+}
+
+fn plain(path: &Path) -> Result<Vec<u8>, String> {
+    for _ in 0..TRIES {
+        let file = open(path).map_err(|error| error.to_string())?;
+        let before = file.metadata().map_err(|error| error.to_string())?;
+        if !before.is_file() {
+            return Err("it is no plain file".to_owned());
+        }
+        if before.len() > FILE_MOST {
+            return Err(too_large());
+        }
+        let mut bytes = Vec::with_capacity(before.len() as usize);
+        (&file).take(FILE_MOST + 1).read_to_end(&mut bytes).map_err(|error| error.to_string())?;
+        let after = file.metadata().map_err(|error| error.to_string())?;
+        // One that is being written in place would else be taken in half: it may parse all the same.
+        if same(&before, &after) && bytes.len() as u64 == after.len() {
+            return Ok(bytes);
+        }
+    }
+    Err("it changes while it is read".to_owned())
+}
+
+fn same(before: &Metadata, after: &Metadata) -> bool {
+    before.len() == after.len() && before.modified().ok() == after.modified().ok()
+}
+
+/// Opens without waiting for the other side of a pipe.
+fn open(path: &Path) -> io::Result<File> {
+    let mut options = OpenOptions::new();
+    options.read(true);
+    #[cfg(target_os = "linux")]
+    {
+        use std::os::unix::fs::OpenOptionsExt;
+        /// O_NONBLOCK, of the same value on all of Linux's architectures but MIPS, Alpha and SPARC.
+        const NONBLOCK: i32 = 0o4000;
+        options.custom_flags(NONBLOCK);
+    }
+    options.open(path)
+}
+
+/// The files of this machine.
+pub struct Disk;
+
+impl Loader for Disk {
+    fn find(&self, from: &str, pattern: &str) -> Result<Vec<String>, String> {
+        let base = Path::new(from).parent().unwrap_or(Path::new(""));
+        let path = base.join(pattern);
+        if !pattern.contains(['*', '?', '[']) {
+            // Told by its real name, so that a circle through other spellings or links is seen.
+            let real = path.canonicalize().map_err(|error| error.to_string())?;
+            return Ok(vec![shown(&path, &real, from)]);
+        }
+        // Only what the pattern says may be a wildcard, not what the folder's name happens to hold.
+        let whole = match base.as_os_str().is_empty() || Path::new(pattern).is_absolute() {
+            true => pattern.to_owned(),
+            false => {
+                let base = base.to_str().ok_or("the folder's name is not UTF-8")?;
+                format!("{}/{pattern}", glob::Pattern::escape(base))
+            }
+        };
+        let mut names = Vec::new();
+        for entry in glob::glob(&whole).map_err(|error| error.to_string())? {
+            let path: PathBuf = entry.map_err(|error| error.to_string())?;
+            // Hidden files are editors' and package managers' own.
+            let hidden = path.file_name().is_some_and(|name| name.to_string_lossy().starts_with('.'));
+            if !hidden && !path.is_dir() {
+                let real = path.canonicalize().map_err(|error| format!("{}: {error}", path.display()))?;
+                names.push(shown(&path, &real, from));
+            }
+        }
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> Result<Vec<u8>, String> {
+        plain(Path::new(name))
+    }
+}
+
+/// The name by which a file is told. Where the path is a link to another place, or climbs, that is its real
+/// name; else it is as written, which is shorter.
+fn shown(path: &Path, real: &Path, from: &str) -> String {
+    let plain_parts = path.components().all(|part| part != std::path::Component::ParentDir);
+    let start = Path::new(from)
+        .parent()
+        .and_then(|p| if p.as_os_str().is_empty() { Path::new(".") } else { p }.canonicalize().ok());
+    let under = start.is_some_and(|start| real.strip_prefix(&start).is_ok_and(|rest| path.ends_with(rest)));
+    if plain_parts && under {
+        let normal: PathBuf =
+            path.components().filter(|part| *part != std::path::Component::CurDir).collect();
+        normal.display().to_string()
+    } else {
+        real.display().to_string()
+    }
+}
--- a/crates/ivygate/src/demo.rs
+++ b/crates/ivygate/src/demo.rs
@@ -21,7 +21,7 @@
     ] {
         text = text.replace(place, &app.address.to_string());
     }
-    let unwritten = |error| StartError::Unreadable(write.display().to_string(), error);
+    let unwritten = |error| StartError::Unwritable(write.display().to_string(), error);
     std::fs::write(write, &text).map_err(unwritten)?;
     let listen = text.lines().find_map(|l| l.strip_prefix("listen ")).and_then(|l| l.split(' ').next());
     let base = format!("http://{}", listen.unwrap_or_default());
--- a/crates/ivygate/src/main.rs
+++ b/crates/ivygate/src/main.rs
@@ -2,10 +2,15 @@
 //!
 //! It reads arguments and files, and words what the other packages say; it must never decide anything else.
 
+mod check;
+mod compare;
 mod demo;
+mod format;
+mod new;
 mod routes;
 
-use clap::{Parser, Subcommand};
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use ivygate_config::{Loaded, Severity};
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -27,8 +32,52 @@
     },
     /// Check a configuration and say what is wrong with it
     Check {
-        /// The configuration
+        /// The configuration; `-` for standard input
         file: PathBuf,
+        /// For people, or as one JSON document for editors and other programs
+        #[arg(long, value_enum, default_value_t = Form::Text)]
+        format: Form,
+    },
+    /// Explain a code such as IV0021
+    Explain {
+        /// The code
+        #[arg(required_unless_present = "all")]
+        code: Option<String>,
+        /// All codes, as the reference's page
+        #[arg(long)]
+        all: bool,
+    },
+    /// Lay configurations out in the one way; included files are named one by one
+    Fmt {
+        /// The files; `-` reads standard input and writes standard output
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Change nothing; end with 1 if something would change
+        #[arg(long)]
+        check: bool,
+        /// Change nothing; show what would change
+        #[arg(long)]
+        diff: bool,
+    },
+    /// Show what a new configuration does differently from an old one; ends with 1 if anything
+    Diff {
+        /// The old one
+        old: PathBuf,
+        /// The new one
+        new: PathBuf,
+        /// For people, or as JSON
+        #[arg(long, value_enum, default_value_t = Form::Text)]
+        format: Form,
+    },
+    /// Write a configuration for an application; asks on a terminal where nothing is told
+    New(new::Options),
+    /// The language's statements, units and codes as JSON, for editors
+    Keywords,
+    /// A shell's completions for this program
+    Completions {
+        /// The shell
+        #[arg(value_enum)]
+        shell: clap_complete::Shell,
     },
     /// Show the routes in the order in which they are tried, or which one takes a request and why
     Routes {
@@ -48,6 +97,15 @@
     },
 }
 
+/// How results are shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Form {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
 /// The system's allocator took a tenth of the processor time of a request.
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -65,7 +123,19 @@
     }
     match Cli::parse().command {
         Command::Serve { file } => served(ivygate_sidecar::run(&file)),
-        Command::Check { file } => check(&file),
+        Command::Check { file, format } => check::run(&file, format),
+        Command::Explain { code, all } => check::explain(code.as_deref().filter(|_| !all)),
+        Command::Fmt { files, check, diff } => format::run(&files, check, diff),
+        Command::Diff { old, new, format } => compare::run(&old, &new, format),
+        Command::New(options) => new::run(&options),
+        Command::Keywords => {
+            println!("{}", ivygate_tool::keywords());
+            ExitCode::SUCCESS
+        }
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "ivygate", &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
         Command::Routes { file, method, url } => routes::show(&file, method.as_deref().zip(url.as_deref())),
         Command::Demo { write } => served(demo::run(&write)),
     }
@@ -95,33 +165,22 @@
     }
 }
 
-/// Reads a configuration's file; what is wrong with it goes to standard error.
-fn load(file: &Path) -> Result<ivygate_config::Loaded, ExitCode> {
-    let text = std::fs::read_to_string(file).map_err(|error| {
-        eprintln!("ivygate: cannot read {}: {error}", file.display());
-        ExitCode::from(MISUSED)
-    })?;
-    let loaded = ivygate_config::load(&file.display().to_string(), &text);
-    eprint!("{}", loaded.report(std::io::stderr().is_terminal()));
+/// Reads a configuration; what is found goes to standard error.
+fn load(file: &Path) -> Result<Loaded, ExitCode> {
+    let loaded = load_quietly(file)?;
+    eprint!("{}", worded(&loaded, Severity::Note));
     Ok(loaded)
 }
 
-fn check(file: &Path) -> ExitCode {
-    let loaded = match load(file) {
-        Ok(loaded) => loaded,
-        Err(code) => return code,
-    };
-    match &loaded.model {
-        Some(model) => {
-            println!(
-                "{}: {} routes to {} pools, {} warnings",
-                file.display(),
-                model.routes.len(),
-                model.pools.len(),
-                loaded.findings.len()
-            );
-            ExitCode::SUCCESS
-        }
-        None => ExitCode::from(MISUSED),
-    }
+/// Reads a configuration.
+fn load_quietly(file: &Path) -> Result<Loaded, ExitCode> {
+    ivygate_files::load(file).map_err(|error| {
+        eprintln!("ivygate: {error}");
+        ExitCode::from(MISUSED)
+    })
+}
+
+/// What was found, for standard error.
+fn worded(loaded: &Loaded, least: Severity) -> String {
+    loaded.report(least, std::io::stderr().is_terminal())
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,9 +4,11 @@
 //! of pools or classes: a route is a number here. What is matched is what is sent on, so that no server can
 //! read another path into a request than the one that was judged.
 
+mod regions;
 mod table;
 mod target;
 
+pub use regions::{regions, Request, TooMany};
 pub use table::{
     BuildError, Claim, Conflict, Found, Host, Methods, Overlap, PathClaim, PatternError, Reason, Segment,
     Table,
--- /dev/null
+++ b/crates/routing/src/regions.rs
@@ -0,0 +1,341 @@
+//! One request for each region of requests that tables cannot tell apart.
+//!
+//! What a table finds depends on the host only through the hosts and suffixes that claims name, on the path only
+//! through the nodes that its segments lead to, and on the method only through the lists that name it. So a
+//! request for each reachable set of nodes, with each of the named segments, one that no claim names, and an
+//! empty one behind it, stands for all. Nothing is sampled: two tables are equal if they agree on these.
+
+use crate::table::{Found, Host, Methods, Table};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most requests that are looked at.
+const MOST: usize = 4_000_000;
+
+/// There are more regions than are looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TooMany;
+
+/// A request that stands for its region.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Its host.
+    pub host: &'a str,
+    /// Its path.
+    pub path: &'a str,
+    /// Its method.
+    pub method: &'a str,
+}
+
+/// Shows one request of each region.
+///
+/// # Errors
+/// If there are too many.
+pub fn regions(tables: &[&Table], mut visit: impl FnMut(Request)) -> Result<(), TooMany> {
+    let methods = methods(tables);
+    let fresh = fresh(tables);
+    let children: Vec<Vec<Vec<u32>>> = tables.iter().map(|t| t.children_of()).collect();
+    let mut walk =
+        Walk { tables, children: &children, methods: &methods, fresh: &fresh, visit: &mut visit, left: MOST };
+    let mut hosts: BTreeSet<String> = BTreeSet::new();
+    for claim in tables.iter().flat_map(|t| t.claims()) {
+        match &claim.host {
+            Host::Exact(host) => hosts.insert(host.clone()),
+            Host::Suffix(suffix) => hosts.insert(format!("{fresh}.{suffix}")),
+            Host::Any => false,
+        };
+    }
+    hosts.insert(fresh.clone());
+    for host in hosts {
+        let mut active = Vec::new();
+        for (number, table) in tables.iter().enumerate() {
+            let (own, any) = table.roots_of(&host);
+            active.extend(own.into_iter().map(|node| At { table: number, node, own: true }));
+            active.extend(any.map(|node| At { table: number, node, own: false }));
+        }
+        walk.below(&host, &mut String::new(), active, host == fresh)?;
+    }
+    Ok(())
+}
+
+/// A method of each group that all lists name together, and one that none names.
+fn methods(tables: &[&Table]) -> Vec<String> {
+    let lists: BTreeSet<Vec<&str>> = tables
+        .iter()
+        .flat_map(|t| t.claims())
+        .filter_map(|claim| match &claim.methods {
+            Methods::Any => None,
+            Methods::Named(names) => Some(names.iter().map(String::as_str).collect()),
+        })
+        .collect();
+    let mut groups: BTreeMap<Vec<usize>, &str> = BTreeMap::new();
+    for name in lists.iter().flatten() {
+        let within =
+            lists.iter().enumerate().filter(|(_, list)| list.contains(name)).map(|(n, _)| n).collect();
+        groups.entry(within).or_insert(name);
+    }
+    let mut methods: Vec<String> = groups.into_values().map(str::to_owned).collect();
+    let mut other = "OTHER".to_owned();
+    while lists.iter().flatten().any(|name| *name == other) {
+        other.push('-');
+    }
+    methods.push(other);
+    methods
+}
+
+/// A segment, and a label of hosts, that no claim names.
+fn fresh(tables: &[&Table]) -> String {
+    let mut fresh = "other".to_owned();
+    let named = |text: &str| {
+        let hosts = |host: &Host| match host {
+            Host::Exact(host) | Host::Suffix(host) => host.split('.').any(|label| label == text),
+            Host::Any => false,
+        };
+        tables.iter().any(|t| t.has_segment(text) || t.claims().iter().any(|claim| hosts(&claim.host)))
+    };
+    while named(&fresh) {
+        fresh.push('-');
+        fresh.push('x');
+    }
+    fresh
+}
+
+/// A node that a path has led to.
+#[derive(Clone, Copy)]
+struct At {
+    table: usize,
+    node: u32,
+    /// It stands below the host's own name or suffix, and not below that for all hosts.
+    own: bool,
+}
+
+struct Walk<'a, F> {
+    tables: &'a [&'a Table],
+    children: &'a [Vec<Vec<u32>>],
+    methods: &'a [String],
+    fresh: &'a str,
+    visit: &'a mut F,
+    left: usize,
+}
+
+impl<F: FnMut(Request)> Walk<'_, F> {
+    fn below(
+        &mut self,
+        host: &str,
+        path: &mut String,
+        active: Vec<At>,
+        any_host: bool,
+    ) -> Result<(), TooMany> {
+        let length = path.len();
+        if length > 0 {
+            self.show(host, path)?;
+        }
+        path.push('/');
+        self.show(host, path)?;
+        path.push_str(self.fresh);
+        self.show(host, path)?;
+        let leave = !any_host && !active.iter().any(|at| at.own) && self.settled(host, path);
+        path.truncate(length);
+        if leave {
+            return Ok(());
+        }
+        let mut literals: BTreeSet<&str> = BTreeSet::new();
+        for at in &active {
+            let table = self.tables[at.table];
+            literals.extend(self.children[at.table][at.node as usize].iter().map(|n| table.segment(*n)));
+        }
+        literals.remove("");
+        let wild: Vec<At> = active
+            .iter()
+            .filter_map(|at| Some(At { node: self.tables[at.table].any_of(at.node)?, ..*at }))
+            .collect();
+        for literal in literals {
+            let mut next: Vec<At> = active
+                .iter()
+                .filter_map(|at| Some(At { node: self.tables[at.table].child(at.node, literal)?, ..*at }))
+                .collect();
+            next.extend(&wild);
+            path.push('/');
+            path.push_str(literal);
+            self.below(host, path, next, any_host)?;
+            path.truncate(length);
+        }
+        if !wild.is_empty() {
+            path.push('/');
+            path.push_str(self.fresh);
+            self.below(host, path, wild, any_host)?;
+            path.truncate(length);
+        }
+        Ok(())
+    }
+
+    /// Whether below this path, where no node of the host's own is left, the tables agree on what the host's
+    /// own prefixes have caught. What they leave is the same for hosts that no claim names, and is seen there.
+    fn settled(&self, host: &str, path: &str) -> bool {
+        self.methods.iter().all(|method| {
+            let mut own = self.tables.iter().map(|table| match table.find(host, path, method) {
+                Found::Route(number, _) => table.claims()[number].host != Host::Any,
+                _ => false,
+            });
+            let first = own.next();
+            own.all(|other| Some(other) == first)
+        })
+    }
+
+    fn show(&mut self, host: &str, path: &str) -> Result<(), TooMany> {
+        for method in self.methods {
+            self.left = self.left.checked_sub(1).ok_or(TooMany)?;
+            (self.visit)(Request { host, path, method });
+        }
+        Ok(())
+    }
+}
+
+impl Table {
+    /// Routes that no request reaches, and those that take what they claim.
+    pub fn unreachable(&self) -> Vec<(usize, Vec<usize>)> {
+        let mut reached = vec![false; self.claims().len()];
+        let all = regions(&[self], |request| {
+            if let Found::Route(number, _) = self.find(request.host, request.path, request.method) {
+                reached[number] = true;
+            }
+        });
+        if all.is_err() {
+            // Not known; a route is never called useless on a guess.
+            return Vec::new();
+        }
+        let unreached =
+            reached.iter().enumerate().filter(|(_, reached)| !**reached).map(|(number, _)| number);
+        unreached.map(|number| (number, self.takers(number))).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::table::{Claim, PathClaim};
+
+    fn claim(host: &str, path: &str, methods: &str) -> Claim {
+        let (kind, path) = path.split_once(' ').unwrap();
+        let path = match kind {
+            "exact" => PathClaim::exact(path),
+            "prefix" => PathClaim::prefix(path),
+            _ => PathClaim::pattern(path),
+        };
+        let methods = match methods {
+            "" => Methods::Any,
+            names => Methods::Named(names.split(' ').map(str::to_owned).collect()),
+        };
+        Claim { host: Host::parse(host).unwrap(), path: path.unwrap(), methods }
+    }
+
+    fn table(claims: &[(&str, &str, &str)]) -> Table {
+        Table::build(claims.iter().map(|(h, p, m)| claim(h, p, m)).collect()).unwrap()
+    }
+
+    fn unreachable(claims: &[(&str, &str, &str)]) -> Vec<(usize, Vec<usize>)> {
+        table(claims).unreachable()
+    }
+
+    #[test]
+    fn a_pattern_behind_a_wider_one_is_never_reached() {
+        let claims = [("*", "pattern /a/**", ""), ("*", "pattern /a/*/b", "")];
+        assert_eq!(unreachable(&claims), [(1, vec![0])]);
+        let claims = [("*", "pattern /a/*/b", ""), ("*", "pattern /a/**", "")];
+        assert_eq!(unreachable(&claims), []);
+    }
+
+    #[test]
+    fn a_pattern_that_several_others_cover_together_is_never_reached() {
+        let claims =
+            [("*", "prefix /a", "GET"), ("*", "pattern /a/*", "POST PUT"), ("*", "pattern /a/x", "GET POST")];
+        assert_eq!(unreachable(&claims), [(2, vec![0, 1])]);
+    }
+
+    #[test]
+    fn an_any_method_route_is_reached_by_methods_that_no_list_names() {
+        assert_eq!(unreachable(&[("*", "exact /a", "GET"), ("*", "exact /a", "")]), []);
+    }
+
+    #[test]
+    fn a_pattern_under_a_prefix_of_the_same_host_is_never_reached_and_under_that_of_another_is() {
+        assert_eq!(unreachable(&[("h", "prefix /a", ""), ("h", "pattern /a/*", "")]), [(1, vec![0])]);
+        assert_eq!(unreachable(&[("h", "prefix /a", ""), ("*", "pattern /a/*", "")]), []);
+    }
+
+    #[test]
+    fn a_route_for_all_hosts_is_reached_through_hosts_that_no_claim_names() {
+        assert_eq!(
+            unreachable(&[("*.x", "prefix /", ""), ("a.x", "prefix /", ""), ("*", "prefix /", "")]),
+            []
+        );
+    }
+
+    /// A table at random, of few names so that its claims meet.
+    fn random(rng: &mut fastrand::Rng) -> Table {
+        let mut claims = Vec::new();
+        for _ in 0..rng.usize(1..8) {
+            let host = ["*", "*.x", "a.x", "b.a.x", "h"][rng.usize(..5)];
+            let mut path = String::new();
+            for _ in 0..rng.usize(0..4) {
+                path += ["/a", "/b", "/c"][rng.usize(..3)];
+            }
+            let kind = ["exact", "prefix", "pattern"][rng.usize(..3)];
+            if kind == "pattern" {
+                path = path.replace("/c", "/*") + ["", "/**"][rng.usize(..2)];
+            }
+            path += if path.is_empty() || (kind != "pattern" && rng.u8(..4) == 0) { "/" } else { "" };
+            claims.push(claim(
+                host,
+                &format!("{kind} {path}"),
+                ["", "GET", "GET POST", "POST"][rng.usize(..4)],
+            ));
+            if Table::build(claims.clone()).is_err() {
+                claims.pop();
+            }
+        }
+        Table::build(claims).unwrap()
+    }
+
+    /// The claim that takes a request, whatever its number.
+    fn taken<'a>(table: &'a Table, host: &str, path: &str, method: &str) -> Option<&'a Claim> {
+        match table.find(host, path, method) {
+            Found::Route(number, _) => Some(&table.claims()[number]),
+            _ => None,
+        }
+    }
+
+    #[test]
+    fn requests_at_random_never_find_a_difference_or_a_route_that_regions_miss() {
+        let mut rng = fastrand::Rng::with_seed(11);
+        let mut differences = 0;
+        for _ in 0..2000 {
+            let (old, new) = (random(&mut rng), random(&mut rng));
+            let mut pairs = BTreeSet::new();
+            let pair = |host: &str, path: &str, method: &str| {
+                format!("{:?} {:?}", taken(&old, host, path, method), taken(&new, host, path, method))
+            };
+            regions(&[&old, &new], |r| {
+                pairs.insert(pair(r.host, r.path, r.method));
+            })
+            .unwrap();
+            for _ in 0..60 {
+                let host = ["x", "z.x", "a.x", "b.a.x", "c.a.x", "h", "i", ""][rng.usize(..8)];
+                let mut path = String::new();
+                for _ in 0..rng.usize(0..6) {
+                    path += ["/a", "/b", "/c", "/d"][rng.usize(..4)];
+                }
+                path += if path.is_empty() || rng.bool() { "/" } else { "" };
+                let method = ["GET", "POST", "PUT"][rng.usize(..3)];
+                let seen = pair(host, &path, method);
+                assert!(
+                    pairs.contains(&seen),
+                    "{method} {host}{path}: {seen}\n{:?}\n{:?}",
+                    old.claims(),
+                    new.claims()
+                );
+                differences += 1;
+            }
+        }
+        assert!(differences > 0);
+    }
+}
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -29,6 +29,15 @@
             None => host_of(text).map(Host::Exact),
         }
     }
+
+    /// A host that it claims and that hardly any other claim names.
+    fn sample(&self) -> String {
+        match self {
+            Host::Exact(host) => host.clone(),
+            Host::Suffix(suffix) => format!("~~.{suffix}"),
+            Host::Any => "~~".to_owned(),
+        }
+    }
 }
 
 impl fmt::Display for Host {
@@ -435,7 +444,7 @@
         self.hasher.hash_one((parent, segment))
     }
 
-    fn child(&self, parent: u32, segment: &str) -> Option<u32> {
+    pub(crate) fn child(&self, parent: u32, segment: &str) -> Option<u32> {
         let is = |n: &u32| {
             let node = &self.nodes[*n as usize];
             node.parent == parent && *node.segment == *segment
@@ -519,11 +528,7 @@
     pub fn overlaps(&self) -> Vec<Overlap> {
         let mut overlaps = Vec::new();
         for (number, claim) in self.claims.iter().enumerate() {
-            let host = match &claim.host {
-                Host::Exact(host) => host.clone(),
-                Host::Suffix(suffix) => format!("~~.{suffix}"),
-                Host::Any => "~~".to_owned(),
-            };
+            let host = claim.host.sample();
             let path = claim.path.sample();
             let names = match &claim.methods {
                 Methods::Any => vec!["~~".to_owned()],
@@ -547,6 +552,61 @@
         overlaps
     }
 
+    /// For each node, the children that a literal segment leads to.
+    pub(crate) fn children_of(&self) -> Vec<Vec<u32>> {
+        let mut children = vec![Vec::new(); self.nodes.len()];
+        for (number, node) in self.nodes.iter().enumerate() {
+            let number = number as u32;
+            if node.parent != u32::MAX && self.nodes[node.parent as usize].any != Some(number) {
+                children[node.parent as usize].push(number);
+            }
+        }
+        children
+    }
+
+    pub(crate) fn segment(&self, node: u32) -> &str {
+        &self.nodes[node as usize].segment
+    }
+
+    pub(crate) fn any_of(&self, node: u32) -> Option<u32> {
+        self.nodes[node as usize].any
+    }
+
+    pub(crate) fn has_segment(&self, text: &str) -> bool {
+        self.nodes.iter().any(|node| *node.segment == *text)
+    }
+
+    /// The nodes at which a look-up for a host begins: below its own name and suffixes, and below that for all.
+    pub(crate) fn roots_of(&self, host: &str) -> (Vec<u32>, Option<u32>) {
+        let mut own: Vec<u32> = self.exact.get(host).copied().into_iter().collect();
+        let mut rest = host;
+        while let Some((_, suffix)) = rest.split_once('.') {
+            own.extend(self.suffix.get(suffix));
+            rest = suffix;
+        }
+        let start = |root: u32| self.roots[root as usize];
+        (own.into_iter().map(start).collect(), self.any.map(start))
+    }
+
+    /// The routes that take what a route claims, before it.
+    pub(crate) fn takers(&self, number: usize) -> Vec<usize> {
+        let claim = &self.claims[number];
+        let host = claim.host.sample();
+        let names = match &claim.methods {
+            Methods::Any => vec!["~~".to_owned()],
+            Methods::Named(names) => names.clone(),
+        };
+        let mut takers = Vec::new();
+        for method in names {
+            if let Found::Route(taker, _) = self.find(&host, &claim.path.sample(), &method) {
+                if taker != number && !takers.contains(&taker) {
+                    takers.push(taker);
+                }
+            }
+        }
+        takers
+    }
+
     /// Bytes that the table holds, without those of the claims.
     pub fn memory(&self) -> usize {
         let lists = |e: &Ends| [&e.exact, &e.prefix, &e.below, &e.pattern, &e.tail].map(Vec::capacity);
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -123,6 +123,7 @@
                     duration(text).ok_or_else(|| bad("the deadline is malformed"))?.min(route.deadline)
                 }
             };
+            let wait = wait.min(listener.answer_within);
             let class = class(route, &parts)?;
             let (payload, bytes) = match upload::read(body, &route.pool, millis(listener.body_stall)).await {
                 Ok(read) => read,
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -11,8 +11,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// What is added to a keyed class's name for its requests that come without a key: nobody drops their repeats.
-const UNKEYED: &str = " (no key)";
+/// What is added to a class's name for its requests that must not run twice all the same: those of a keyed class
+/// that come without a key, since nobody drops their repeats, and those of a route that says so.
+const ONCE: &str = " (once)";
 /// Longest advice to stay away.
 const RETRY_AFTER_MOST: Millis = 60_000.0;
 
@@ -32,7 +33,7 @@
 
 #[derive(Clone, PartialEq)]
 struct Basis {
-    classes: Vec<config::Class>,
+    classes: Vec<(config::Class, bool)>,
     plans: Vec<config::Plan>,
     /// Without its servers.
     pool: config::Pool,
@@ -44,9 +45,18 @@
     bytes: Cell<usize>,
 }
 
-/// A class's name for requests without a key.
-pub fn unkeyed(class: &str) -> String {
-    format!("{class}{UNKEYED}")
+/// A class's name for those of its requests that must not run twice.
+pub fn once(class: &str) -> String {
+    format!("{class}{ONCE}")
+}
+
+/// A class as a pool serves it.
+#[derive(Clone, Copy)]
+pub struct Served<'a> {
+    /// The class.
+    pub class: &'a config::Class,
+    /// Whether some of its requests must not run twice.
+    pub once: bool,
 }
 
 impl Pool {
@@ -56,7 +66,7 @@
     /// If the decision module cannot act on its settings.
     pub fn start(
         pool: &config::Pool,
-        classes: &[&config::Class],
+        classes: &[Served],
         plans: &[config::Plan],
         clock: Clock,
     ) -> Result<Rc<Self>, String> {
@@ -96,7 +106,7 @@
     pub fn carried_on(
         &self,
         pool: &config::Pool,
-        classes: &[&config::Class],
+        classes: &[Served],
         plans: &[config::Plan],
     ) -> Option<Rc<Self>> {
         let basis = Basis::new(pool, classes, plans);
@@ -143,9 +153,9 @@
 }
 
 impl Basis {
-    fn new(pool: &config::Pool, classes: &[&config::Class], plans: &[config::Plan]) -> Self {
+    fn new(pool: &config::Pool, classes: &[Served], plans: &[config::Plan]) -> Self {
         Self {
-            classes: classes.iter().map(|c| (*c).clone()).collect(),
+            classes: classes.iter().map(|c| (c.class.clone(), c.once)).collect(),
             plans: plans.to_vec(),
             pool: config::Pool { servers: Vec::new(), ..pool.clone() },
         }
@@ -187,10 +197,11 @@
     }
 }
 
-fn settings(pool: &config::Pool, classes: &[&config::Class], plans: &[config::Plan]) -> Settings {
+fn settings(pool: &config::Pool, classes: &[Served], plans: &[config::Plan]) -> Settings {
     let mut all = Vec::new();
-    for class in classes {
+    for Served { class, once: some_once } in classes {
         let (effect, key_window) = match class.effect {
+            _ if class.repeat == config::Repeat::Unsent => (Effect::Unsafe, 0.0),
             config::Effect::Safe => (Effect::Safe, 0.0),
             config::Effect::Unsafe => (Effect::Unsafe, 0.0),
             config::Effect::Keyed(scope, window) => {
@@ -212,9 +223,9 @@
             first_work: Some(class.work),
             key_window,
         };
-        if let Effect::Keyed(_) = effect {
+        if *some_once {
             all.push(Class {
-                name: unkeyed(&class.name),
+                name: once(&class.name),
                 effect: Effect::Unsafe,
                 key_window: 0.0,
                 ..made.clone()
@@ -230,7 +241,7 @@
         classes: all,
         plans: plans.iter().map(plan).collect(),
         max_attempts: pool.attempts,
-        hedging: false,
+        hedging: pool.second_copies,
         // A pool of unsafe requests only would else never learn that an ejected server is back.
         probing: true,
         trial: true,
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -2,7 +2,8 @@
 
 use crate::front::{Shared, SidecarFront};
 use crate::site::Site;
-use ivygate_config::{Listener, Loaded, Model};
+use ivygate_config::{Listener, Model, Severity};
+use ivygate_files::Unreadable;
 use ivygate_runtime::{listen, millis, ClientLimits, Clients, Clock};
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -20,7 +21,9 @@
 #[derive(Debug)]
 pub enum StartError {
     /// The configuration's file can't be read.
-    Unreadable(String, std::io::Error),
+    Unreadable(Unreadable),
+    /// A file can't be written.
+    Unwritable(String, std::io::Error),
     /// It can't be used; the report says where and why.
     Configuration(String),
     /// An address can't be listened on.
@@ -37,14 +40,15 @@
 
     /// Whether the configuration is to blame, rather than a fault at run time.
     pub fn is_configuration(&self) -> bool {
-        matches!(self, StartError::Unreadable(..) | StartError::Configuration(_))
+        matches!(self, StartError::Unreadable(_) | StartError::Configuration(_))
     }
 }
 
 impl fmt::Display for StartError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            StartError::Unreadable(path, error) => write!(f, "cannot read {path}: {error}"),
+            StartError::Unreadable(error) => error.fmt(f),
+            StartError::Unwritable(path, error) => write!(f, "cannot write {path}: {error}"),
             StartError::Configuration(report) => f.write_str(report.trim_end()),
             StartError::Listen(address, error) => write!(f, "cannot listen on {address}: {error}"),
             StartError::System(error) => error.fmt(f),
@@ -188,10 +192,8 @@
 
 /// Reads and checks a file; warnings go to standard error.
 fn load(path: &Path) -> Result<Model, StartError> {
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| StartError::Unreadable(name.clone(), error))?;
-    let loaded: Loaded = ivygate_config::load(&name, &text);
-    let report = loaded.report(std::io::stderr().is_terminal());
+    let loaded = ivygate_files::load(path).map_err(StartError::Unreadable)?;
+    let report = loaded.report(Severity::Warning, std::io::stderr().is_terminal());
     match loaded.model {
         Some(model) => {
             eprint!("{report}");
--- a/crates/sidecar/src/site.rs
+++ b/crates/sidecar/src/site.rs
@@ -1,8 +1,8 @@
 //! One configuration at work: its table, its routes, its pools. Requests end under the site they began with.
 
-use crate::pool::{unkeyed, Pool};
+use crate::pool::{once, Pool, Served};
 use hyper::header::HeaderName;
-use ivygate_config::{Effect, Identity, Model};
+use ivygate_config::{Class, Effect, Identity, Model, Repeat};
 use ivygate_routing::{Found, Table};
 use ivygate_runtime::Clock;
 use std::collections::{BTreeSet, HashMap};
@@ -43,6 +43,16 @@
     pub pool: Rc<Pool>,
 }
 
+/// Whether repeats depend on a key.
+fn is_keyed(class: &Class) -> bool {
+    matches!(class.effect, Effect::Keyed(..)) && class.repeat == Repeat::Sent
+}
+
+/// Whether a route's requests may be repeated after less than its class says.
+fn narrows(route: &ivygate_config::Route, class: &Class) -> bool {
+    route.repeat < class.repeat
+}
+
 impl Site {
     /// Puts a configuration to work. Pools that another site has unchanged, but for their servers, carry on;
     /// nothing happens to them before [`Self::begin`].
@@ -60,7 +70,12 @@
                 // No route leads there.
                 continue;
             }
-            let classes: Vec<_> = used.into_iter().map(|class| &model.classes[class]).collect();
+            let served = |number: usize| {
+                let class = &model.classes[number];
+                let narrowed = |r: &&ivygate_config::Route| r.class == number && narrows(r, class);
+                Served { class, once: is_keyed(class) || model.routes.iter().any(|r| narrowed(&r)) }
+            };
+            let classes: Vec<Served> = used.into_iter().map(served).collect();
             let old = before.and_then(|site| site.pools.get(&pool.name));
             let pool = match old.and_then(|old| old.carried_on(pool, &classes, &model.plans)) {
                 Some(pool) => pool,
@@ -71,18 +86,17 @@
         }
         let route = |route: &ivygate_config::Route| -> Result<Route, String> {
             let class = &model.classes[route.class];
-            let key = match class.effect {
-                Effect::Keyed(..) => {
-                    let header =
-                        HeaderName::try_from(&class.key_header).map_err(|error| error.to_string())?;
-                    Some((unkeyed(&class.name).into(), header))
-                }
-                _ => None,
+            let narrows = narrows(route, class);
+            let key = if is_keyed(class) && !narrows {
+                let header = HeaderName::try_from(&class.key_header).map_err(|error| error.to_string())?;
+                Some((once(&class.name).into(), header))
+            } else {
+                None
             };
             Ok(Route {
-                class: class.name.as_str().into(),
+                class: if narrows { once(&class.name).into() } else { class.name.as_str().into() },
                 unkeyed: key,
-                once: class.effect == Effect::Unsafe,
+                once: route.repeat == Repeat::Unsent,
                 deadline: class.deadline,
                 upload: class.upload,
                 units: class.units,
@@ -95,7 +109,7 @@
             table,
             routes,
             plans: model.plans.iter().map(|p| p.name.as_str().into()).collect(),
-            customers: model.customers.iter().cloned().collect(),
+            customers: model.customers.iter().map(|c| (c.name.clone(), c.plan)).collect(),
             pools,
         })
     }
--- /dev/null
+++ b/crates/tool/src/compare.rs
@@ -0,0 +1,561 @@
+//! What two configurations do differently, whatever their text.
+
+use ivygate_config::{
+    At, Block, Class, CustomerFrom, Effect, Listener, Loaded, Model, Plan, Pool, Repeat, Scope, Span,
+    Statement,
+};
+use ivygate_routing::{regions, Found, Table, TooMany};
+use serde::Serialize;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A line of one of the two.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Side {
+    /// File, line and column.
+    pub place: String,
+    /// What it says, in the checked configuration's words.
+    pub value: String,
+}
+
+/// One thing that is done differently.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Difference {
+    /// Where it belongs, such as `class read`.
+    pub subject: String,
+    /// What is different.
+    pub what: String,
+    /// Before; `None` if it was not there.
+    pub old: Option<Side>,
+    /// Now; `None` if it is gone.
+    pub new: Option<Side>,
+    /// Why it is risky, if it is.
+    pub risk: Option<String>,
+    /// A request that it concerns.
+    pub example: Option<String>,
+}
+
+/// Compares two configurations, both checked.
+///
+/// # Errors
+/// If their routes have too many regions to be decided on.
+pub fn compare(old: &Loaded, new: &Loaded) -> Result<Vec<Difference>, TooMany> {
+    let (Some(before), Some(after)) = (&old.model, &new.model) else { return Ok(Vec::new()) };
+    let (old, new) = (Text::new(old), Text::new(new));
+    let mut found = Comparison { old, new, all: Vec::new() };
+    found.routes(before, after)?;
+    found.classes(before, after);
+    found.pools(before, after);
+    found.plans(before, after);
+    found.identity(before, after);
+    found.listeners(before, after);
+    found.limits(before, after);
+    Ok(found.all)
+}
+
+/// The text of a configuration, for places.
+struct Text<'a> {
+    loaded: &'a Loaded,
+    parsed: RefCell<HashMap<u32, Block>>,
+}
+
+impl<'a> Text<'a> {
+    fn new(loaded: &'a Loaded) -> Self {
+        Self { loaded, parsed: RefCell::default() }
+    }
+
+    /// The place of a block's statement; that of the block where it does not stand in it.
+    fn place(&self, at: At, statement: &str) -> String {
+        let mut parsed = self.parsed.borrow_mut();
+        let file = at.0.file;
+        let root = parsed
+            .entry(file)
+            .or_insert_with(|| ivygate_config::parse(self.loaded.sources.text(file), file).0);
+        let span = find(root, at.0).and_then(|block| {
+            let inner = block.block.as_ref()?;
+            inner.statements.iter().find(|s| s.words[0].text == statement)
+        });
+        self.loaded.sources.place(span.map_or(at.0, |s| s.words[0].span)).to_string()
+    }
+}
+
+fn find(block: &Block, at: Span) -> Option<&Statement> {
+    block.statements.iter().find_map(|statement| {
+        let here = statement.words[0].span.start == at.start;
+        if here {
+            Some(statement)
+        } else {
+            find(statement.block.as_ref()?, at)
+        }
+    })
+}
+
+struct Comparison<'a> {
+    old: Text<'a>,
+    new: Text<'a>,
+    all: Vec<Difference>,
+}
+
+/// A value in words; its statement; its risk where it has got worse.
+type Row = (&'static str, String, String, Option<&'static str>);
+
+fn row(name: &'static str, old: String, new: String, risk: Option<&'static str>) -> Row {
+    (name, old, new, risk)
+}
+
+fn time(ms: f64) -> String {
+    if ms >= 1000.0 {
+        format!("{}s", ms / 1000.0)
+    } else {
+        format!("{ms}ms")
+    }
+}
+
+fn scope(scope: Scope) -> &'static str {
+    match scope {
+        Scope::All => "all",
+        Scope::Zone => "zone",
+        Scope::Cell => "cell",
+    }
+}
+
+fn width(of: Scope) -> u8 {
+    match of {
+        Scope::Cell => 0,
+        Scope::Zone => 1,
+        Scope::All => 2,
+    }
+}
+
+fn effect(effect: Effect) -> String {
+    match effect {
+        Effect::Safe => "safe".to_owned(),
+        Effect::Keyed(of, window) => format!("keyed, scope {}, window {}", scope(of), time(window)),
+        Effect::Unsafe => "unsafe".to_owned(),
+    }
+}
+
+/// How freely requests are repeated, as far as the kind of effect goes.
+fn freedom(class: &Class) -> u8 {
+    match (class.effect, class.repeat) {
+        (_, Repeat::Unsent) | (Effect::Unsafe, _) => 0,
+        (Effect::Keyed(..), _) => 1,
+        (Effect::Safe, _) => 2,
+    }
+}
+
+fn repeat(repeat: Repeat) -> String {
+    match repeat {
+        Repeat::Unsent => "unsent".to_owned(),
+        Repeat::Sent => "sent".to_owned(),
+    }
+}
+
+impl Comparison<'_> {
+    fn note(
+        &mut self,
+        subject: &str,
+        what: &str,
+        old: Option<(At, &str, String)>,
+        new: Option<(At, &str, String)>,
+        risk: Option<&str>,
+    ) {
+        let side = |text: &Text, (at, statement, value): (At, &str, String)| Side {
+            place: text.place(at, statement),
+            value,
+        };
+        let old = old.map(|side_| side(&self.old, side_));
+        let new = new.map(|side_| side(&self.new, side_));
+        let (subject, what, risk) = (subject.to_owned(), what.to_owned(), risk.map(str::to_owned));
+        self.all.push(Difference { subject, what, old, new, risk, example: None });
+    }
+
+    fn rows(&mut self, subject: &str, old: At, new: At, rows: Vec<Row>) {
+        for (name, before, after, risk) in rows {
+            if before != after {
+                self.note(subject, name, Some((old, name, before)), Some((new, name, after)), risk);
+            }
+        }
+    }
+
+    /// Things with names: those that are gone, those that are new, and pairs of the others.
+    fn named<'m, T>(
+        &mut self,
+        kind: &str,
+        old: &'m [T],
+        new: &'m [T],
+        name: impl Fn(&T) -> String,
+        at: impl Fn(&T) -> At,
+        risk_of_new: Option<&'static str>,
+    ) -> Vec<(String, &'m T, &'m T)> {
+        let mut pairs = Vec::new();
+        for one in old {
+            let named = name(one);
+            let subject = format!("{kind} {named}");
+            match new.iter().find(|other| name(other) == named) {
+                Some(other) => pairs.push((subject, one, other)),
+                None => self.note(&subject, "is gone", Some((at(one), "", named)), None, None),
+            }
+        }
+        for one in new {
+            let named = name(one);
+            if !old.iter().any(|other| name(other) == named) {
+                self.note(
+                    &format!("{kind} {named}"),
+                    "is new",
+                    None,
+                    Some((at(one), "", named)),
+                    risk_of_new,
+                );
+            }
+        }
+        pairs
+    }
+
+    fn routes(&mut self, old: &Model, new: &Model) -> Result<(), TooMany> {
+        let table = |model: &Model| Table::build(model.routes.iter().map(|r| r.claim.clone()).collect());
+        // Both were checked, so both build.
+        let (Ok(before), Ok(after)) = (table(old), table(new)) else { return Ok(()) };
+        let target = |model: &Model, route: Option<usize>| {
+            route.map(|n| {
+                let route = &model.routes[n];
+                (model.classes[route.class].name.clone(), model.pools[route.pool].name.clone(), route.repeat)
+            })
+        };
+        let targets =
+            |model: &Model| (0..model.routes.len()).map(|n| target(model, Some(n))).collect::<Vec<_>>();
+        let (old_targets, new_targets) = (targets(old), targets(new));
+        // For each pair of routes that differ, the shortest request, and how many regions.
+        let mut pairs: BTreeMap<(Option<usize>, Option<usize>), (String, usize)> = BTreeMap::new();
+        regions(&[&before, &after], |request| {
+            let number = |table: &Table| match table.find(request.host, request.path, request.method) {
+                Found::Route(number, _) => Some(number),
+                Found::OtherMethods(_) | Found::Nothing => None,
+            };
+            let (a, b) = (number(&before), number(&after));
+            let (from, to) =
+                (a.and_then(|n| old_targets[n].as_ref()), b.and_then(|n| new_targets[n].as_ref()));
+            if from != to {
+                let example = format!("{} http://{}{}", request.method, request.host, request.path);
+                let entry = pairs.entry((a, b)).or_insert_with(|| (example.clone(), 0));
+                entry.1 += 1;
+                if (example.len(), &example) < (entry.0.len(), &entry.0) {
+                    entry.0 = example;
+                }
+            }
+        })?;
+        for ((a, b), (example, _)) in pairs {
+            let words = |model: &Model, number: usize| {
+                let route = &model.routes[number];
+                let (class, pool) = (&model.classes[route.class], &model.pools[route.pool]);
+                format!(
+                    "route {}: class {} ({}), pool {}",
+                    route.name,
+                    class.name,
+                    effect(class.effect),
+                    pool.name
+                )
+            };
+            let free = |model: &Model, number: Option<usize>| {
+                number.map(|n| {
+                    let route = &model.routes[n];
+                    if route.repeat == Repeat::Unsent {
+                        0
+                    } else {
+                        freedom(&model.classes[route.class])
+                    }
+                })
+            };
+            let looser = free(old, a).zip(free(new, b)).is_some_and(|(before, after)| after > before);
+            let old_side = a.map(|n| (old.routes[n].at, "", words(old, n)));
+            let new_side = b.map(|n| (new.routes[n].at, "", words(new, n)));
+            let what = match (a, b) {
+                (Some(_), Some(_)) => "requests go elsewhere",
+                (Some(_), None) => "requests are answered 404 or 405 now",
+                _ => "requests are served that were answered 404 or 405",
+            };
+            self.note(
+                "routes",
+                what,
+                old_side,
+                new_side,
+                looser.then_some("these may now be repeated more freely"),
+            );
+            if let Some(last) = self.all.last_mut() {
+                last.example = Some(example);
+            }
+        }
+        Ok(())
+    }
+
+    fn classes(&mut self, old: &Model, new: &Model) {
+        for (subject, a, b) in
+            self.named("class", &old.classes, &new.classes, |c| c.name.clone(), |c| c.at, None)
+        {
+            let longer = match (a.effect, b.effect) {
+                (Effect::Keyed(from, before), Effect::Keyed(to, after)) => {
+                    after > before || width(to) > width(from)
+                }
+                _ => false,
+            };
+            let risk = if freedom(b) > freedom(a) {
+                Some("the effect is loosened: requests may run twice that could not before")
+            } else if longer {
+                Some("repeats go on for longer, or to more servers: they must drop them there")
+            } else {
+                None
+            };
+            self.rows(
+                &subject,
+                a.at,
+                b.at,
+                vec![
+                    row("effect", effect(a.effect), effect(b.effect), risk),
+                    row(
+                        "repeat",
+                        repeat(a.repeat),
+                        repeat(b.repeat),
+                        (b.repeat > a.repeat).then_some("repeated also after a send"),
+                    ),
+                    row(
+                        "key",
+                        a.key_header.clone(),
+                        b.key_header.clone(),
+                        Some("servers must drop repeats by this header"),
+                    ),
+                    row("deadline", time(a.deadline), time(b.deadline), None),
+                    row("aim", time(a.aim), time(b.aim), None),
+                    row("work", time(a.work), time(b.work), None),
+                    row("upload", time(a.upload), time(b.upload), None),
+                    row("worth", a.worth.to_string(), b.worth.to_string(), None),
+                    row("late-worth", a.late_worth.to_string(), b.late_worth.to_string(), None),
+                    row(
+                        "units",
+                        a.units.to_string(),
+                        b.units.to_string(),
+                        (b.units < a.units).then_some("more requests pass under quotas and ceilings"),
+                    ),
+                ],
+            );
+        }
+    }
+
+    fn pools(&mut self, old: &Model, new: &Model) {
+        for (subject, a, b) in self.named("pool", &old.pools, &new.pools, |p| p.name.clone(), |p| p.at, None)
+        {
+            let list = |statuses: &[u16]| statuses.iter().map(u16::to_string).collect::<Vec<_>>().join(" ");
+            let pair = |pair: &Option<(String, String)>| {
+                pair.as_ref().map_or("none".to_owned(), |(h, v)| format!("{h} {v}"))
+            };
+            let drops = |p: &Pool| {
+                p.drops_repeats.map_or("not told".to_owned(), |(s, t)| format!("{} {}", scope(s), time(t)))
+            };
+            let wider = match (a.drops_repeats, b.drops_repeats) {
+                (Some((from, before)), Some((to, after))) => after > before || width(to) > width(from),
+                (None, Some((_, after))) => after > 15_000.0,
+                _ => false,
+            };
+            let shares = |p: &Pool| {
+                p.shares.iter().collect::<BTreeSet<_>>().into_iter().cloned().collect::<Vec<_>>().join(" ")
+            };
+            let cold = |p: &Pool| {
+                p.cold.map_or("none".to_owned(), |c| {
+                    format!("from {}, warm {}, fall {}, for {}", c.from, time(c.warm), c.fall, time(c.window))
+                })
+            };
+            let yes = |yes: bool| if yes { "yes" } else { "no" }.to_owned();
+            self.rows(
+                &subject,
+                a.at,
+                b.at,
+                vec![
+                    row("zone", a.zone.clone(), b.zone.clone(), None),
+                    row(
+                        "sidecars",
+                        a.sidecars.to_string(),
+                        b.sidecars.to_string(),
+                        (b.sidecars < a.sidecars).then_some(
+                            "each takes a larger part of quotas and ceilings: all must be changed",
+                        ),
+                    ),
+                    row("attempts", a.attempts.to_string(), b.attempts.to_string(), None),
+                    row("requests", a.requests.to_string(), b.requests.to_string(), None),
+                    row("connections", a.connections.to_string(), b.connections.to_string(), None),
+                    row("buffered", format!("{}B", a.buffered), format!("{}B", b.buffered), None),
+                    row("repeat-limit", format!("{}B", a.repeat_limit), format!("{}B", b.repeat_limit), None),
+                    row("connect", time(a.connect), time(b.connect), None),
+                    row("keep", time(a.keep), time(b.keep), None),
+                    row("answer-stall", time(a.answer_stall), time(b.answer_stall), None),
+                    row("errors", list(&a.errors), list(&b.errors), None),
+                    row(
+                        "declined",
+                        pair(&a.declined),
+                        pair(&b.declined),
+                        b.declined.as_ref().map(|_| "such an answer counts as proof that nothing ran"),
+                    ),
+                    row(
+                        "drops-repeats",
+                        drops(a),
+                        drops(b),
+                        wider.then_some("servers are taken to drop more repeats"),
+                    ),
+                    row(
+                        "second-copies",
+                        yes(a.second_copies),
+                        yes(b.second_copies),
+                        b.second_copies.then_some("a slow request may run twice at once"),
+                    ),
+                    row("shares-servers-with", shares(a), shares(b), None),
+                    row("cross-zone", a.cross_zone.to_string(), b.cross_zone.to_string(), None),
+                    row("cold", cold(a), cold(b), None),
+                ],
+            );
+            let name = |s: &ivygate_config::Server| s.name.clone();
+            for (server, x, y) in
+                self.named(&format!("{subject}, server"), &a.servers, &b.servers, name, |s| s.at, None)
+            {
+                let state = |draining: bool| if draining { "draining" } else { "serving" }.to_owned();
+                self.rows(
+                    &server,
+                    x.at,
+                    y.at,
+                    vec![
+                        row("address", x.address.to_string(), y.address.to_string(), None),
+                        row("zone", x.zone.clone(), y.zone.clone(), None),
+                        row("cell", x.cell.to_string(), y.cell.to_string(), None),
+                        row("weight", x.weight.to_string(), y.weight.to_string(), None),
+                        row("state", state(x.draining), state(y.draining), None),
+                    ],
+                );
+            }
+        }
+    }
+
+    fn plans(&mut self, old: &Model, new: &Model) {
+        let rate = |rate: f64| if rate > 0.0 { format!("{rate}/s") } else { "none".to_owned() };
+        for (subject, a, b) in
+            self.named("plan", &old.plans, &new.plans, |p: &Plan| p.name.clone(), |p| p.at, None)
+        {
+            let no_limit = |rate: f64| if rate > 0.0 { rate } else { f64::INFINITY };
+            let raised = |before: f64, after: f64| {
+                (no_limit(after) > no_limit(before)).then_some("a ceiling is raised or gone")
+            };
+            self.rows(
+                &subject,
+                a.at,
+                b.at,
+                vec![
+                    row("quota", rate(a.quota), rate(b.quota), None),
+                    row("burst", a.burst.to_string(), b.burst.to_string(), None),
+                    row("open", a.open.to_string(), b.open.to_string(), None),
+                    row("ceiling", rate(a.ceiling), rate(b.ceiling), raised(a.ceiling, b.ceiling)),
+                    row(
+                        "ceiling-burst",
+                        a.ceiling_burst.to_string(),
+                        b.ceiling_burst.to_string(),
+                        raised(a.ceiling_burst, b.ceiling_burst),
+                    ),
+                    row(
+                        "ceiling-slack",
+                        a.ceiling_slack.to_string(),
+                        b.ceiling_slack.to_string(),
+                        (b.ceiling_slack > a.ceiling_slack).then_some("a ceiling is raised or gone"),
+                    ),
+                    row("price", a.price.to_string(), b.price.to_string(), None),
+                    row("excess-worth", a.excess_worth.to_string(), b.excess_worth.to_string(), None),
+                    row("excess-cost", a.excess_cost.to_string(), b.excess_cost.to_string(), None),
+                ],
+            );
+        }
+        let customers = |model: &Model| -> BTreeMap<String, (At, String)> {
+            let plan = |plan: usize| format!("plan {}", model.plans[plan].name);
+            model.customers.iter().map(|c| (c.name.clone(), (c.at, plan(c.plan)))).collect()
+        };
+        let (before, after) = (customers(old), customers(new));
+        for name in before.keys().chain(after.keys()).collect::<BTreeSet<_>>() {
+            let (from, to) = (before.get(name), after.get(name));
+            if from.map(|(_, plan)| plan) != to.map(|(_, plan)| plan) {
+                let side = |(at, plan): &(At, String)| (*at, "plan", plan.clone());
+                self.note(&format!("customer {name}"), "plan", from.map(side), to.map(side), None);
+            }
+        }
+    }
+
+    fn identity(&mut self, old: &Model, new: &Model) {
+        let customer = |from: &CustomerFrom| match from {
+            CustomerFrom::Header(name) => format!("header {name}"),
+            CustomerFrom::Cookie(name) => format!("cookie {name}"),
+            CustomerFrom::Address => "address".to_owned(),
+            CustomerFrom::Fixed(name) => format!("name {name}"),
+        };
+        let or_none = |name: &Option<String>| name.clone().unwrap_or_else(|| "none".to_owned());
+        let (a, b) = (&old.identity, &new.identity);
+        let plan = |model: &Model| model.plans[model.identity.default_plan].name.clone();
+        self.rows(
+            "identity",
+            a.at,
+            b.at,
+            vec![
+                row(
+                    "customer",
+                    customer(&a.customer),
+                    customer(&b.customer),
+                    Some("quotas and ceilings count other customers"),
+                ),
+                row(
+                    "plan",
+                    or_none(&a.plan_header),
+                    or_none(&b.plan_header),
+                    b.plan_header.as_ref().map(|_| "this header chooses quotas"),
+                ),
+                row("deadline", or_none(&a.deadline_header), or_none(&b.deadline_header), None),
+                row("default-plan", plan(old), plan(new), None),
+            ],
+        );
+    }
+
+    fn listeners(&mut self, old: &Model, new: &Model) {
+        let name = |l: &Listener| l.address.to_string();
+        let risk = Some("another address takes requests");
+        for (subject, a, b) in self.named("listen", &old.listeners, &new.listeners, name, |l| l.at, risk) {
+            let trusted = |l: &Listener| l.trusted.iter().map(ToString::to_string).collect::<BTreeSet<_>>();
+            let words = |set: &BTreeSet<String>| set.iter().cloned().collect::<Vec<_>>().join(" ");
+            let (before, after) = (trusted(a), trusted(b));
+            self.rows(
+                &subject,
+                a.at,
+                b.at,
+                vec![
+                    row(
+                        "trusted",
+                        words(&before),
+                        words(&after),
+                        (!after.is_subset(&before)).then_some("more peers are believed"),
+                    ),
+                    row("connections", a.connections.to_string(), b.connections.to_string(), None),
+                    row("head", format!("{}B", a.head), format!("{}B", b.head), None),
+                    row("head-within", time(a.head_within), time(b.head_within), None),
+                    row("body-stall", time(a.body_stall), time(b.body_stall), None),
+                    row("read-stall", time(a.read_stall), time(b.read_stall), None),
+                    row("idle", time(a.idle), time(b.idle), None),
+                    row("answer-within", time(a.answer_within), time(b.answer_within), None),
+                ],
+            );
+        }
+    }
+
+    fn limits(&mut self, old: &Model, new: &Model) {
+        let (a, b) = (&old.limits, &new.limits);
+        let memory = |bytes: Option<usize>| bytes.map_or("not told".to_owned(), |b| format!("{b}B"));
+        self.rows(
+            "limits",
+            a.at,
+            b.at,
+            vec![
+                row("descriptors", a.descriptors.to_string(), b.descriptors.to_string(), None),
+                row("drain", time(a.drain), time(b.drain), None),
+                row("memory", memory(a.memory), memory(b.memory), None),
+            ],
+        );
+    }
+}
--- /dev/null
+++ b/crates/tool/src/generate.rs
@@ -0,0 +1,317 @@
+//! Writes a commented configuration for one application from a short description.
+
+use crate::format::format;
+use ivygate_config::{parse, Diagnostic, Sources};
+use std::collections::BTreeMap;
+use std::fmt::{self, Write};
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+/// What a caller says of the effect of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wish {
+    /// They may run any number of times.
+    Safe,
+    /// Servers drop repeats with the same key.
+    Keyed,
+    /// They must never run twice.
+    Unsafe,
+}
+
+impl Wish {
+    fn word(self) -> &'static str {
+        match self {
+            Wish::Safe => "safe",
+            Wish::Keyed => "keyed",
+            Wish::Unsafe => "unsafe",
+        }
+    }
+
+    fn class(self) -> &'static str {
+        match self {
+            Wish::Safe => "reads",
+            Wish::Keyed => "keyed-writes",
+            Wish::Unsafe => "writes",
+        }
+    }
+}
+
+impl FromStr for Wish {
+    type Err = RouteError;
+
+    fn from_str(text: &str) -> Result<Self, RouteError> {
+        match text {
+            "safe" => Ok(Wish::Safe),
+            "keyed" => Ok(Wish::Keyed),
+            "unsafe" => Ok(Wish::Unsafe),
+            other => {
+                Err(RouteError(format!("there is no effect `{other}`; write `safe`, `keyed` or `unsafe`")))
+            }
+        }
+    }
+}
+
+/// A route that cannot be understood.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteError(pub String);
+
+impl fmt::Display for RouteError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for RouteError {}
+
+/// Requests and their effect: `[METHOD[,METHOD]] PATH [EFFECT]`.
+///
+/// A path ends in `/**` or holds `*` for a pattern, in `/` or begins with `=` for that path alone; else it is a
+/// prefix. Without an effect GET and HEAD are safe and all else unsafe.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Route {
+    /// `exact`, `prefix` or `pattern`, and the path.
+    pub path: (&'static str, String),
+    /// Methods; none for any.
+    pub methods: Vec<String>,
+    /// Their effect.
+    pub wish: Wish,
+    /// Where it comes from, for a comment.
+    pub origin: Option<String>,
+}
+
+impl FromStr for Route {
+    type Err = RouteError;
+
+    fn from_str(text: &str) -> Result<Self, RouteError> {
+        let words: Vec<&str> = text.split_whitespace().collect();
+        let at = words.iter().position(|w| w.starts_with('/') || w.starts_with("=/"));
+        let Some(at) = at.filter(|at| *at <= 1 && words.len() <= at + 2) else {
+            return Err(RouteError(format!("`{text}` is no route; write one such as `POST /orders unsafe`")));
+        };
+        let methods: Vec<String> = match at {
+            0 => Vec::new(),
+            _ => words[0].split(',').map(str::to_ascii_uppercase).collect(),
+        };
+        if let Some(odd) =
+            methods.iter().find(|m| m.is_empty() || !m.bytes().all(|b| b.is_ascii_uppercase() || b == b'-'))
+        {
+            return Err(RouteError(format!("`{odd}` is no method")));
+        }
+        let path = match words[at].strip_prefix('=') {
+            Some(path) => ("exact", path.to_owned()),
+            None if words[at].contains('*') => ("pattern", words[at].to_owned()),
+            None => ("prefix", words[at].to_owned()),
+        };
+        let wish = match words.get(at + 1) {
+            Some(word) => word.parse()?,
+            None if !methods.is_empty() && methods.iter().all(|m| m == "GET" || m == "HEAD") => Wish::Safe,
+            None => Wish::Unsafe,
+        };
+        Ok(Route { path, methods, wish, origin: None })
+    }
+}
+
+/// What is known of an application.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Description {
+    /// Its name.
+    pub name: String,
+    /// Where the sidecar listens, if that is told.
+    pub listen: Option<SocketAddr>,
+    /// Where the application listens.
+    pub servers: Vec<SocketAddr>,
+    /// Its routes.
+    pub routes: Vec<Route>,
+    /// Plans: name and quota, as in `20/s`.
+    pub plans: Vec<(String, String)>,
+    /// The header that names the customer.
+    pub customer_header: Option<String>,
+    /// What could not be carried over, for comments at the top.
+    pub remarks: Vec<String>,
+}
+
+impl Description {
+    /// Reads descriptions in the configuration's own language, one `app NAME { ... }` each.
+    ///
+    /// # Errors
+    /// With all that is wrong.
+    pub fn read(file: &str, text: &str) -> Result<Vec<Self>, (Sources, Vec<Diagnostic>)> {
+        let mut sources = Sources::default();
+        sources.add(file, text);
+        let (root, mut errors) = parse(text, 0);
+        let mut all = Vec::new();
+        let bad = |at, what: &str, help: &str| Diagnostic::error("IV0010", what, at, "here").help(help);
+        for statement in &root.statements {
+            let (Some(name), Some(block), "app") =
+                (statement.words.get(1), &statement.block, statement.words[0].text.as_str())
+            else {
+                let help = "write `app NAME { listen ...; server ...; route POST /orders unsafe; }`";
+                errors.push(bad(statement.words[0].span, "a description has blocks named `app` only", help));
+                continue;
+            };
+            let mut app = Description { name: name.text.clone(), ..Description::default() };
+            for inner in &block.statements {
+                let words: Vec<&str> = inner.words.iter().map(|w| w.text.as_str()).collect();
+                let at = inner.words[0].span;
+                let done = match &words[..] {
+                    ["listen", address] => address
+                        .parse()
+                        .map(|a| app.listen = Some(a))
+                        .map_err(|_| "no address with a port".to_owned()),
+                    ["server", address] => address
+                        .parse()
+                        .map(|a| app.servers.push(a))
+                        .map_err(|_| "no address with a port".to_owned()),
+                    ["route", rest @ ..] => {
+                        rest.join(" ").parse().map(|r| app.routes.push(r)).map_err(|e: RouteError| e.0)
+                    }
+                    ["plan", name, quota] => {
+                        app.plans.push(((*name).to_owned(), (*quota).to_owned()));
+                        Ok(())
+                    }
+                    ["customer", "header", name] => {
+                        app.customer_header = Some((*name).to_owned());
+                        Ok(())
+                    }
+                    _ => Err(format!("`{}` is not understood", words.join(" "))),
+                };
+                if let Err(what) = done {
+                    errors.push(bad(
+                        at,
+                        &what,
+                        "an app has: listen, server, route, plan NAME RATE, customer header NAME",
+                    ));
+                }
+            }
+            all.push(app);
+        }
+        if errors.is_empty() {
+            Ok(all)
+        } else {
+            Err((sources, errors))
+        }
+    }
+}
+
+/// A configuration for an application that listens at `listen`. It is laid out as `format` does; whether it can
+/// be used is for the checker to say, since it depends on what the caller described.
+pub fn generate(app: &Description, listen: SocketAddr) -> String {
+    let mut out = String::new();
+    let mut w = |line: &str| {
+        out.push_str(line);
+        out.push('\n');
+    };
+    w(&format!("# The sidecar of {}.", app.name));
+    w("# Check a change with `ivygate check`, lay it out with `ivygate fmt`, see what it does with `ivygate diff`.");
+    for remark in &app.remarks {
+        w(&format!("# {}", remark.replace(['\n', '\r'], " ")));
+    }
+    w("");
+    w("# Clients connect here. Name the proxies that stand before it: `trusted 10.0.0.0/8;`.");
+    w(&format!("listen {listen} {{ connections 256; }}"));
+    w("");
+    let mut wishes: Vec<Wish> = app.routes.iter().map(|r| r.wish).collect();
+    wishes.sort_unstable();
+    wishes.dedup();
+    for wish in &wishes {
+        match wish {
+            Wish::Safe => {
+                w("# May run any number of times: sent again after a failure, and to another server when one is slow.");
+                w("class reads { effect safe; aim 500ms; deadline 5s; }");
+            }
+            Wish::Keyed => {
+                w("# Servers drop repeats with the same key for 15 s; without a key treated as unsafe.");
+                w("class keyed-writes { effect keyed; scope all; window 15s; key Idempotency-Key; aim 1s; deadline 10s; worth 3; }");
+            }
+            Wish::Unsafe => {
+                w("# Must never run twice: sent again only if no attempt can have run.");
+                w("class writes { effect unsafe; aim 1s; deadline 10s; worth 5; }");
+            }
+        }
+    }
+    w("");
+    if !app.plans.is_empty() {
+        w("# For each customer. The first one holds for customers that nothing names another for.");
+        for (name, quota) in &app.plans {
+            w(&format!("plan {} {{ quota {}; }}", quoted(name), quoted(quota)));
+        }
+        w("");
+    }
+    if let Some(header) = &app.customer_header {
+        w("# Without this header a request counts for its client's address.");
+        w(&format!("identity {{ customer header {}; }}", quoted(header)));
+        w("");
+    }
+    w("# The application. Bodies up to 64KiB are held, so that they can be sent again.");
+    w(&format!("pool {} {{", quoted(&app.name)));
+    w("requests 128;");
+    for (number, server) in app.servers.iter().enumerate() {
+        w(&format!("server {} {server};", server_name(number)));
+    }
+    w("}");
+    w("");
+    w("# What no route takes is answered 404.");
+    let mut taken: BTreeMap<String, usize> = BTreeMap::new();
+    for route in &app.routes {
+        let base = route_name(route);
+        let count = taken.entry(base.clone()).or_insert(0);
+        *count += 1;
+        let name = if *count > 1 { format!("{base}-{count}") } else { base };
+        if let Some(origin) = &route.origin {
+            w(&format!("# {}", origin.replace(['\n', '\r'], " ")));
+        }
+        let mut line = format!("route {name} {{ path {} {}; ", route.path.0, quoted(&route.path.1));
+        if !route.methods.is_empty() {
+            let _ = write!(line, "methods {}; ", route.methods.join(" "));
+        }
+        let _ = write!(line, "class {}; pool {}; }}", route.wish.class(), quoted(&app.name));
+        w(&line);
+    }
+    format("generated", &out).unwrap_or(out)
+}
+
+/// `a` to `z`, then `a2` and so on.
+fn server_name(number: usize) -> String {
+    let letter = char::from(b'a' + (number % 26) as u8);
+    match number / 26 {
+        0 => letter.to_string(),
+        round => format!("{letter}{}", round + 1),
+    }
+}
+
+fn route_name(route: &Route) -> String {
+    let mut name = route.methods.first().map_or(String::new(), |m| m.to_ascii_lowercase());
+    for part in route.path.1.split('/').filter(|part| !part.is_empty()) {
+        let part: String = match part {
+            "*" => "any".to_owned(),
+            "**" => "below".to_owned(),
+            part => part.chars().filter(|c| c.is_ascii_alphanumeric() || *c == '-' || *c == '_').collect(),
+        };
+        if !name.is_empty() && !part.is_empty() {
+            name.push('-');
+        }
+        name += &part;
+    }
+    if name.is_empty() {
+        format!("all-{}", route.wish.word())
+    } else {
+        name
+    }
+}
+
+/// A word as the language writes it.
+fn quoted(text: &str) -> String {
+    let plain = |c: char| !c.is_whitespace() && !c.is_control() && !"{};#\"\u{FEFF}".contains(c);
+    if !text.is_empty() && text.chars().all(plain) && !text.starts_with('$') && text != "meant" {
+        return text.to_owned();
+    }
+    let inner: String = text
+        .chars()
+        .filter(|c| !c.is_control())
+        .flat_map(|c| {
+            let escape = matches!(c, '"' | '\\').then_some('\\');
+            escape.into_iter().chain([c])
+        })
+        .collect();
+    format!("\"{inner}\"")
+}
--- /dev/null
+++ b/crates/tool/src/keywords.rs
@@ -0,0 +1,132 @@
+//! The language's statements as data, for editors. A test holds it to what the checker knows.
+
+use serde::Serialize;
+
+/// A statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Keyword {
+    /// The block in which it stands; empty for the outermost.
+    pub within: &'static str,
+    /// Its name.
+    pub name: &'static str,
+    /// What follows it.
+    pub takes: &'static str,
+    /// What it says.
+    pub says: &'static str,
+}
+
+const fn k(within: &'static str, name: &'static str, takes: &'static str, says: &'static str) -> Keyword {
+    Keyword { within, name, takes, says }
+}
+
+/// All statements, by block.
+pub const KEYWORDS: &[Keyword] = &[
+    k("", "include", "PATH | PATTERN", "puts the statements of other files in its place"),
+    k("", "let", "NAME TYPE VALUE", "defines a variable, written $NAME where it is used"),
+    k("", "block", "NAME { ... }", "defines statements that `use` puts in"),
+    k("", "use", "NAME", "puts the statements of a named block in its place"),
+    k("", "limits", "{ ... }", "what the process may use"),
+    k("", "listen", "ADDRESS:PORT { ... }", "where clients connect"),
+    k("", "class", "NAME { ... }", "whether requests may run again, and their times"),
+    k("", "plan", "NAME { ... }", "quotas and ceilings of a customer"),
+    k("", "identity", "{ ... }", "how customers, plans and deadlines are read off requests"),
+    k("", "customer", "NAME { ... }", "a customer's plan"),
+    k("", "pool", "NAME { ... }", "servers with limits of their own"),
+    k("", "route", "NAME { ... }", "which requests go to which pool, and their class"),
+    k("limits", "descriptors", "COUNT", "file descriptors of the process"),
+    k("limits", "drain", "TIME", "from the signal to end to the end"),
+    k("limits", "memory", "SIZE", "memory that limits are planned with"),
+    k("listen", "trusted", "NETWORK ...", "peers whose word on others is believed"),
+    k("listen", "connections", "COUNT", "most connections"),
+    k("listen", "head", "SIZE", "longest head of a request"),
+    k("listen", "head-within", "TIME", "time for a request's head"),
+    k("listen", "body-stall", "TIME", "longest pause in a request's body"),
+    k("listen", "read-stall", "TIME", "longest time in which a client reads nothing"),
+    k("listen", "idle", "TIME", "an idle connection is closed after this"),
+    k("listen", "answer-within", "TIME", "no request here has a longer deadline"),
+    k("class", "effect", "safe | keyed | unsafe", "whether requests may run again"),
+    k("class", "repeat", "unsent | sent", "after what they are sent again"),
+    k("class", "scope", "all | zone | cell", "servers that drop each other's repeats"),
+    k("class", "window", "TIME", "how long they do"),
+    k("class", "key", "HEADER", "header that carries the key"),
+    k("class", "deadline", "TIME", "an answer is owed within this"),
+    k("class", "aim", "TIME", "an answer within this is worth all"),
+    k("class", "work", "TIME", "what a request needs on an idle server"),
+    k("class", "upload", "TIME", "added to the deadline for streamed bodies"),
+    k("class", "worth", "NUMBER", "worth against others"),
+    k("class", "late-worth", "SHARE", "worth of a late answer"),
+    k("class", "units", "NUMBER", "what a request takes from the quota"),
+    k("plan", "quota", "RATE", "units of a customer"),
+    k("plan", "burst", "NUMBER", "units saved up"),
+    k("plan", "open", "COUNT", "requests out at once"),
+    k("plan", "ceiling", "RATE", "units that are never passed"),
+    k("plan", "ceiling-burst", "NUMBER", "units saved up under the ceiling"),
+    k("plan", "ceiling-slack", "NUMBER", "units by which it may be passed for a moment"),
+    k("plan", "price", "NUMBER", "factor on the worth of requests"),
+    k("plan", "excess-worth", "SHARE", "worth of a request beyond the quota"),
+    k("plan", "excess-cost", "NUMBER", "cost of a request beyond the quota"),
+    k(
+        "identity",
+        "customer",
+        "header NAME | cookie NAME | address | name TEXT",
+        "where a customer's name comes from",
+    ),
+    k("identity", "plan", "header NAME", "header that names the plan"),
+    k("identity", "default-plan", "NAME", "plan of customers that nothing names one for"),
+    k("identity", "deadline", "header NAME", "header that shortens deadlines"),
+    k("customer", "plan", "NAME", "its plan"),
+    k("pool", "server", "NAME ADDRESS:PORT { ... }", "a server"),
+    k("pool", "zone", "NAME", "where this process stands"),
+    k("pool", "sidecars", "COUNT", "processes that share servers and quotas"),
+    k("pool", "attempts", "COUNT", "attempts for one request"),
+    k("pool", "requests", "COUNT", "requests open at once"),
+    k("pool", "connections", "COUNT", "connections to servers"),
+    k("pool", "buffered", "SIZE", "bodies held at once"),
+    k("pool", "repeat-limit", "SIZE", "a body up to this can be sent again"),
+    k("pool", "connect", "TIME", "time for a connection"),
+    k("pool", "keep", "TIME", "an idle connection is kept for this"),
+    k("pool", "answer-stall", "TIME", "longest pause within an answer"),
+    k("pool", "errors", "STATUS ...", "statuses that are a server's failures"),
+    k("pool", "declined", "HEADER VALUE", "proof that nothing ran"),
+    k("pool", "drops-repeats", "SCOPE TIME", "which servers drop each other's repeats, and how long"),
+    k("pool", "second-copies", "yes | no", "a slow request may be sent twice at once"),
+    k("pool", "shares-servers-with", "POOL ...", "pools that may have servers of this one"),
+    k("pool", "cross-zone", "SHARE", "price of leaving the zone"),
+    k("pool", "cold", "{ ... }", "how servers that have just started are spared"),
+    k("cold", "from", "SHARE", "capacity at the start"),
+    k("cold", "warm", "TIME", "time to all of it"),
+    k("cold", "fall", "NUMBER", "times its capacity that fells it"),
+    k("cold", "for", "TIME", "how long it bears that"),
+    k("server", "zone", "NAME", "its zone"),
+    k("server", "cell", "COUNT", "its cell"),
+    k("server", "weight", "NUMBER", "its size against others"),
+    k("server", "state", "serving | draining", "whether it gets anything new"),
+    k("route", "host", "NAME | *.SUFFIX | *", "hosts"),
+    k("route", "path", "exact PATH | prefix PATH | pattern PATH", "paths"),
+    k("route", "methods", "METHOD ...", "methods"),
+    k("route", "class", "NAME", "class of its requests"),
+    k("route", "pool", "NAME", "where they go"),
+    k("route", "repeat", "unsent | sent", "narrows what the class says"),
+    k("route", "sign-in", "POOL", "not offered yet; refused"),
+];
+
+/// The statements, units and codes as one JSON document, for editors.
+pub fn keywords() -> String {
+    let codes: Vec<_> = ivygate_config::CODES
+        .iter()
+        .map(|c| serde_json::json!({ "code": c.code, "severity": c.severity(), "title": c.title }))
+        .collect();
+    let document = serde_json::json!({
+        "version": 1,
+        "statements": KEYWORDS,
+        "units": {
+            "TIME": ["us", "ms", "s", "m", "h"],
+            "SIZE": ["B", "KiB", "MiB", "GiB", "kB", "MB"],
+            "RATE": ["/s", "/m", "/h"],
+        },
+        "types": ["time", "size", "rate", "number", "count", "share", "address", "text"],
+        "suffix": "meant",
+        "codes": codes,
+    });
+    format!("{document:#}")
+}
--- /dev/null
+++ b/crates/tool/src/openapi.rs
@@ -0,0 +1,155 @@
+//! Routes from an OpenAPI 3 document, in JSON or YAML.
+
+use crate::generate::{Route, Wish};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt;
+
+const METHODS: [&str; 8] = ["get", "head", "options", "put", "post", "delete", "patch", "trace"];
+/// What a document says of an operation's effect, where it says so.
+const EXTENSION: &str = "x-ivygate-effect";
+
+/// What came of a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenApi {
+    /// Its title.
+    pub title: Option<String>,
+    /// Its operations as routes, in the order in which they are to be tried.
+    pub routes: Vec<Route>,
+    /// What could not be carried over as it stands.
+    pub remarks: Vec<String>,
+}
+
+/// Why a document cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenApiError(String);
+
+impl fmt::Display for OpenApiError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for OpenApiError {}
+
+/// Reads a document. `told` says the effect of operations (`POST /search`) where the caller knows better.
+///
+/// # Errors
+/// If it is no OpenAPI 3 document, or what is told names no operation.
+pub fn from_openapi(text: &str, told: &[(String, Wish)]) -> Result<OpenApi, OpenApiError> {
+    let document: Value = match serde_json::from_str(text) {
+        Ok(document) => document,
+        Err(json) => serde_yaml_ng::from_str(text).map_err(|yaml| {
+            let error = if text.trim_start().starts_with('{') { json.to_string() } else { yaml.to_string() };
+            OpenApiError(format!("it is neither JSON nor YAML: {error}"))
+        })?,
+    };
+    let version = document.get("openapi").and_then(Value::as_str).unwrap_or("");
+    if !version.starts_with("3.") {
+        return Err(OpenApiError(match version {
+            "" => "it has no `openapi: 3...`; Swagger 2 documents must be converted first".to_owned(),
+            other => format!("it is of version `{other}`; OpenAPI 3 is read"),
+        }));
+    }
+    let mut remarks = Vec::new();
+    let base = base_path(&document, &mut remarks);
+    let Some(paths) = document.get("paths").and_then(Value::as_object) else {
+        return Err(OpenApiError("it has no `paths`".to_owned()));
+    };
+    let mut used = vec![false; told.len()];
+    // By path and effect: methods, and the operations that they come from. Two templates may be one pattern.
+    let mut found: BTreeMap<(String, String), (Wish, Vec<String>)> = BTreeMap::new();
+    for (template, item) in paths {
+        let path = pattern(&format!("{base}{template}"), &mut remarks);
+        let Some(item) = item.as_object() else { continue };
+        if item.contains_key("$ref") {
+            remarks.push(format!("{template} is a reference to another document and is not carried over"));
+        }
+        for method in METHODS {
+            let Some(operation) = item.get(method) else { continue };
+            let name = format!("{} {template}", method.to_uppercase());
+            let mut wish = if method == "get" || method == "head" { Wish::Safe } else { Wish::Unsafe };
+            for source in [item.get(EXTENSION), operation.get(EXTENSION)].into_iter().flatten() {
+                let text = source.as_str().unwrap_or_default();
+                wish = text.parse().map_err(|error| OpenApiError(format!("{name}: {EXTENSION}: {error}")))?;
+            }
+            for (number, (operation, by_caller)) in told.iter().enumerate() {
+                if *operation == name {
+                    wish = *by_caller;
+                    used[number] = true;
+                }
+            }
+            let key = (path.clone(), method.to_uppercase());
+            let entry = found.entry(key).or_insert((wish, Vec::new()));
+            if !entry.1.is_empty() {
+                remarks.push(format!(
+                    "{name} claims the same requests as {}; the stricter effect holds",
+                    entry.1[0]
+                ));
+            }
+            entry.0 = entry.0.max(wish);
+            entry.1.push(name);
+        }
+    }
+    if let Some(number) = used.iter().position(|used| !used) {
+        return Err(OpenApiError(format!(
+            "it has no operation `{}`; write it as `POST /path`",
+            told[number].0
+        )));
+    }
+    if found.is_empty() {
+        return Err(OpenApiError("it has no operation".to_owned()));
+    }
+    let mut merged: BTreeMap<(String, Wish), (Vec<String>, Vec<String>)> = BTreeMap::new();
+    for ((path, method), (wish, names)) in found {
+        let entry = merged.entry((path, wish)).or_default();
+        entry.0.push(method);
+        entry.1.extend(names);
+    }
+    let mut routes: Vec<Route> = merged
+        .into_iter()
+        .map(|((path, wish), (methods, names))| Route {
+            path: (if path.contains('*') { "pattern" } else { "exact" }, path),
+            methods,
+            wish,
+            origin: Some(names.join(", ")),
+        })
+        .collect();
+    // The first pattern that matches takes a request, so literal segments come before wildcards.
+    let rank = |route: &Route| route.path.1.split('/').map(|s| (s == "*", s.to_owned())).collect::<Vec<_>>();
+    routes.sort_by_cached_key(|route| (rank(route), route.wish));
+    let title = document.pointer("/info/title").and_then(Value::as_str).map(str::to_owned);
+    Ok(OpenApi { title, routes, remarks })
+}
+
+/// The path of the document's first server.
+fn base_path(document: &Value, remarks: &mut Vec<String>) -> String {
+    let Some(url) = document.pointer("/servers/0/url").and_then(Value::as_str) else { return String::new() };
+    if url.contains('{') {
+        remarks.push(format!("the server `{url}` has variables; paths are taken without it"));
+        return String::new();
+    }
+    let path = match url.split_once("://") {
+        Some((_, rest)) => rest.find('/').map_or("", |at| &rest[at..]),
+        None => url,
+    };
+    path.trim_end_matches('/').to_owned()
+}
+
+/// A template as a pattern: a segment with a parameter is any one.
+fn pattern(template: &str, remarks: &mut Vec<String>) -> String {
+    let segments: Vec<&str> = template
+        .split('/')
+        .map(|segment| match segment {
+            segment if segment.contains('{') => {
+                if !(segment.starts_with('{') && segment.ends_with('}') && segment.matches('{').count() == 1)
+                {
+                    remarks.push(format!("`{segment}` of {template} stands for a whole segment here"));
+                }
+                "*"
+            }
+            segment => segment,
+        })
+        .collect();
+    segments.join("/")
+}
