--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -19,6 +19,9 @@
 /// Longest time of any kind.
 pub const LONGEST: f64 = 86_400_000.0;
 
+/// Longest path of a route.
+const PATH_MOST: usize = 2048;
+
 /// Checks a parsed file. The model comes back unless there is an error.
 pub fn check(root: &Block, findings: &Findings) -> Option<Model> {
     let end = Span::default();
@@ -686,6 +689,13 @@
     };
     let words = inner.words(statement, 2, 2)?;
     let text = &words[1].text;
+    if text.len() > PATH_MOST {
+        let what = format!("a path has more than {PATH_MOST} characters");
+        inner.note(
+            Diagnostic::error("IV0052", what, words[1].span, "no request can match").help("shorten it"),
+        );
+        return None;
+    }
     let claim = match words[0].text.as_str() {
         "exact" => PathClaim::exact(text),
         "prefix" => PathClaim::prefix(text),
--- a/crates/config/src/diagnostic.rs
+++ b/crates/config/src/diagnostic.rs
@@ -186,7 +186,12 @@
         if source.text.len() > LONG {
             let line = place.line - 1;
             from = source.lines[line.saturating_sub(2)].max(span.start.saturating_sub(LONG));
-            to = source.lines.get(line + 3).copied().unwrap_or(to).min(span.end + LONG);
+            to = source
+                .lines
+                .get(line + 3)
+                .copied()
+                .unwrap_or(to)
+                .min(span.end.min(span.start + LONG) + LONG / 4);
             while !source.text.is_char_boundary(from) {
                 from += 1;
             }
@@ -203,7 +208,9 @@
 const LONG: usize = 4096;
 
 fn range(span: Span, from: usize) -> std::ops::Range<usize> {
-    span.start.saturating_sub(from)..span.end.saturating_sub(from)
+    // What is annotated need not be shown to its end.
+    let end = span.end.min(span.start + LONG);
+    span.start.saturating_sub(from)..end.saturating_sub(from)
 }
 /// A place as editors name it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/config/src/expand.rs
+++ b/crates/config/src/expand.rs
@@ -444,9 +444,15 @@
     !text.is_empty() && text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_')
 }
 
+/// How far known names are from a word. One of monstrous length is like none, and would take long to compare.
+pub fn distances<'a>(text: &'a str, known: &'a [&'a str]) -> impl Iterator<Item = (usize, &'a str)> {
+    let alike = |name: &&&str| name.len().abs_diff(text.len()) <= 2;
+    known.iter().filter(alike).map(|name| (strsim::damerau_levenshtein(name, text), *name))
+}
+
 /// What may have been meant.
 pub fn nearest(text: &str, known: &[&str]) -> String {
-    let near = known.iter().map(|name| (strsim::damerau_levenshtein(name, text), *name)).min();
+    let near = distances(text, known).min();
     match near {
         Some((distance, near)) if distance <= 2 => format!("is `{near}` meant?"),
         _ if known.is_empty() => "none is defined".to_owned(),
--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -1,12 +1,16 @@
 //! Reads the statements of one block by name, and notes what is missing, unknown, repeated or malformed.
 
 use crate::diagnostic::{Diagnostic, Severity, Span};
+use crate::expand::distances;
 use crate::slips;
 use crate::syntax::{Block, Statement, Word};
 use crate::units::{self, QuantityError};
 use std::cell::RefCell;
 use std::collections::HashSet;
 
+/// Most unknown statements that are told of in one block.
+const UNKNOWN_MOST: usize = 100;
+
 /// Most findings that are kept.
 const FINDINGS_MOST: usize = 2000;
 
@@ -237,14 +241,20 @@
     /// Notes every statement that nothing has asked for.
     pub fn finish(self) {
         let asked = self.asked.borrow();
+        let mut told = 0;
         for statement in &self.block.statements {
             let name = &statement.words[0];
             if !name.quoted && asked.contains(name.text.as_str()) {
                 continue;
             }
+            told += 1;
+            if told > UNKNOWN_MOST {
+                break;
+            }
             let what = format!("`{}` means nothing in this {}", name.text, self.kind);
             let mut error = Diagnostic::error("IV0010", what, name.span, "unknown here");
-            let near = asked.iter().map(|a| (strsim::damerau_levenshtein(a, &name.text), *a)).min();
+            let known: Vec<&str> = asked.iter().copied().collect();
+            let near = distances(&name.text, &known).min();
             match near.filter(|(distance, _)| *distance <= 2) {
                 Some((_, near)) => error = error.help(format!("is `{near}` meant?")),
                 None => {
--- /dev/null
+++ b/crates/config/tests/expand.rs
@@ -0,0 +1,183 @@
+//! Includes, named blocks and variables: put in, bounded, and told of with all places that matter.
+
+use ivygate_config::{load_with, Loaded, Loader, Severity};
+use std::collections::BTreeMap;
+
+/// Files by name, in one folder; `*` in a pattern stands for anything.
+struct Files(BTreeMap<String, Vec<u8>>);
+
+impl Loader for Files {
+    fn find(&self, _: &str, pattern: &str) -> Result<Vec<String>, String> {
+        match pattern.split_once('*') {
+            Some((from, to)) => {
+                Ok(self.0.keys().filter(|n| n.starts_with(from) && n.ends_with(to)).cloned().collect())
+            }
+            None if self.0.contains_key(pattern) => Ok(vec![pattern.to_owned()]),
+            None => Err("no such file".to_owned()),
+        }
+    }
+
+    fn read(&self, name: &str) -> Result<Vec<u8>, String> {
+        self.0.get(name).cloned().ok_or_else(|| "gone".to_owned())
+    }
+}
+
+fn loaded(files: &[(&str, &str)]) -> Loaded {
+    let all = files.iter().map(|(name, text)| ((*name).to_owned(), text.as_bytes().to_vec())).collect();
+    load_with("main", files[0].1.as_bytes(), &Files(all))
+}
+
+/// Codes with file and line.
+fn found(loaded: &Loaded) -> Vec<String> {
+    let place = |f: &ivygate_config::Diagnostic| {
+        let place = loaded.sources.place(f.at.0);
+        format!("{} {}:{}", f.code, place.file, place.line)
+    };
+    loaded.findings.iter().filter(|f| f.severity >= Severity::Warning).map(place).collect()
+}
+
+const LISTEN: &str = "listen 127.0.0.1:8080 { }\n";
+const READ: &str = "class read { effect safe; deadline 2s; }\n";
+const POOL: &str = "pool app { server a 127.0.0.1:9000; }\n";
+const ROUTE: &str = "route all { class read; pool app; }\n";
+
+#[test]
+fn included_files_stand_where_they_are_included_at_any_depth() {
+    let main = format!("{LISTEN}include classes;\npool app {{ include servers/*; }}\ninclude more;\n");
+    let all = loaded(&[
+        ("main", &main),
+        ("classes", READ),
+        ("servers/a", "server a 127.0.0.1:9000;"),
+        ("servers/b", "server b 127.0.0.1:9001;"),
+        ("more", "include last;"),
+        ("last", ROUTE),
+    ]);
+    assert!(found(&all).is_empty(), "{}", all.report(Severity::Note, false));
+    let model = all.model.unwrap();
+    let names: Vec<_> = model.pools[0].servers.iter().map(|s| s.name.as_str()).collect();
+    assert_eq!((names, model.routes.len()), (vec!["a", "b"], 1));
+}
+
+#[test]
+fn one_file_and_many_that_say_the_same_are_equal() {
+    let one = loaded(&[("main", &[LISTEN, READ, POOL, ROUTE].concat())]);
+    let many = loaded(&[("main", &format!("include x;\n{POOL}{ROUTE}")), ("x", &format!("{READ}{LISTEN}"))]);
+    assert!(one.model.is_some() && one.model == many.model);
+}
+
+#[test]
+fn a_circle_is_named_as_a_chain_with_each_line() {
+    let all = loaded(&[
+        ("main", "\ninclude a;"),
+        ("a", "\n\ninclude b;"),
+        ("b", "include c;"),
+        ("c", "\ninclude a;"),
+    ]);
+    let circle = all.findings.iter().find(|f| f.code == "IV0062").unwrap();
+    let line = |span| all.sources.place(span).to_string();
+    assert_eq!(line(circle.at.0), "c:2:9");
+    assert_eq!(circle.also.iter().map(|(at, _)| line(*at)).collect::<Vec<_>>(), ["a:3:9", "b:1:9"]);
+    let report = all.report(Severity::Note, false);
+    assert!(report.contains("this includes `b`") && report.contains("--> c:2"), "{report}");
+}
+
+#[test]
+fn a_file_that_includes_itself_or_is_missing_or_no_text_is_told_of_at_the_include() {
+    assert_eq!(
+        found(&loaded(&[("main", "include main2;"), ("main2", "include main2;")]))[0],
+        "IV0062 main2:1"
+    );
+    assert_eq!(found(&loaded(&[("main", "\ninclude gone;")]))[0], "IV0064 main:2");
+    let files = BTreeMap::from([("x".to_owned(), b"limits { }\nlet \xff\xfe".to_vec())]);
+    let all = load_with("main", b"include x;", &Files(files));
+    assert_eq!(found(&all)[0], "IV0060 x:2");
+    all.report(Severity::Note, false);
+}
+
+#[test]
+fn a_pattern_without_files_is_a_warning() {
+    let all = loaded(&[("main", &format!("include none/*;\n{LISTEN}{READ}{POOL}{ROUTE}"))]);
+    assert!(all.model.is_some());
+    assert_eq!(found(&all), ["IV0104 main:1"]);
+}
+
+#[test]
+fn depth_and_number_are_bounded() {
+    let files: Vec<(String, String)> =
+        (0..40).map(|n| (format!("f{n}"), format!("include f{};", n + 1))).collect();
+    let files: Vec<(&str, &str)> = files.iter().map(|(n, t)| (n.as_str(), t.as_str())).collect();
+    assert!(found(&loaded(&files)).iter().any(|f| f.starts_with("IV0063")));
+    // Each level uses the one before ten times.
+    let mut text = "block b0 { odd; odd; }\n".to_owned();
+    for level in 1..15 {
+        text += &format!("block b{level} {{ {} }}\n", format!("use b{}; ", level - 1).repeat(10));
+    }
+    let all = loaded(&[("main", &(text + "use b14;"))]);
+    assert!(found(&all).iter().any(|f| f.starts_with("IV0063")), "{:?}", found(&all).first());
+}
+
+#[test]
+fn variables_stand_for_their_values_and_mistakes_in_them_name_both_places() {
+    let text = format!("let wait time 2s;\nlet odd size 4KiB;\n{LISTEN}class read {{ effect safe; deadline $wait; aim $odd; }}\n{POOL}{ROUTE}");
+    let all = loaded(&[("main", &text)]);
+    assert_eq!(found(&all), ["IV0022 main:4"]);
+    let wrong = all.findings.iter().find(|f| f.code == "IV0022").unwrap();
+    let defined = all.sources.place(wrong.also[0].0).line;
+    assert_eq!(defined, 2);
+    let right = text.replace("aim $odd; ", "").replace("let odd size 4KiB;\n", "");
+    assert_eq!(loaded(&[("main", &right)]).model.unwrap().classes[0].deadline, 2000.0);
+}
+
+#[test]
+fn definitions_may_stand_behind_their_use_and_in_other_files() {
+    let text = format!("{LISTEN}class read {{ use quick; }}\n{POOL}{ROUTE}include later;");
+    let all =
+        loaded(&[("main", &text), ("later", "block quick { effect safe; deadline $d; }\nlet d time 3s;")]);
+    assert_eq!(all.model.unwrap().classes[0].deadline, 3000.0);
+}
+
+#[test]
+fn two_definitions_of_a_name_are_refused_naming_both() {
+    for (first, second) in [("let a time 1s;", "let a time 2s;"), ("block a { }", "block a { }")] {
+        let all = loaded(&[("main", &format!("{first}\ninclude b;")), ("b", second)]);
+        let twice = all.findings.iter().find(|f| f.code == "IV0032").unwrap();
+        assert_eq!(all.sources.place(twice.at.0).file, "b");
+        assert_eq!(all.sources.place(twice.also[0].0).to_string(), "main:1:1");
+    }
+}
+
+#[test]
+fn a_used_block_overrides_nothing_in_silence() {
+    let text = format!("block quick {{ deadline 1s; }}\n{LISTEN}class read {{ effect safe; deadline 2s; use quick; }}\n{POOL}{ROUTE}");
+    assert_eq!(found(&loaded(&[("main", &text)])), ["IV0012 main:1"]);
+}
+
+#[test]
+fn nothing_that_files_hold_makes_reading_fail() {
+    let pieces = [
+        "include ",
+        "a;",
+        "b;",
+        "*;",
+        "use ",
+        "x;",
+        "block x { ",
+        "block y { use x; ",
+        "} ",
+        "let ",
+        "v time 2s;",
+        "$v ",
+        "deadline ",
+        "\u{0}",
+        "\"",
+        "# ",
+    ];
+    let mut rng = fastrand::Rng::with_seed(4);
+    for _ in 0..3000 {
+        let mut text =
+            || -> String { (0..rng.usize(..12)).map(|_| pieces[rng.usize(..pieces.len())]).collect() };
+        let (main, a, b) = (text(), text(), text());
+        let all = loaded(&[("main", &main), ("a", &a), ("b", &b)]);
+        all.report(Severity::Note, false);
+    }
+}
--- a/crates/tool/src/compare.rs
+++ b/crates/tool/src/compare.rs
@@ -436,6 +436,7 @@
         for (subject, a, b) in
             self.named("plan", &old.plans, &new.plans, |p: &Plan| p.name.clone(), |p| p.at, None)
         {
+            let burst = |p: &Plan| if p.ceiling > 0.0 { p.ceiling_burst } else { 0.0 };
             let no_limit = |rate: f64| if rate > 0.0 { rate } else { f64::INFINITY };
             let raised = |before: f64, after: f64| {
                 (no_limit(after) > no_limit(before)).then_some("a ceiling is raised or gone")
@@ -453,7 +454,7 @@
                         "ceiling-burst",
                         a.ceiling_burst.to_string(),
                         b.ceiling_burst.to_string(),
-                        raised(a.ceiling_burst, b.ceiling_burst),
+                        raised(burst(a), burst(b)),
                     ),
                     row(
                         "ceiling-slack",
--- /dev/null
+++ b/crates/tool/tests/generate.rs
@@ -0,0 +1,154 @@
+//! What is written for an application passes check and layout, and does what was asked for.
+
+use ivygate_config::{load, Effect, Model, Severity};
+use ivygate_routing::{Found, Table};
+use ivygate_tool::{format, from_openapi, generate, Description, Route, Wish};
+
+fn written(app: &Description) -> (String, Model) {
+    let text = generate(app, "127.0.0.1:8080".parse().unwrap());
+    let loaded = load("x", &text);
+    let report = loaded.report(Severity::Warning, false);
+    assert!(report.is_empty(), "{text}\n{report}");
+    assert_eq!(format("x", &text).unwrap(), text);
+    (text, loaded.model.unwrap())
+}
+
+fn app(routes: &[&str]) -> Description {
+    Description {
+        name: "shop".into(),
+        servers: vec!["127.0.0.1:9000".parse().unwrap()],
+        routes: routes.iter().map(|r| r.parse().unwrap()).collect(),
+        ..Description::default()
+    }
+}
+
+/// The effect of a request's class, or none if no route takes it.
+fn effect(model: &Model, method: &str, path: &str) -> Option<Effect> {
+    let table = Table::build(model.routes.iter().map(|r| r.claim.clone()).collect()).unwrap();
+    match table.find("h", path, method) {
+        Found::Route(number, _) => Some(model.classes[model.routes[number].class].effect),
+        _ => None,
+    }
+}
+
+#[test]
+fn routes_get_the_effect_that_was_told_and_writes_are_unsafe_by_default() {
+    let (_, model) = written(&app(&[
+        "GET /tiles",
+        "POST /orders",
+        "POST,PUT /trails/*/edits keyed",
+        "=/exact safe",
+        "/rest",
+    ]));
+    assert_eq!(effect(&model, "GET", "/tiles/1"), Some(Effect::Safe));
+    assert_eq!(effect(&model, "POST", "/orders"), Some(Effect::Unsafe));
+    assert!(matches!(effect(&model, "PUT", "/trails/7/edits"), Some(Effect::Keyed(..))));
+    assert_eq!(effect(&model, "GET", "/exact/below"), None);
+    assert_eq!(effect(&model, "GET", "/rest"), Some(Effect::Unsafe));
+}
+
+#[test]
+fn names_and_plans_that_look_like_syntax_are_quoted() {
+    let mut odd = app(&["/ safe"]);
+    odd.plans = vec![("a plan; {".into(), "20/s".into()), ("$x".into(), "5/s".into())];
+    odd.customer_header = Some("X-Customer".into());
+    let (_, model) = written(&odd);
+    assert_eq!(model.plans.iter().map(|p| p.name.as_str()).collect::<Vec<_>>(), ["a plan; {", "$x"]);
+}
+
+#[test]
+fn many_servers_and_routes_get_names_of_their_own() {
+    let mut many = app(&["/a safe", "GET /b", "POST /b", "POST /a-b", "POST /a/b", "/ safe"]);
+    many.servers = (0..60).map(|n| ([127, 0, 0, 1], 9000 + n).into()).collect();
+    let (_, model) = written(&many);
+    assert_eq!((model.pools[0].servers.len(), model.routes.len()), (60, 6));
+}
+
+#[test]
+fn routes_that_cannot_be_understood_are_refused_in_words() {
+    for wrong in ["", "orders", "POST", "POST /a often", "/a safe now", "po$t /a", "POST /a safe x"] {
+        assert!(wrong.parse::<Route>().is_err(), "{wrong}");
+    }
+    assert!("POST /a often".parse::<Route>().unwrap_err().to_string().contains("`often`"));
+}
+
+#[test]
+fn descriptions_in_a_file_are_read_and_their_mistakes_told_with_their_line() {
+    let text = "app tiles { server 127.0.0.1:9101; route /tiles safe; }\napp orders {\n  listen 127.0.0.1:8082;\n  server 127.0.0.1:9301; route POST /orders;\n  plan member 5/s; customer header X-Member;\n}";
+    let apps = Description::read("apps", text).unwrap();
+    assert_eq!(apps.iter().map(|a| a.name.as_str()).collect::<Vec<_>>(), ["tiles", "orders"]);
+    apps.iter().for_each(|app| drop(written(app)));
+    let (sources, errors) =
+        Description::read("apps", "app x {\n server nowhere;\n route often;\n colour red;\n}\npool y { }")
+            .unwrap_err();
+    let lines: Vec<_> = errors.iter().map(|e| sources.place(e.at.0).line).collect();
+    assert_eq!(lines, [2, 3, 4, 6]);
+}
+
+const DOCUMENT: &str = r#"
+openapi: 3.0.3
+info: { title: Trails, version: "1" }
+servers: [{ url: "https://api.example.org/v1/" }]
+paths:
+  /trails: { get: {}, post: {} }
+  /trails/{id}: { get: {}, put: { x-ivygate-effect: keyed }, delete: {} }
+  /trails/{trail}/edits: { post: {} }
+  /trails/search: { post: {} }
+  /files/{name}.{kind}: { get: {} }
+"#;
+
+#[test]
+fn an_openapi_document_becomes_routes_in_which_only_reads_are_safe() {
+    let document = from_openapi(DOCUMENT, &[("POST /trails/search".into(), Wish::Safe)]).unwrap();
+    assert_eq!(document.title.as_deref(), Some("Trails"));
+    let (text, model) =
+        written(&Description { routes: document.routes, remarks: document.remarks, ..app(&[]) });
+    assert_eq!(effect(&model, "GET", "/v1/trails"), Some(Effect::Safe));
+    assert_eq!(effect(&model, "POST", "/v1/trails"), Some(Effect::Unsafe));
+    assert!(matches!(effect(&model, "PUT", "/v1/trails/7"), Some(Effect::Keyed(..))));
+    assert_eq!(effect(&model, "DELETE", "/v1/trails/7"), Some(Effect::Unsafe));
+    assert_eq!(effect(&model, "POST", "/v1/trails/7/edits"), Some(Effect::Unsafe));
+    assert_eq!(effect(&model, "POST", "/v1/trails/search"), Some(Effect::Safe));
+    assert_eq!(effect(&model, "GET", "/trails"), None);
+    assert!(
+        text.contains("`{name}.{kind}` of /v1/files/{name}.{kind} stands for a whole segment here"),
+        "{text}"
+    );
+}
+
+#[test]
+fn json_is_read_as_yaml_is() {
+    let json = r#"{"openapi":"3.1.0","paths":{"/a":{"get":{}}}}"#;
+    assert_eq!(
+        from_openapi(json, &[]).unwrap().routes,
+        from_openapi("openapi: 3.1.0\npaths: { /a: { get: {} } }", &[]).unwrap().routes
+    );
+}
+
+#[test]
+fn two_templates_of_one_pattern_get_the_stricter_effect() {
+    let text =
+        "openapi: 3.0.0\npaths:\n  /a/{x}: { post: { x-ivygate-effect: safe } }\n  /a/{y}: { post: {} }\n";
+    let document = from_openapi(text, &[]).unwrap();
+    assert_eq!(document.routes.len(), 1);
+    assert_eq!(document.routes[0].wish, Wish::Unsafe);
+    assert!(document.remarks[0].contains("the stricter effect holds"));
+}
+
+#[test]
+fn documents_that_cannot_be_used_say_why() {
+    for (text, why) in [
+        ("{\"openapi\": ", "neither JSON nor YAML"),
+        ("a: [", "neither JSON nor YAML"),
+        ("swagger: '2.0'\npaths: {}", "Swagger 2"),
+        ("openapi: 4.0.0", "version `4.0.0`"),
+        ("openapi: 3.0.0", "no `paths`"),
+        ("openapi: 3.0.0\npaths: {}", "no operation"),
+        ("openapi: 3.0.0\npaths: { /a: { post: { x-ivygate-effect: often } } }", "no effect `often`"),
+    ] {
+        let error = from_openapi(text, &[]).unwrap_err().to_string();
+        assert!(error.contains(why), "{error}");
+    }
+    let error = from_openapi(DOCUMENT, &[("POST /gone".into(), Wish::Safe)]).unwrap_err().to_string();
+    assert!(error.contains("`POST /gone`"), "{error}");
+}
