--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -121,7 +121,8 @@
         return None;
     };
     if let Some(first) = seen.get(&word.text) {
-        let what = format!("two {kind}s are named `{}`", word.text);
+        let kinds = if kind == "class" { "classes".to_owned() } else { format!("{kind}s") };
+        let what = format!("two {kinds} are named `{}`", word.text);
         let error = Diagnostic::error("IV0032", what, word.span, "named again here");
         fields.note(error.also(*first, "first named here").help("give one of them another name"));
     } else {
--- a/crates/config/src/expand.rs
+++ b/crates/config/src/expand.rs
@@ -17,8 +17,8 @@
 
 /// Finds and reads files for an include.
 pub trait Loader {
-    /// The names of the files that a path or pattern means, relative to the file `from`, in order; a name that
-    /// comes back twice means the same file. A pattern that matches nothing gives none.
+    /// The names of the files that a path or pattern means, relative to the file `from`, in order. A pattern that
+    /// matches nothing gives none.
     ///
     /// # Errors
     /// In words, if a path without a pattern names no file.
@@ -29,6 +29,11 @@
     /// # Errors
     /// In words, if it cannot be read, is no plain file, or is too large.
     fn read(&self, name: &str) -> Result<Vec<u8>, String>;
+
+    /// What two names of one file have in common, so that circles are seen.
+    fn identity(&self, name: &str) -> String {
+        name.to_owned()
+    }
 }
 
 /// A loader that knows of no file.
@@ -85,6 +90,14 @@
     Expanded { sources, root, findings: names.findings, broken: names.broken }
 }
 
+/// A file that is being read.
+struct Open {
+    name: String,
+    identity: String,
+    /// The include that led to it.
+    from: Option<Span>,
+}
+
 struct Files<'a> {
     loader: &'a dyn Loader,
     sources: Sources,
@@ -92,8 +105,8 @@
     broken: bool,
     bytes: usize,
     count: usize,
-    /// The files that are being read, with the place of the include that led to each.
-    chain: Vec<(String, Option<Span>)>,
+    /// The files that are being read, each included by the one before.
+    chain: Vec<Open>,
 }
 
 impl Files<'_> {
@@ -106,7 +119,8 @@
     fn file(&mut self, name: &str, bytes: &[u8], from: Option<Span>) -> Block {
         self.count += 1;
         self.bytes += bytes.len();
-        self.chain.push((name.to_owned(), from));
+        let identity = self.loader.identity(name);
+        self.chain.push(Open { name: name.to_owned(), identity, from });
         let text = match std::str::from_utf8(bytes) {
             Ok(text) => text,
             Err(error) => {
@@ -156,7 +170,7 @@
             self.error(error.help("end it with `;`"));
             return;
         }
-        let from = self.chain.last().map_or(String::new(), |(name, _)| name.clone());
+        let from = self.chain.last().map_or(String::new(), |open| open.name.clone());
         let names = match self.loader.find(&from, &path.text) {
             Ok(names) => names,
             Err(why) => return self.unreadable(&path.text, path.span, &why),
@@ -167,14 +181,15 @@
             self.findings.push(warning.help("this is right where files may come later"));
         }
         for name in names {
-            if let Some(at) = self.chain.iter().position(|(open, _)| *open == name) {
+            let identity = self.loader.identity(&name);
+            if let Some(at) = self.chain.iter().position(|open| open.identity == identity) {
                 let mut error =
                     Diagnostic::error("IV0062", "files include each other in a circle", path.span, "")
                         .help("move what both need into a file that includes neither");
                 error.at.1 = format!("this includes `{name}`, which is being read");
-                for (name, from) in &self.chain[at + 1..] {
-                    if let Some(from) = from {
-                        error = error.also(*from, format!("this includes `{name}`"));
+                for open in &self.chain[at + 1..] {
+                    if let Some(from) = open.from {
+                        error = error.also(from, format!("this includes `{}`", open.name));
                     }
                 }
                 self.error(error);
--- a/crates/files/src/lib.rs
+++ b/crates/files/src/lib.rs
@@ -104,9 +104,8 @@
         let base = Path::new(from).parent().unwrap_or(Path::new(""));
         let path = base.join(pattern);
         if !pattern.contains(['*', '?', '[']) {
-            // Told by its real name, so that a circle through other spellings or links is seen.
-            let real = path.canonicalize().map_err(|error| error.to_string())?;
-            return Ok(vec![shown(&path, &real, from)]);
+            std::fs::metadata(&path).map_err(|error| error.to_string())?;
+            return Ok(vec![shown(&path)]);
         }
         // Only what the pattern says may be a wildcard, not what the folder's name happens to hold.
         let whole = match base.as_os_str().is_empty() || Path::new(pattern).is_absolute() {
@@ -122,8 +121,7 @@
             // Hidden files are editors' and package managers' own.
             let hidden = path.file_name().is_some_and(|name| name.to_string_lossy().starts_with('.'));
             if !hidden && !path.is_dir() {
-                let real = path.canonicalize().map_err(|error| format!("{}: {error}", path.display()))?;
-                names.push(shown(&path, &real, from));
+                names.push(shown(&path));
             }
         }
         Ok(names)
@@ -132,21 +130,15 @@
     fn read(&self, name: &str) -> Result<Vec<u8>, String> {
         plain(Path::new(name))
     }
-}
 
-/// The name by which a file is told. Where the path is a link to another place, or climbs, that is its real
-/// name; else it is as written, which is shorter.
-fn shown(path: &Path, real: &Path, from: &str) -> String {
-    let plain_parts = path.components().all(|part| part != std::path::Component::ParentDir);
-    let start = Path::new(from)
-        .parent()
-        .and_then(|p| if p.as_os_str().is_empty() { Path::new(".") } else { p }.canonicalize().ok());
-    let under = start.is_some_and(|start| real.strip_prefix(&start).is_ok_and(|rest| path.ends_with(rest)));
-    if plain_parts && under {
-        let normal: PathBuf =
-            path.components().filter(|part| *part != std::path::Component::CurDir).collect();
-        normal.display().to_string()
-    } else {
-        real.display().to_string()
+    fn identity(&self, name: &str) -> String {
+        // One that has gone meanwhile fails when it is read.
+        Path::new(name).canonicalize().map_or_else(|_| name.to_owned(), |real| real.display().to_string())
     }
 }
+
+/// The name by which a file is told: as written, without `.` in it.
+fn shown(path: &Path) -> String {
+    let parts: PathBuf = path.components().filter(|part| *part != std::path::Component::CurDir).collect();
+    parts.display().to_string()
+}
--- a/crates/files/tests/disk.rs
+++ b/crates/files/tests/disk.rs
@@ -82,6 +82,17 @@
     assert!(folder.found()[0].starts_with("IV0062 "), "{:?}", folder.found());
 }
 
+#[test]
+fn a_circle_is_seen_however_the_first_file_is_named() {
+    let folder =
+        Folder::new(&[("main.conf", "include sub/loop.conf;"), ("sub/loop.conf", "include ../main.conf;")]);
+    for name in ["main.conf", "./main.conf", "sub/../main.conf"] {
+        let loaded = load(&folder.0.join(name)).unwrap();
+        let circles = loaded.findings.iter().filter(|f| f.code == "IV0062").count();
+        assert_eq!((circles, loaded.sources.names().count()), (1, 2), "{name}");
+    }
+}
+
 #[test]
 fn what_is_no_plain_file_is_told_of_and_never_waited_for() {
     let folder = Folder::new(&[
--- a/crates/ivygate/src/check.rs
+++ b/crates/ivygate/src/check.rs
@@ -18,15 +18,16 @@
     match (form, &loaded.model) {
         (Form::Json, _) => println!("{}", ivygate_tool::findings_as_json(&loaded)),
         (Form::Text, Some(model)) => println!(
-            "{}: {} routes to {} pools, {} warnings",
+            "{}: {} to {}, {}",
             file.display(),
-            model.routes.len(),
-            model.pools.len(),
-            loaded.count(Severity::Warning)
+            number(model.routes.len(), "route"),
+            number(model.pools.len(), "pool"),
+            number(loaded.count(Severity::Warning), "warning")
         ),
         (Form::Text, None) => {
             let errors = loaded.count(Severity::Error);
-            eprintln!("{}: {errors} errors; `ivygate explain CODE` says more of each", file.display());
+            let errors = number(errors, "error");
+            eprintln!("{}: {errors}; `ivygate explain CODE` says more", file.display());
         }
     }
     if loaded.model.is_some() {
@@ -36,6 +37,10 @@
     }
 }
 
+fn number(count: usize, what: &str) -> String {
+    format!("{count} {what}{}", if count == 1 { "" } else { "s" })
+}
+
 /// Explains a code, or all of them.
 pub fn explain(code: Option<&str>) -> ExitCode {
     let Some(code) = code else {
--- a/crates/ivygate/src/new.rs
+++ b/crates/ivygate/src/new.rs
@@ -101,7 +101,8 @@
         };
         taken.insert(listen.port());
         let text = generate(app, listen);
-        let file = options.dir.join(format!("{}.conf", app.name));
+        let name = format!("{}.conf", app.name);
+        let file = if options.dir == Path::new(".") { PathBuf::from(name) } else { options.dir.join(name) };
         let name = file.display().to_string();
         let loaded = ivygate_config::load(&name, &text);
         if loaded.model.is_none() {
