--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -7,7 +7,7 @@
 use crate::model::*;
 use crate::syntax::{Block, Statement, Word};
 use ipnet::IpNet;
-use ivygate_routing::{Claim, Host, Methods, PathClaim};
+use ivygate_routing::{Claim, Host, Methods, PathClaim, Target};
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 
@@ -33,8 +33,9 @@
     let classes = classes(&fields);
     let listeners = listeners(&fields);
     let pools = pools(&fields);
-    let routes = routes(&fields, &classes, &pools);
-    let mut model = Model { limits, identity, listeners, classes, plans, customers, pools, routes };
+    let sign_ins = sign_ins(&fields, &pools);
+    let routes = routes(&fields, &classes, &pools, &sign_ins);
+    let mut model = Model { limits, identity, listeners, classes, plans, customers, pools, sign_ins, routes };
     if model.plans.is_empty() {
         model.plans.push(no_plan());
     }
@@ -614,7 +615,86 @@
     servers
 }
 
-fn routes(fields: &Fields, classes: &[Class], pools: &[Pool]) -> Vec<Route> {
+/// Headers that say how a message is framed or where it goes; no service may set them.
+const FRAMING: [&str; 12] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-forwarded-for",
+];
+
+fn sign_ins(fields: &Fields, pools: &[Pool]) -> Vec<SignIn> {
+    let mut seen = HashMap::new();
+    let mut sign_ins = Vec::new();
+    for statement in fields.all("sign-in") {
+        let Some(name) = named(fields, "sign-in", statement, &mut seen) else { continue };
+        let inner = fields.inner("sign-in", statement);
+        let pool = inner.needed("pool", "pool NAME;").and_then(|s| inner.words(s, 1, 1));
+        let pool = pool.and_then(|w| refer(&inner, "pool", &w[0], pools, |p| &p.name));
+        let path = inner.needed("path", "path /check;").and_then(|s| inner.words(s, 1, 1));
+        let path = path.and_then(|words| match Target::parse(&words[0].text) {
+            Ok(target) if words[0].text.starts_with('/') => Some(target.path_and_query()),
+            _ => {
+                let error = Diagnostic::error("IV0052", "this is no path", words[0].span, "here");
+                inner.note(error.help("write one such as `/check`"));
+                None
+            }
+        });
+        let headers = |name, default: &[&str]| -> Vec<String> {
+            match inner.one(name).and_then(|s| inner.words(s, 1, 64)) {
+                None => default.iter().map(|d| (*d).to_owned()).collect(),
+                Some(words) => words
+                    .iter()
+                    .filter_map(|word| {
+                        let name = header(&inner, word)?;
+                        if FRAMING.contains(&name.as_str()) {
+                            let what = format!("`{}` belongs to the connection", word.text);
+                            let error =
+                                Diagnostic::error("IV0085", what, word.span, "cannot be carried over");
+                            inner.note(error.help("name headers such as `Authorization` or `X-User`"));
+                            return None;
+                        }
+                        Some(name)
+                    })
+                    .collect(),
+            }
+        };
+        let open = match inner.word("on-failure").map(|word| (word, word.text.as_str())) {
+            None | Some((_, "closed")) => false,
+            Some((_, "open")) => true,
+            Some((word, other)) => {
+                let error = Diagnostic::error(
+                    "IV0086",
+                    format!("`on-failure` is `closed` or `open`, not `{other}`"),
+                    word.span,
+                    "here",
+                );
+                inner.note(error.help("write `on-failure closed;`"));
+                false
+            }
+        };
+        let (request_headers, answer_headers) =
+            (headers("request-headers", &["authorization", "cookie"]), headers("answer-headers", &[]));
+        let within = duration_or(&inner, "within", 500.0);
+        let at = At(inner.head);
+        inner.finish();
+        // One with a mistake is kept too, so that routes that name it are not told of as well.
+        let (pool, path) = (pool.unwrap_or(0), path.unwrap_or_default());
+        let name = name.text.clone();
+        sign_ins.push(SignIn { name, pool, path, request_headers, answer_headers, within, open, at });
+    }
+    sign_ins
+}
+
+fn routes(fields: &Fields, classes: &[Class], pools: &[Pool], sign_ins: &[SignIn]) -> Vec<Route> {
     let mut seen = HashMap::new();
     let mut routes = Vec::new();
     for statement in fields.all("route") {
@@ -638,28 +718,23 @@
         let pool = pool.and_then(|w| refer(&inner, "pool", &w[0], pools, |p| &p.name));
         let methods = methods(&inner, class.and_then(|c| classes.get(c)));
         let repeat = route_repeat(&inner, class.and_then(|c| classes.get(c)));
-        if let Some(statement) = inner.one("sign-in") {
-            let at = head_span(statement);
-            inner.note(if statement.words.len() < 2 {
-                Diagnostic::error(
-                    "IV0084",
-                    "this route wants a sign-in and names no service",
-                    at,
-                    "of which pool?",
-                )
-                .help("write `sign-in POOL;`, or remove it if the route is open to all")
-            } else {
-                Diagnostic::error("IV0085", "sign-in is not offered yet", at, "it would not be asked for")
-                    .help("nothing is served open that should be closed: keep the sign-in in the application")
-            });
-        }
+        let sign_in = inner.one("sign-in").and_then(|statement| {
+            let Some(word) = statement.words.get(1) else {
+                let what = "this route wants a sign-in and names no service";
+                let error = Diagnostic::error("IV0084", what, head_span(statement), "asked of whom?");
+                inner.note(error.help("write `sign-in NAME;`, or remove it if the route is open to all"));
+                return None;
+            };
+            inner.words(statement, 1, 1)?;
+            refer(&inner, "sign-in", word, sign_ins, |s| &s.name)
+        });
         let at = At(inner.head);
         inner.finish();
         if let (Some(host), Some(path), Some(methods), Some(class), Some(pool)) =
             (host, path, methods, class, pool)
         {
             let claim = Claim { host, path, methods };
-            routes.push(Route { name: name.text.clone(), claim, class, pool, repeat, at });
+            routes.push(Route { name: name.text.clone(), claim, class, pool, repeat, sign_in, at });
         }
     }
     routes
--- a/crates/config/src/meaning.rs
+++ b/crates/config/src/meaning.rs
@@ -26,6 +26,7 @@
     plans(fields, model);
     servers(fields, model);
     trust(fields, model);
+    sign_ins(fields, model);
     sums(fields, model);
     unused(fields, model);
 }
@@ -382,6 +383,34 @@
     }
 }
 
+fn sign_ins(fields: &Fields, model: &Model) {
+    for route in &model.routes {
+        let Some(sign_in) = route.sign_in.map(|number| &model.sign_ins[number]) else { continue };
+        let class = &model.classes[route.class];
+        if sign_in.open && route.repeat == Repeat::Unsent {
+            let what = format!("`{}` would go on unchecked where its sign-in fails", route.name);
+            let at = place(fields, "sign-in", &sign_in.name, "on-failure", sign_in.at);
+            let error = Diagnostic::error("IV0088", what, at, "open here");
+            fields.note(
+                error
+                    .also(route.at.0, format!("its class `{}` must not run twice", class.name))
+                    .help("write `on-failure closed;`, or give this route a sign-in of its own"),
+            );
+        }
+        if sign_in.within + class.aim > class.deadline && !spoilt(fields, "class", &class.name) {
+            let what = format!("a check may take the time that `{}` needs", class.name);
+            let at = place(fields, "sign-in", &sign_in.name, "within", sign_in.at);
+            let error = Diagnostic::error("IV0089", what, at, format!("{} ms", sign_in.within));
+            let label = format!("aim {} ms of {} ms", class.aim, class.deadline);
+            fields.note(
+                error
+                    .also(class.at.0, label)
+                    .help(format!("write `within {}ms;` or less", (class.deadline - class.aim).max(1.0))),
+            );
+        }
+    }
+}
+
 fn sums(fields: &Fields, model: &Model) {
     if ["limits", "listen", "pool"].into_iter().any(|kind| any_spoilt(fields, kind)) {
         return;
@@ -452,7 +481,8 @@
         return;
     }
     let classes: BTreeSet<usize> = model.routes.iter().map(|r| r.class).collect();
-    let pools: BTreeSet<usize> = model.routes.iter().map(|r| r.pool).collect();
+    let asked = model.sign_ins.iter().map(|s| s.pool);
+    let pools: BTreeSet<usize> = model.routes.iter().map(|r| r.pool).chain(asked).collect();
     for (_, class) in model.classes.iter().enumerate().filter(|(n, _)| !classes.contains(n)) {
         warn("IV0102", "class", &class.name, class.at);
     }
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -34,6 +34,8 @@
     pub customers: Vec<Customer>,
     /// Pools of servers.
     pub pools: Vec<Pool>,
+    /// Services that are asked before a request goes on.
+    pub sign_ins: Vec<SignIn>,
     /// Routes, in the file's order.
     pub routes: Vec<Route>,
 }
@@ -279,6 +281,27 @@
     pub at: At,
 }
 
+/// A service that is asked before a request goes on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SignIn {
+    /// Its name.
+    pub name: String,
+    /// The pool of its servers, by its number.
+    pub pool: usize,
+    /// The path that is asked for.
+    pub path: String,
+    /// Headers of the request that it gets.
+    pub request_headers: Vec<String>,
+    /// Headers of its yes that go on with the request; never taken from clients.
+    pub answer_headers: Vec<String>,
+    /// Longest time for a check.
+    pub within: f64,
+    /// Whether requests go on where it gives no usable answer.
+    pub open: bool,
+    /// Where it stands.
+    pub at: At,
+}
+
 /// A route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -292,6 +315,8 @@
     pub pool: usize,
     /// After what they may be sent again: what their class says, or less.
     pub repeat: Repeat,
+    /// The service that is asked first, by its number.
+    pub sign_in: Option<usize>,
     /// Where it stands.
     pub at: At,
 }
--- /dev/null
+++ b/crates/forward-auth/src/lib.rs
@@ -0,0 +1,227 @@
+//! One request behind a sign-in check: what may happen to it, and what never.
+//!
+//! Called by the sidecar's front, which asks the service, sends the request on, and answers. It does no I/O and
+//! reads no clock: inputs come through [`Gate::handle`], with the time. It must not know HTTP beyond statuses,
+//! nor which server is asked; that is the decision module's.
+
+/// What happens where the service gives no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnFailure {
+    /// The request is answered 503.
+    Closed,
+    /// It goes on unchecked.
+    Open,
+}
+
+/// What an answer of the service means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// The request may go on.
+    Yes,
+    /// It may not: the service's answer is the client's.
+    No,
+    /// It is no answer to the question.
+    Unusable,
+}
+
+impl Said {
+    /// By the convention that proxies share: 2xx is a yes, 401, 403 and redirections are a no.
+    pub fn of(status: u16) -> Self {
+        match status {
+            200..=299 => Said::Yes,
+            401 | 403 | 300..=399 => Said::No,
+            _ => Said::Unusable,
+        }
+    }
+}
+
+/// What happens to the check or to the one who waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// The service has answered, whole.
+    Said(Said),
+    /// The service's pool has refused the check: nothing was asked.
+    Refused,
+    /// No answer came in its time, or it broke.
+    Unanswered,
+    /// The client has left.
+    ClientGone,
+    /// The request's own time is up.
+    TimeUp,
+}
+
+/// What is to be done. All but [`Step::Nothing`] comes once in a request's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Send the request on; `checked` tells whether a yes stands behind it.
+    GoOn {
+        /// Whether the service said yes.
+        checked: bool,
+    },
+    /// Give the client the service's answer.
+    PassOn,
+    /// Answer 503 with `Retry-After`: the service has no room.
+    Refuse,
+    /// Answer 503: the service gives no usable answer.
+    Unavailable,
+    /// Answer 504.
+    TimeUp,
+    /// Nothing more happens to this request here.
+    Nothing,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Asking,
+    /// It has gone on, been answered, or nobody waits.
+    Over,
+}
+
+/// A request that waits for its check.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    phase: Phase,
+    on_failure: OnFailure,
+    deadline: f64,
+}
+
+impl Gate {
+    /// A request whose check is about to be asked for, with a deadline in milliseconds.
+    pub fn new(on_failure: OnFailure, deadline: f64) -> Self {
+        Self { phase: Phase::Asking, on_failure, deadline }
+    }
+
+    /// Takes in what has happened, at a time in milliseconds.
+    pub fn handle(&mut self, now: f64, input: Input) -> Step {
+        if self.phase == Phase::Over {
+            // Also a yes that comes now: its request has its answer, or nobody to answer.
+            return Step::Nothing;
+        }
+        self.phase = Phase::Over;
+        if input == Input::ClientGone {
+            return Step::Nothing;
+        }
+        // A yes in the same moment as the deadline comes too late to do anything with.
+        if now >= self.deadline {
+            return Step::TimeUp;
+        }
+        match (input, self.on_failure) {
+            (Input::Said(Said::Yes), _) => Step::GoOn { checked: true },
+            (Input::Said(Said::No), _) => Step::PassOn,
+            // Not a failure of the service: letting all pass as soon as it is busy would invite floods.
+            (Input::Refused, _) => Step::Refuse,
+            (Input::TimeUp, _) => Step::TimeUp,
+            (Input::Said(Said::Unusable) | Input::Unanswered, OnFailure::Open) => {
+                Step::GoOn { checked: false }
+            }
+            (Input::Said(Said::Unusable) | Input::Unanswered, OnFailure::Closed) => Step::Unavailable,
+            (Input::ClientGone, _) => Step::Nothing,
+        }
+    }
+}
+
+/// Time for a check, in milliseconds: at most `within`, and so that the application keeps its usual time of
+/// what the client will wait, or half of that where it is less.
+pub fn share(within: f64, wait: f64, usual: f64) -> f64 {
+    within.min(wait - usual.min(wait / 2.0)).max(0.0)
+}
+
+/// A header's name as servers may spell it: some take `_` for `-`, and case never counts.
+pub fn folded(name: &str) -> String {
+    name.bytes().map(|b| if b == b'_' { '-' } else { char::from(b.to_ascii_lowercase()) }).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const INPUTS: [Input; 7] = [
+        Input::Said(Said::Yes),
+        Input::Said(Said::No),
+        Input::Said(Said::Unusable),
+        Input::Refused,
+        Input::Unanswered,
+        Input::ClientGone,
+        Input::TimeUp,
+    ];
+
+    #[test]
+    fn every_first_input_has_its_step_and_only_a_yes_or_an_open_failure_goes_on() {
+        use Step::*;
+        let closed = [GoOn { checked: true }, PassOn, Unavailable, Refuse, Unavailable, Nothing, TimeUp];
+        let open = [
+            GoOn { checked: true },
+            PassOn,
+            GoOn { checked: false },
+            Refuse,
+            GoOn { checked: false },
+            Nothing,
+            TimeUp,
+        ];
+        for (on_failure, steps) in [(OnFailure::Closed, closed), (OnFailure::Open, open)] {
+            for (input, step) in INPUTS.into_iter().zip(steps) {
+                assert_eq!(Gate::new(on_failure, 100.0).handle(99.9, input), step, "{input:?}");
+            }
+        }
+    }
+
+    #[test]
+    fn at_and_after_the_deadline_nothing_goes_on() {
+        for on_failure in [OnFailure::Closed, OnFailure::Open] {
+            for now in [100.0, 100.1, 1e9] {
+                for input in INPUTS {
+                    let step = Gate::new(on_failure, 100.0).handle(now, input);
+                    let wanted = if input == Input::ClientGone { Step::Nothing } else { Step::TimeUp };
+                    assert_eq!(step, wanted, "{input:?}");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn whatever_comes_in_whatever_order_a_request_gets_one_step() {
+        // All sequences of four inputs, each before and at the deadline.
+        let all = INPUTS.len() * 2;
+        for on_failure in [OnFailure::Closed, OnFailure::Open] {
+            for number in 0..all.pow(4) {
+                let mut gate = Gate::new(on_failure, 100.0);
+                let (mut rest, mut steps, mut gone, mut no) = (number, 0, false, false);
+                for _ in 0..4 {
+                    let (input, late) = (INPUTS[rest % all / 2], rest % 2 == 1);
+                    rest /= all;
+                    let step = gate.handle(if late { 100.0 } else { 0.0 }, input);
+                    let goes_on = matches!(step, Step::GoOn { .. });
+                    assert!(!(goes_on && (gone || no || late)), "{number}");
+                    steps += usize::from(step != Step::Nothing);
+                    gone |= input == Input::ClientGone;
+                    no |= input == Input::Said(Said::No);
+                }
+                assert!(steps <= 1, "{number}");
+            }
+        }
+    }
+
+    #[test]
+    fn a_check_leaves_the_application_its_usual_time_or_half() {
+        assert_eq!(share(300.0, 2000.0, 500.0), 300.0);
+        assert_eq!(share(1900.0, 2000.0, 500.0), 1500.0);
+        assert_eq!(share(1900.0, 600.0, 500.0), 300.0);
+        assert_eq!(share(300.0, 0.0, 500.0), 0.0);
+    }
+
+    #[test]
+    fn statuses_mean_what_proxies_agree_on() {
+        for status in 100..600 {
+            let said = Said::of(status);
+            assert_eq!(said == Said::Yes, (200..300).contains(&status));
+            assert_eq!(said == Said::No, [401, 403].contains(&status) || (300..400).contains(&status));
+        }
+    }
+
+    #[test]
+    fn spellings_of_a_name_fold_into_one() {
+        for spelling in ["X-User", "x-user", "X_User", "x_USER", "X-uSeR"] {
+            assert_eq!(folded(spelling), "x-user");
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivygate/tests/sidecar_sign_in.rs
@@ -0,0 +1,207 @@
+//! Requests that wait for a sign-in service: what goes on, what does not, and what never happens twice.
+
+mod support;
+
+use ivygate_standin::{until, App, Message, Reply};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use support::{pool, Sidecar};
+
+/// A sidecar whose `/app` asks first, with both sides as scripted.
+struct Rig {
+    accounts: App,
+    app: App,
+    /// Heads that the service and the application got.
+    asked: Arc<Mutex<Vec<Message>>>,
+    got: Arc<Mutex<Vec<Message>>>,
+    sidecar: Sidecar,
+}
+
+fn rig(class: &str, extra: &str, accounts: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Rig {
+    rig_with(class, extra, accounts, |_| Reply::ok("done"))
+}
+
+fn rig_with(
+    class: &str,
+    extra: &str,
+    accounts: impl Fn(&Message) -> Reply + Send + Sync + 'static,
+    app: impl Fn(&Message) -> Reply + Send + Sync + 'static,
+) -> Rig {
+    let (asked, got) = (Arc::<Mutex<Vec<Message>>>::default(), Arc::<Mutex<Vec<Message>>>::default());
+    let noted = |into: &Arc<Mutex<Vec<Message>>>, message: &Message| {
+        into.lock().expect("a list").push(message.clone())
+    };
+    let accounts = {
+        let asked = asked.clone();
+        App::start(move |m| {
+            noted(&asked, m);
+            accounts(m)
+        })
+    };
+    let app = {
+        let got = got.clone();
+        App::start(move |m| {
+            noted(&got, m);
+            app(m)
+        })
+    };
+    let text = Sidecar::text(
+        "",
+        &[
+            pool("accounts", "", &[(accounts.address, "north")]),
+            pool("app", "", &[(app.address, "north")]),
+            format!(
+                "sign-in members {{ pool accounts; path /check; answer-headers X-User X-Plan; {extra} }}\n\
+                 route app {{ path prefix /app; methods GET POST; sign-in members; class {class}; pool app; }}\n\
+                 route free {{ path prefix /free; methods GET POST; class {class}; pool app; }}\n"
+            ),
+        ],
+    );
+    let sidecar = Sidecar::start(&text);
+    Rig { accounts, app, asked, got, sidecar }
+}
+
+fn post(rig: &Rig, path: &str, headers: &str) -> Message {
+    rig.sidecar
+        .client()
+        .ask(&format!("POST {path} HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\n{headers}\r\nx=1"))
+}
+
+#[test]
+fn a_yes_lets_the_request_on_with_the_services_headers_and_the_service_sees_what_was_asked() {
+    let rig =
+        rig("order", "", |_| Reply::Answer("204 No Content", "X-User: ann\r\nX-Other: no\r\n", Vec::new()));
+    let answer = post(&rig, "/app/a?b=c", "Authorization: Bearer t\r\nCookie: k=v\r\nX-Secret: s\r\n");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"done"[..]));
+    let asked = rig.asked.lock().expect("a list");
+    let check = &asked[0];
+    assert!(check.start.starts_with("GET /check "), "{}", check.start);
+    for (name, value) in [
+        ("x-forwarded-method", Some("POST")),
+        ("x-forwarded-uri", Some("/app/a?b=c")),
+        ("x-forwarded-host", Some("shop.example")),
+        ("x-forwarded-proto", Some("http")),
+        ("x-forwarded-for", Some("127.0.0.1")),
+        ("authorization", Some("Bearer t")),
+        ("cookie", Some("k=v")),
+        ("x-secret", None),
+    ] {
+        assert_eq!(check.header(name), value, "{name}");
+    }
+    assert!(check.body.is_empty());
+    let got = rig.got.lock().expect("a list");
+    assert_eq!((got[0].header("x-user"), got[0].header("x-other")), (Some("ann"), None));
+    assert_eq!((got.len(), got[0].body.as_slice()), (1, &b"x=1"[..]));
+}
+
+#[test]
+fn a_no_is_the_clients_answer_with_its_headers_and_nothing_goes_on() {
+    for (status, header) in [
+        ("401 Unauthorized", "WWW-Authenticate: Bearer\r\n"),
+        ("403 Forbidden", "Set-Cookie: tried=1\r\n"),
+        ("302 Found", "Location: /login\r\n"),
+    ] {
+        let rig = rig("order", "on-failure closed;", move |_| Reply::Answer(status, header, b"no".to_vec()));
+        let answer = post(&rig, "/app", "");
+        let (name, value) = header.trim().split_once(": ").expect("a header");
+        assert_eq!(answer.status().to_string(), status[..3]);
+        assert_eq!(
+            (answer.header(&name.to_ascii_lowercase()), answer.body.as_slice()),
+            (Some(value), &b"no"[..])
+        );
+        assert_eq!(rig.app.seen(), 0);
+    }
+}
+
+#[test]
+fn a_service_that_fails_closes_by_default_and_opens_only_where_that_is_said() {
+    type Script = fn(&Message) -> Reply;
+    let failures: [(&str, Script); 6] = [
+        ("500", |_| Reply::Answer("500 Internal Server Error", "", Vec::new())),
+        ("404", |_| Reply::Answer("404 Not Found", "", Vec::new())),
+        ("hangs up", |_| Reply::Close),
+        ("nonsense", |_| Reply::Bytes(b"what?\r\n\r\n")),
+        ("half a yes", |_| Reply::Bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")),
+        ("silence", |_| Reply::Silence),
+    ];
+    for (name, script) in failures {
+        let closed = rig("order", "within 300ms;", script);
+        let answer = post(&closed, "/app", "");
+        assert_eq!(answer.status(), 503, "{name}");
+        assert!(answer.header("retry-after").is_some(), "{name}");
+        assert_eq!(closed.app.seen(), 0, "{name}");
+        let open = rig("read", "within 300ms; on-failure open;", script);
+        assert_eq!(post(&open, "/app", "").status(), 200, "{name}");
+        assert_eq!(open.app.seen(), 1, "{name}");
+    }
+}
+
+#[test]
+fn identity_headers_of_clients_go_on_in_no_spelling_also_where_nothing_is_asked() {
+    let spellings = [
+        "X-User", "x-user", "X-USER", "X_User", "x_user", "X_USER", "x-User", "X-uSER", "x_USER", "X-usER",
+        "X_uSeR", "x-UsEr",
+    ];
+    for path in ["/app", "/free"] {
+        let rig = rig("order", "", |_| Reply::Answer("200 OK", "X-User: ann\r\n", Vec::new()));
+        for spelling in spellings {
+            assert_eq!(post(&rig, path, &format!("{spelling}: root\r\n")).status(), 200);
+        }
+        let got = rig.got.lock().expect("a list");
+        assert_eq!(got.len(), spellings.len());
+        for message in got.iter() {
+            let named: Vec<_> = message
+                .headers
+                .iter()
+                .filter(|(name, _)| name.to_ascii_lowercase().replace('_', "-") == "x-user")
+                .map(|(_, value)| value.as_str())
+                .collect();
+            let wanted: &[&str] = if path == "/app" { &["ann"] } else { &[] };
+            assert_eq!(named, wanted, "{path}");
+        }
+    }
+}
+
+#[test]
+fn a_check_that_is_repeated_lets_the_order_on_once() {
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = count.clone();
+    let rig = rig("order", "", move |_| match counted.fetch_add(1, Ordering::SeqCst) {
+        0 => Reply::Close,
+        _ => Reply::ok("yes"),
+    });
+    // The pool may try its only server again, or refuse; never does the order go on twice.
+    let status = post(&rig, "/app", "").status();
+    assert!([200, 503].contains(&status), "{status}");
+    assert_eq!(rig.app.seen(), usize::from(status == 200));
+}
+
+#[test]
+fn an_order_that_the_application_breaks_off_is_not_sent_again_by_another_check() {
+    let rig = rig_with("order", "", |_| Reply::ok("yes"), |_| Reply::Close);
+    assert_eq!(post(&rig, "/app", "").status(), 502);
+    assert_eq!((rig.accounts.seen(), rig.app.seen()), (1, 1));
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_check_and_nothing_goes_on() {
+    let rig = rig("order", "within 5s;", |_| Reply::Silence);
+    let mut client = rig.sidecar.client();
+    client.write(b"POST /app HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nx=1");
+    until("the service is asked", || rig.accounts.seen() == 1);
+    drop(client);
+    until("the check's connection is closed", || rig.accounts.open() == 0);
+    assert_eq!(rig.app.seen(), 0);
+}
+
+#[test]
+fn a_service_slower_than_its_time_leaves_the_application_nothing_and_the_client_one_answer() {
+    let rig = rig("order", "within 200ms;", |_| Reply::Slow(Duration::from_millis(1500)));
+    let mut client = rig.sidecar.client();
+    let answer = client.ask("POST /app HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nx=1");
+    assert_eq!(answer.status(), 503);
+    // The late yes changes nothing: the same connection goes on with the next request.
+    let next = client.ask("GET /elsewhere HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert_eq!((next.status(), rig.app.seen()), (404, 0));
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -81,7 +81,7 @@
                 }
                 response
             }
-            Ok(Answer::Refused(retry_after, _)) => {
+            Ok(Answer::Refused(retry_after, ..)) => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused; nothing was run");
                 if let Some(value) = retry_after_value(retry_after) {
                     response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -105,8 +105,9 @@
     Served(Bytes, Option<HeaderValue>),
     /// Served, or failed in a server's own words: what comes is passed on.
     Passed(Box<Response<Streamed>>),
-    /// Refused; the client should stay away this long, or is told nothing if it is 0.
-    Refused(Millis, Refusal),
+    /// Refused; the client should stay away this long, or is told nothing if it is 0. The last part tells whether
+    /// a server had been tried before.
+    Refused(Millis, Refusal, bool),
     /// Failed.
     Failed,
     /// Failed because the time was up.
@@ -409,7 +410,8 @@
                 self.send(state, request, server, give_up_at, now)
             }
             Action::Refuse { request, retry_after, reason } => {
-                state.answer(&request, Answer::Refused(retry_after, reason));
+                let tried = state.requests.get(&request).is_some_and(|open| !open.attempts.is_empty());
+                state.answer(&request, Answer::Refused(retry_after, reason, tried));
                 state.drop_if_over(&request);
             }
             Action::Fail { request } => {
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -3,6 +3,7 @@
 use crate::answer::{AnswerBody, Held, Words};
 use crate::forward::{to_application, to_client, Origin};
 use crate::identity::{client_address, customer, duration, is_trusted};
+use crate::sign_in::{self, strip, Outcome, Question};
 use crate::site::{Route, Site};
 use crate::upload::{self, Unread};
 use hyper::body::Body;
@@ -10,11 +11,13 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode, Uri, Version};
 use ivygate_config::Listener;
+use ivygate_forward_auth::{folded, share};
 use ivygate_gateway::{Refusal, RequestId};
 use ivygate_routing::{host_of, Target};
 use ivygate_runtime::{millis, one, Answer, Ask, Asked, Front, Head, Leaving, Message};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// How long a client is told to stay away where a pool has no room for another request.
 const FULL_RETRY_AFTER: f64 = 1000.0;
@@ -66,6 +69,28 @@
     }
 }
 
+impl SidecarFront {
+    /// How long a request's client will wait.
+    fn wait(
+        &self,
+        site: &Site,
+        listener: &Listener,
+        route: &Route,
+        parts: &Parts,
+        trusted: bool,
+    ) -> Result<f64, Words> {
+        let told = match &site.identity.deadline_header {
+            Some(name) if trusted => one(&parts.headers, name).map_err(bad)?,
+            _ => None,
+        };
+        let wait = match told {
+            None => route.deadline,
+            Some(text) => duration(text).ok_or_else(|| bad("the deadline is malformed"))?.min(route.deadline),
+        };
+        Ok(wait.min(listener.answer_within))
+    }
+}
+
 /// Why there is no answer of an application.
 enum Unfit {
     Words(Words),
@@ -95,7 +120,7 @@
         if let Some(flaw) = flaw {
             return Ok(bad(flaw.to_string()).response(held));
         }
-        let (parts, body) = request.into_parts();
+        let (mut parts, body) = request.into_parts();
         let has_body = !body.is_end_stream();
         let taken = async {
             let (target, host) = destination(&parts)?;
@@ -105,25 +130,64 @@
                 let text = "this pool has as many requests open as it may; nothing was run";
                 Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, FULL_RETRY_AFTER)
             })?);
+            // Before anything reads them, and also where nothing is asked.
+            strip(&mut parts.headers, &site.vouched);
             let trusted = is_trusted(&listener.trusted, peer.ip());
             let origin = Origin { peer: &peer_name, trusted, host: &host };
-            let client = || match trusted {
-                true => client_address(peer.ip(), &listener.trusted, &parts.headers).to_string().into(),
-                false => peer_name.clone(),
-            };
-            let customer = customer(&site.identity.customer, &parts.headers, client).map_err(bad)?;
-            let told = |name: &Option<String>| match name {
-                Some(name) if origin.trusted => one(&parts.headers, name).map_err(bad),
-                _ => Ok(None),
+            let client = |headers: &header::HeaderMap| -> Arc<str> {
+                match trusted {
+                    true => client_address(peer.ip(), &listener.trusted, headers).to_string().into(),
+                    false => peer_name.clone(),
+                }
             };
-            let plan = site.plan(&customer, told(&site.identity.plan_header)?);
-            let wait = match told(&site.identity.deadline_header)? {
-                None => route.deadline,
-                Some(text) => {
-                    duration(text).ok_or_else(|| bad("the deadline is malformed"))?.min(route.deadline)
+            let begun = route.pool.driver.now();
+            if let Some(sign_in) = &route.sign_in {
+                let wait = self.wait(&site, &listener, route, &parts, trusted)?;
+                let target = target.path_and_query();
+                let question = Question {
+                    method: &parts.method,
+                    target: &target,
+                    headers: &parts.headers,
+                    origin: &origin,
+                    client: client(&parts.headers),
+                    id: self.shared.id(),
+                    time: share(sign_in.settings.within, wait, route.aim),
+                    deadline: begun + wait,
+                };
+                match sign_in::ask(sign_in, question).await {
+                    Outcome::GoOn(headers) => {
+                        for (name, value) in headers {
+                            parts.headers.append(name, value);
+                        }
+                    }
+                    Outcome::PassOn(response) => return Ok(Answer::Passed(response)),
+                    Outcome::Refused(wait) => {
+                        let text = "the sign-in service has no room for this; nothing was run";
+                        return Err(Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, wait).into());
+                    }
+                    Outcome::Unavailable => {
+                        let text = "the sign-in service gives no answer; nothing was run";
+                        let words = Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, FULL_RETRY_AFTER);
+                        return Err(words.into());
+                    }
+                    Outcome::TimeUp => {
+                        let text = "no answer of the sign-in service in time; nothing was run";
+                        return Err(Words::new(StatusCode::GATEWAY_TIMEOUT, text).into());
+                    }
+                }
+            }
+            let spent = route.pool.driver.now() - begun;
+            let customer =
+                customer(&site.identity.customer, &parts.headers, || client(&parts.headers)).map_err(bad)?;
+            let named = match &site.identity.plan_header {
+                // What a sign-in service says is believed of whoever asked.
+                Some(name) if trusted || site.vouched.contains(&folded(name)) => {
+                    one(&parts.headers, name).map_err(bad)?
                 }
+                _ => None,
             };
-            let wait = wait.min(listener.answer_within);
+            let plan = site.plan(&customer, named);
+            let wait = (self.wait(&site, &listener, route, &parts, trusted)? - spent).max(0.0);
             let class = class(route, &parts)?;
             let (payload, bytes) = match upload::read(body, &route.pool, millis(listener.body_stall)).await {
                 Ok(read) => read,
@@ -196,13 +260,13 @@
 /// What is told of an answer that no application gave.
 fn in_words(answer: &Answer) -> Words {
     match answer {
-        Answer::Refused(wait, Refusal::Quota) => {
+        Answer::Refused(wait, Refusal::Quota, _) => {
             Words::refused(StatusCode::TOO_MANY_REQUESTS, "beyond the quota; nothing was run", *wait)
         }
-        Answer::Refused(wait, Refusal::Ceiling) => {
+        Answer::Refused(wait, Refusal::Ceiling, _) => {
             Words::refused(StatusCode::TOO_MANY_REQUESTS, "at the plan's ceiling; nothing was run", *wait)
         }
-        Answer::Refused(wait, Refusal::Room) => {
+        Answer::Refused(wait, Refusal::Room, _) => {
             let text = "no server has room for this; trying again is harmless";
             Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, *wait)
         }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 mod identity;
 mod pool;
 mod service;
+mod sign_in;
 mod site;
 mod upload;
 
--- /dev/null
+++ b/crates/sidecar/src/sign_in.rs
@@ -0,0 +1,196 @@
+//! Asks a sign-in service whether a request may go on.
+
+use crate::forward::{to_client, Origin};
+use crate::site::{SignIn, CHECKS};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Response, Uri};
+use ivygate_forward_auth::{folded, Gate, Input, OnFailure, Said, Step};
+use ivygate_gateway::{Refusal, RequestId};
+use ivygate_runtime::{millis, Answer, Ask, Head, Leaving, Message, Payload, Streamed};
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::time::timeout;
+
+/// Most of a yes's body that is read, so that its connection can be used again.
+const BODY_MOST: usize = 64 << 10;
+
+/// What is asked about.
+pub struct Question<'a> {
+    /// The request's method.
+    pub method: &'a Method,
+    /// Its path and query, in normal form.
+    pub target: &'a str,
+    /// Its headers.
+    pub headers: &'a HeaderMap,
+    /// Where it came from.
+    pub origin: &'a Origin<'a>,
+    /// The chain of addresses that the application will get.
+    pub client: Arc<str>,
+    /// The check's id.
+    pub id: RequestId,
+    /// How long the check may take, in milliseconds.
+    pub time: f64,
+    /// When the request's own time is up, in milliseconds of the pool's clock.
+    pub deadline: f64,
+}
+
+/// What comes of a check.
+pub enum Outcome {
+    /// The request goes on, with these headers set.
+    GoOn(Vec<(HeaderName, HeaderValue)>),
+    /// The service's answer is the client's.
+    PassOn(Box<Response<Streamed>>),
+    /// The service has no room; the client should stay away this long, in milliseconds.
+    Refused(f64),
+    /// The service gives no usable answer.
+    Unavailable,
+    /// The request's time is up.
+    TimeUp,
+}
+
+/// Removes what only sign-in services say, in every spelling that a server might take for it.
+pub fn strip(headers: &mut HeaderMap, vouched: &HashSet<String>) {
+    if vouched.is_empty() {
+        return;
+    }
+    let spoofed: Vec<HeaderName> =
+        headers.keys().filter(|name| vouched.contains(&folded(name.as_str()))).cloned().collect();
+    for name in spoofed {
+        headers.remove(name);
+    }
+}
+
+/// Asks, and waits for the answer. Dropping the future ends the check.
+pub async fn ask(sign_in: &SignIn, question: Question<'_>) -> Outcome {
+    let settings = &sign_in.settings;
+    let on_failure = if settings.open { OnFailure::Open } else { OnFailure::Closed };
+    let driver = &sign_in.pool.driver;
+    let mut gate = Gate::new(on_failure, question.deadline);
+    let asked = driver.now();
+    let (answer, wait) = answer(sign_in, &question).await;
+    let mut said = None;
+    let mut headers = Vec::new();
+    let input = match answer {
+        Answer::Passed(response) => {
+            let mut meaning = Said::of(response.status().as_u16());
+            if meaning == Said::Yes {
+                let (parts, body) = response.into_parts();
+                let left = question.time - (driver.now() - asked);
+                // A yes that breaks off may be half of something else.
+                if !read_out(body, left).await {
+                    meaning = Said::Unusable;
+                }
+                for name in &settings.answer_headers {
+                    let Ok(name) = HeaderName::try_from(name) else { continue };
+                    headers.extend(parts.headers.get_all(&name).iter().map(|v| (name.clone(), v.clone())));
+                }
+            } else {
+                said = Some(response);
+            }
+            Input::Said(meaning)
+        }
+        Answer::Refused(_, _, false) => Input::Refused,
+        // It was asked, and there is nobody left to ask again.
+        Answer::Refused(_, _, true) | Answer::Served(..) | Answer::Failed | Answer::TimeUp => {
+            Input::Unanswered
+        }
+    };
+    match (gate.handle(driver.now(), input), said) {
+        (Step::GoOn { checked: true }, _) => Outcome::GoOn(headers),
+        (Step::GoOn { checked: false }, _) => Outcome::GoOn(Vec::new()),
+        (Step::PassOn, Some(mut response)) => {
+            *response.headers_mut() = to_client(std::mem::take(response.headers_mut()));
+            Outcome::PassOn(response)
+        }
+        (Step::Refuse, _) => Outcome::Refused(wait),
+        (Step::TimeUp, _) => Outcome::TimeUp,
+        (Step::Unavailable | Step::Nothing | Step::PassOn, _) => Outcome::Unavailable,
+    }
+}
+
+/// The answer of the service's pool, and how long to stay away if it refuses.
+async fn answer(sign_in: &SignIn, question: &Question<'_>) -> (Answer, f64) {
+    let settings = &sign_in.settings;
+    let Ok(uri) = Uri::try_from(&settings.path) else { return (Answer::Failed, 0.0) };
+    // The check takes a place of its pool like any other request.
+    let Some(_place) = sign_in.pool.place() else {
+        return (Answer::Refused(FULL_RETRY_AFTER, Refusal::Room, false), FULL_RETRY_AFTER);
+    };
+    let ask = Ask {
+        head: Head {
+            id: question.id.clone(),
+            class: sign_in.class.clone(),
+            plan: CHECKS.into(),
+            customer: question.client.clone(),
+            units: 1.0,
+            width: sign_in.pool.settings.sidecars,
+            wait: question.time,
+            once: false,
+        },
+        deadline: sign_in.pool.driver.now() + question.time,
+        message: Message {
+            method: Method::GET,
+            uri,
+            headers: headers(settings, question),
+            body: Rc::new(Payload::whole(Bytes::new())),
+            tells_deadline: false,
+        },
+    };
+    let driver = sign_in.pool.driver.clone();
+    let Some(answer) = driver.arrive(ask) else { return (Answer::Failed, 0.0) };
+    let leaving = Leaving::new(driver, question.id.clone());
+    let answer = answer.await.unwrap_or(Answer::Failed);
+    leaving.answered();
+    let wait = if let Answer::Refused(wait, ..) = &answer { *wait } else { 0.0 };
+    (answer, wait)
+}
+
+/// How long a client is told to stay away where the service's pool is full.
+const FULL_RETRY_AFTER: f64 = 1000.0;
+
+fn headers(settings: &ivygate_config::SignIn, question: &Question) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for name in &settings.request_headers {
+        let Ok(name) = HeaderName::try_from(name) else { continue };
+        for value in question.headers.get_all(&name) {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    let told = |name: &str| question.headers.get(name).filter(|_| question.origin.trusted).cloned();
+    let proto = told("x-forwarded-proto").unwrap_or(HeaderValue::from_static("http"));
+    headers.insert("x-forwarded-proto", proto);
+    for (name, value) in [
+        ("x-forwarded-method", question.method.as_str()),
+        ("x-forwarded-uri", question.target),
+        ("x-forwarded-host", question.origin.host),
+        ("x-forwarded-for", &question.client),
+    ] {
+        // What was read off a request can be written into another.
+        if let Ok(value) = HeaderValue::try_from(value) {
+            headers.insert(HeaderName::from_static(name), value);
+        }
+    }
+    if let Ok(host) = HeaderValue::try_from(question.origin.host) {
+        headers.insert(header::HOST, host);
+    }
+    headers
+}
+
+/// Reads a body to its end; whether that came whole, in time and not too long.
+async fn read_out(mut body: Streamed, time: f64) -> bool {
+    let reading = async {
+        let mut length = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            length += frame.data_ref().map_or(0, Bytes::len);
+            if length > BODY_MOST {
+                return false;
+            }
+        }
+        true
+    };
+    timeout(millis(time), reading).await.unwrap_or(false)
+}
--- a/crates/sidecar/src/site.rs
+++ b/crates/sidecar/src/site.rs
@@ -2,10 +2,10 @@
 
 use crate::pool::{once, Pool, Served};
 use hyper::header::HeaderName;
-use ivygate_config::{Class, Effect, Identity, Model, Repeat};
+use ivygate_config::{Class, Effect, Identity, Model, Plan, Repeat};
 use ivygate_routing::{Found, Table};
 use ivygate_runtime::Clock;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -21,6 +21,8 @@
     routes: Vec<Route>,
     plans: Vec<Arc<str>>,
     customers: HashMap<String, usize>,
+    /// Headers that only sign-in services set, folded.
+    pub vouched: HashSet<String>,
     /// The pools by their names.
     pub pools: HashMap<String, Rc<Pool>>,
 }
@@ -41,6 +43,57 @@
     pub units: f64,
     /// Its pool.
     pub pool: Rc<Pool>,
+    /// Its class's aim.
+    pub aim: f64,
+    /// The service that is asked first.
+    pub sign_in: Option<Rc<SignIn>>,
+}
+
+/// A sign-in service at work.
+pub struct SignIn {
+    /// Its part of the configuration.
+    pub settings: ivygate_config::SignIn,
+    /// The class of its checks.
+    pub class: Arc<str>,
+    /// The pool of its servers.
+    pub pool: Rc<Pool>,
+}
+
+/// The plan of checks: they take nothing from anybody's quota.
+pub const CHECKS: &str = "(checks)";
+
+/// The class of a service's checks: safe, since asking changes nothing.
+fn check_class(sign_in: &ivygate_config::SignIn) -> Class {
+    Class {
+        name: format!("(sign-in) {}", sign_in.name),
+        effect: Effect::Safe,
+        repeat: Repeat::Sent,
+        key_header: String::new(),
+        aim: sign_in.within / 2.0,
+        deadline: sign_in.within,
+        work: sign_in.within / 200.0,
+        upload: 0.0,
+        worth: 1.0,
+        late_worth: 1.0,
+        units: 1.0,
+        at: ivygate_config::At::default(),
+    }
+}
+
+fn check_plan() -> Plan {
+    Plan {
+        name: CHECKS.to_owned(),
+        quota: 0.0,
+        burst: 0.0,
+        open: 0,
+        ceiling: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+        price: 1.0,
+        excess_worth: 0.0,
+        excess_cost: 1.0,
+        at: ivygate_config::At::default(),
+    }
 }
 
 /// Whether repeats depend on a key.
@@ -66,7 +119,9 @@
         for (number, pool) in model.pools.iter().enumerate() {
             let used: BTreeSet<usize> =
                 model.routes.iter().filter(|r| r.pool == number).map(|r| r.class).collect();
-            if used.is_empty() {
+            let checks: Vec<Class> =
+                model.sign_ins.iter().filter(|s| s.pool == number).map(check_class).collect();
+            if used.is_empty() && checks.is_empty() {
                 // No route leads there.
                 continue;
             }
@@ -75,15 +130,29 @@
                 let narrowed = |r: &&ivygate_config::Route| r.class == number && narrows(r, class);
                 Served { class, once: is_keyed(class) || model.routes.iter().any(|r| narrowed(&r)) }
             };
-            let classes: Vec<Served> = used.into_iter().map(served).collect();
+            let mut classes: Vec<Served> = used.into_iter().map(served).collect();
+            classes.extend(checks.iter().map(|class| Served { class, once: false }));
+            let mut plans = model.plans.clone();
+            if !checks.is_empty() {
+                plans.push(check_plan());
+            }
             let old = before.and_then(|site| site.pools.get(&pool.name));
-            let pool = match old.and_then(|old| old.carried_on(pool, &classes, &model.plans)) {
+            let pool = match old.and_then(|old| old.carried_on(pool, &classes, &plans)) {
                 Some(pool) => pool,
-                None => Pool::start(pool, &classes, &model.plans, clock)
+                None => Pool::start(pool, &classes, &plans, clock)
                     .map_err(|error| format!("pool {}: {error}", pool.name))?,
             };
             pools.insert(pool.settings.name.clone(), pool);
         }
+        let sign_ins: Vec<Rc<SignIn>> = model
+            .sign_ins
+            .iter()
+            .map(|settings| {
+                let class = check_class(settings).name.into();
+                let pool = pools[&model.pools[settings.pool].name].clone();
+                Rc::new(SignIn { settings: settings.clone(), class, pool })
+            })
+            .collect();
         let route = |route: &ivygate_config::Route| -> Result<Route, String> {
             let class = &model.classes[route.class];
             let narrows = narrows(route, class);
@@ -101,6 +170,8 @@
                 upload: class.upload,
                 units: class.units,
                 pool: pools[&model.pools[route.pool].name].clone(),
+                aim: class.aim,
+                sign_in: route.sign_in.map(|number| sign_ins[number].clone()),
             })
         };
         let routes = model.routes.iter().map(route).collect::<Result<_, _>>()?;
@@ -108,6 +179,12 @@
             identity: model.identity.clone(),
             table,
             routes,
+            vouched: model
+                .sign_ins
+                .iter()
+                .flat_map(|s| &s.answer_headers)
+                .map(|name| ivygate_forward_auth::folded(name))
+                .collect(),
             plans: model.plans.iter().map(|p| p.name.as_str().into()).collect(),
             customers: model.customers.iter().map(|c| (c.name.clone(), c.plan)).collect(),
             pools,
--- a/crates/tool/src/compare.rs
+++ b/crates/tool/src/compare.rs
@@ -1,7 +1,7 @@
 //! What two configurations do differently, whatever their text.
 
 use ivygate_config::{
-    At, Block, Class, CustomerFrom, Effect, Listener, Loaded, Model, Plan, Pool, Repeat, Scope, Span,
+    At, Block, Class, CustomerFrom, Effect, Listener, Loaded, Model, Plan, Pool, Repeat, Scope, SignIn, Span,
     Statement,
 };
 use ivygate_routing::{regions, Found, Table, TooMany};
@@ -49,6 +49,7 @@
     found.plans(before, after);
     found.identity(before, after);
     found.listeners(before, after);
+    found.sign_ins(before, after);
     found.limits(before, after);
     Ok(found.all)
 }
@@ -219,7 +220,9 @@
         let target = |model: &Model, route: Option<usize>| {
             route.map(|n| {
                 let route = &model.routes[n];
-                (model.classes[route.class].name.clone(), model.pools[route.pool].name.clone(), route.repeat)
+                let sign_in = route.sign_in.map(|n| model.sign_ins[n].name.clone());
+                let (class, pool) = (&model.classes[route.class].name, &model.pools[route.pool].name);
+                (class.clone(), pool.clone(), route.repeat, sign_in)
             })
         };
         let targets =
@@ -249,11 +252,12 @@
                 let route = &model.routes[number];
                 let (class, pool) = (&model.classes[route.class], &model.pools[route.pool]);
                 format!(
-                    "route {}: class {} ({}), pool {}",
+                    "route {}: class {} ({}), pool {}{}",
                     route.name,
                     class.name,
                     effect(class.effect),
-                    pool.name
+                    pool.name,
+                    route.sign_in.map_or(String::new(), |n| format!(", sign-in {}", model.sign_ins[n].name))
                 )
             };
             let free = |model: &Model, number: Option<usize>| {
@@ -267,6 +271,14 @@
                 })
             };
             let looser = free(old, a).zip(free(new, b)).is_some_and(|(before, after)| after > before);
+            let asked =
+                |model: &Model, number: Option<usize>| number.map(|n| model.routes[n].sign_in.is_some());
+            let unasked = asked(old, a) == Some(true) && asked(new, b) == Some(false);
+            let risk = match (unasked, looser) {
+                (true, _) => Some("sign-in is removed: these go on unchecked"),
+                (_, true) => Some("these may now be repeated more freely"),
+                _ => None,
+            };
             let old_side = a.map(|n| (old.routes[n].at, "", words(old, n)));
             let new_side = b.map(|n| (new.routes[n].at, "", words(new, n)));
             let what = match (a, b) {
@@ -274,13 +286,7 @@
                 (Some(_), None) => "requests are answered 404 or 405 now",
                 _ => "requests are served that were answered 404 or 405",
             };
-            self.note(
-                "routes",
-                what,
-                old_side,
-                new_side,
-                looser.then_some("these may now be repeated more freely"),
-            );
+            self.note("routes", what, old_side, new_side, risk);
             if let Some(last) = self.all.last_mut() {
                 last.example = Some(example);
             }
@@ -545,6 +551,41 @@
         }
     }
 
+    fn sign_ins(&mut self, old: &Model, new: &Model) {
+        let name = |s: &SignIn| s.name.clone();
+        for (subject, a, b) in self.named("sign-in", &old.sign_ins, &new.sign_ins, name, |s| s.at, None) {
+            let pool = |model: &Model, s: &SignIn| model.pools[s.pool].name.clone();
+            let failure = |s: &SignIn| if s.open { "open" } else { "closed" }.to_owned();
+            let words = |names: &[String]| {
+                names.iter().cloned().collect::<BTreeSet<_>>().into_iter().collect::<Vec<_>>().join(" ")
+            };
+            let fewer = !a.answer_headers.iter().all(|name| b.answer_headers.contains(name));
+            self.rows(
+                &subject,
+                a.at,
+                b.at,
+                vec![
+                    row("pool", pool(old, a), pool(new, b), Some("others say who may go on")),
+                    row("path", a.path.clone(), b.path.clone(), Some("another question is asked")),
+                    row("request-headers", words(&a.request_headers), words(&b.request_headers), None),
+                    row(
+                        "answer-headers",
+                        words(&a.answer_headers),
+                        words(&b.answer_headers),
+                        fewer.then_some("clients may send these headers themselves now"),
+                    ),
+                    row("within", time(a.within), time(b.within), None),
+                    row(
+                        "on-failure",
+                        failure(a),
+                        failure(b),
+                        b.open.then_some("requests go on unchecked where it fails"),
+                    ),
+                ],
+            );
+        }
+    }
+
     fn limits(&mut self, old: &Model, new: &Model) {
         let (a, b) = (&old.limits, &new.limits);
         let memory = |bytes: Option<usize>| bytes.map_or("not told".to_owned(), |b| format!("{b}B"));
--- a/crates/tool/src/keywords.rs
+++ b/crates/tool/src/keywords.rs
@@ -32,6 +32,7 @@
     k("", "identity", "{ ... }", "how customers, plans and deadlines are read off requests"),
     k("", "customer", "NAME { ... }", "a customer's plan"),
     k("", "pool", "NAME { ... }", "servers with limits of their own"),
+    k("", "sign-in", "NAME { ... }", "a service that is asked before a request goes on"),
     k("", "route", "NAME { ... }", "which requests go to which pool, and their class"),
     k("limits", "descriptors", "COUNT", "file descriptors of the process"),
     k("limits", "drain", "TIME", "from the signal to end to the end"),
@@ -107,7 +108,13 @@
     k("route", "class", "NAME", "class of its requests"),
     k("route", "pool", "NAME", "where they go"),
     k("route", "repeat", "unsent | sent", "narrows what the class says"),
-    k("route", "sign-in", "POOL", "not offered yet; refused"),
+    k("route", "sign-in", "NAME", "the service that is asked first"),
+    k("sign-in", "pool", "NAME", "the pool of its servers"),
+    k("sign-in", "path", "PATH", "the path that is asked for"),
+    k("sign-in", "request-headers", "HEADER ...", "headers of the request that it gets"),
+    k("sign-in", "answer-headers", "HEADER ...", "headers of its yes that go on with the request"),
+    k("sign-in", "within", "TIME", "longest time for a check"),
+    k("sign-in", "on-failure", "closed | open", "what happens where it gives no usable answer"),
 ];
 
 /// The statements, units and codes as one JSON document, for editors.
--- a/crates/tool/tests/compare.rs
+++ b/crates/tool/tests/compare.rs
@@ -15,6 +15,7 @@
 customer a { plan small; }
 pool app { zone north; server a 127.0.0.1:9000; server b 127.0.0.1:9001; }
 pool pay { zone north; server a 127.0.0.1:9100; }
+sign-in m { pool app; path /check; answer-headers X-User; }
 route tiles { path prefix /tiles; class read; pool app; }
 route edits { path pattern /trails/*/edits; methods POST; class edit; pool app; }
 route orders { path exact /orders; methods POST; class order; pool pay; }
@@ -63,8 +64,16 @@
 #[test]
 fn a_route_that_is_renamed_or_split_without_effect_is_equal() {
     assert_eq!(changed("route tiles", "route maps"), []);
-    let split = "route tiles { path prefix /tiles; class read; pool app; }\nroute more { path exact /tiles/one; class read; pool app; }";
-    assert_eq!(changed("route tiles { path prefix /tiles; class read; pool app; }", split), []);
+    let split = "sign-in m { pool app; path /check; answer-headers X-User; }
+route tiles { path prefix /tiles; class read; pool app; }\nroute more { path exact /tiles/one; class read; pool app; }";
+    assert_eq!(
+        changed(
+            "sign-in m { pool app; path /check; answer-headers X-User; }
+route tiles { path prefix /tiles; class read; pool app; }",
+            split
+        ),
+        []
+    );
 }
 
 #[test]
@@ -73,7 +82,7 @@
         changed("route tiles {", "route one { path exact /tiles/one; class read; pool pay; }\nroute tiles {");
     assert_eq!(all.len(), 1, "{all:?}");
     assert_eq!(all[0].example.as_deref(), Some("GET http://other/tiles/one"));
-    assert_eq!(all[0].old.as_ref().unwrap().place, "x:12:1");
+    assert_eq!(all[0].old.as_ref().unwrap().place, "x:13:1");
     assert!(all[0].new.as_ref().unwrap().value.contains("pool pay"));
     let gone = changed(
         "route orders { path exact /orders; methods POST; class order; pool pay; }\n",
@@ -112,6 +121,7 @@
         ("class order; pool pay", "class edit; pool pay", true),
         ("class edit; pool app", "repeat unsent; class edit; pool app", false),
         ("127.0.0.1:8080", "127.0.0.1:8081", true),
+        ("class read; pool app", "sign-in m; class read; pool app", false),
     ];
     for (from, to, risky) in cases {
         let all = changed(from, to);
@@ -120,6 +130,24 @@
     }
 }
 
+#[test]
+fn a_sign_in_that_is_removed_or_loosened_is_risky() {
+    let asked = BASE.replace("class read; pool app", "sign-in m; class read; pool app");
+    let all = differences(&asked, BASE);
+    assert_eq!(all.len(), 1, "{all:?}");
+    assert_eq!(all[0].risk.as_deref(), Some("sign-in is removed: these go on unchecked"));
+    for (from, to, risky) in [
+        ("path /check;", "path /check; on-failure open;", true),
+        ("path /check;", "path /other;", true),
+        ("answer-headers X-User;", "answer-headers X-User X-Plan;", false),
+        ("answer-headers X-User;", "answer-headers X-Plan;", true),
+        ("path /check;", "path /check; within 400ms;", false),
+    ] {
+        let all = differences(&asked, &asked.replacen(from, to, 1));
+        assert_eq!((all.len(), all[0].risk.is_some()), (1, risky), "{to}: {all:?}");
+    }
+}
+
 #[test]
 fn each_change_names_its_subject_its_statement_and_both_lines() {
     let cases = [
--- a/crates/tool/tests/language.rs
+++ b/crates/tool/tests/language.rs
@@ -239,6 +239,7 @@
         ("cold", "pool p { cold { odd; } }"),
         ("server", "pool p { server s 127.0.0.1:1 { odd; } }"),
         ("route", "route r { odd; }"),
+        ("sign-in", "sign-in s { odd; }"),
     ];
     for (within, text) in asked {
         let text = &text.replace("odd", "zzzzzzzz");
