Sign-in answers are remembered where that is said; equal questions are asked once

By route and the values of the headers that go into the check, hashed with secrets of the process; lifetimes by configuration, shortened by Cache-Control, never with Set-Cookie, never for what must not run twice unless told. A bounded map without I/O (crates/forward-auth); one that asks and dies wakes the others.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -684,12 +684,29 @@
         let (request_headers, answer_headers) =
             (headers("request-headers", &["authorization", "cookie"]), headers("answer-headers", &[]));
         let within = duration_or(&inner, "within", 500.0);
+        let remembered = |name| inner.quantity_or(name, Quantity::Duration, 0.0).min(LONGEST);
+        let (cache_yes, cache_no) = (remembered("cache-yes"), remembered("cache-no"));
+        let cache_size = inner.positive_or("cache-size", Quantity::Count, 10_000.0) as usize;
+        let cache_unsafe = yes_or_no(&inner, "cache-unsafe");
         let at = At(inner.head);
         inner.finish();
         // One with a mistake is kept too, so that routes that name it are not told of as well.
         let (pool, path) = (pool.unwrap_or(0), path.unwrap_or_default());
         let name = name.text.clone();
-        sign_ins.push(SignIn { name, pool, path, request_headers, answer_headers, within, open, at });
+        sign_ins.push(SignIn {
+            name,
+            pool,
+            path,
+            request_headers,
+            answer_headers,
+            within,
+            open,
+            cache_yes,
+            cache_no,
+            cache_size,
+            cache_unsafe,
+            at,
+        });
     }
     sign_ins
 }
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -298,6 +298,14 @@
     pub within: f64,
     /// Whether requests go on where it gives no usable answer.
     pub open: bool,
+    /// How long a yes is remembered; 0 for not at all.
+    pub cache_yes: f64,
+    /// How long a no is remembered; 0 for not at all.
+    pub cache_no: f64,
+    /// Most answers remembered.
+    pub cache_size: usize,
+    /// Whether also requests that must not run twice go on by a remembered answer.
+    pub cache_unsafe: bool,
     /// Where it stands.
     pub at: At,
 }
--- a/crates/config/src/slips.rs
+++ b/crates/config/src/slips.rs
@@ -11,7 +11,7 @@
 
 /// What is usual: kind of block, statement, least and most, and what the value is for. Times are
 /// milliseconds.
-const USUAL: [(&str, &str, f64, f64, &str); 34] = [
+const USUAL: [(&str, &str, f64, f64, &str); 37] = [
     ("class", "deadline", 20.0, 600_000.0, "a client's whole wait"),
     ("class", "aim", 2.0, 300_000.0, "a good answer's time"),
     ("class", "window", 500.0, 43_200_000.0, "how long servers remember a key"),
@@ -33,6 +33,9 @@
     ("listener", "idle", 100.0, 43_200_000.0, "how long an idle connection is kept"),
     ("listener", "answer-within", 50.0, 3_600_000.0, "the longest deadline here"),
     ("sign-in", "within", 20.0, 60_000.0, "a check of a pass"),
+    ("sign-in", "cache-yes", 100.0, 3_600_000.0, "how long a revoked pass may still be good"),
+    ("sign-in", "cache-no", 100.0, 600_000.0, "how long a new pass may be refused"),
+    ("sign-in", "cache-size", 1.0, 1e6, "answers that are remembered"),
     ("limits block", "drain", 50.0, 3_600_000.0, "the time for requests to end"),
     ("limits block", "memory", 16_777_216.0, 1.1e12, "all memory of the process"),
     ("limits block", "descriptors", 64.0, 1e7, "all descriptors of the process"),
--- /dev/null
+++ b/crates/forward-auth/src/cache.rs
@@ -0,0 +1,175 @@
+//! Answers of a sign-in service that are remembered, and questions that are being asked.
+//!
+//! Times are passed in, in milliseconds. Keys are made by the caller, hashed with a secret.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::hash::Hash;
+
+/// What is known of a question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Known<V> {
+    /// This answer, still good.
+    Answer(V),
+    /// Nothing; whoever looked is to ask, and to tell by [`Cache::done`].
+    Ask,
+    /// Somebody is asking.
+    Wait,
+}
+
+struct Entry<V> {
+    value: V,
+    until: f64,
+    number: u64,
+}
+
+/// Remembered answers, bounded in number.
+pub struct Cache<K, V> {
+    entries: HashMap<K, Entry<V>>,
+    /// Entries by age, the oldest first.
+    ages: BTreeMap<u64, K>,
+    asking: HashSet<K>,
+    next: u64,
+    most: usize,
+}
+
+impl<K: Clone + Eq + Hash, V: Clone> Cache<K, V> {
+    /// An empty one that holds at most so many answers.
+    pub fn new(most: usize) -> Self {
+        Self { entries: HashMap::new(), ages: BTreeMap::new(), asking: HashSet::new(), next: 0, most }
+    }
+
+    /// What is known of a question now.
+    pub fn look(&mut self, now: f64, key: &K) -> Known<V> {
+        if let Some(entry) = self.entries.get(key) {
+            if now < entry.until {
+                return Known::Answer(entry.value.clone());
+            }
+            self.forget(key);
+        }
+        // Equal questions wait for one answer, so that a rush after a lifetime's end asks once.
+        if self.asking.insert(key.clone()) {
+            Known::Ask
+        } else {
+            Known::Wait
+        }
+    }
+
+    /// A question has been asked: with an answer that is good for some time, or in vain.
+    pub fn done(&mut self, now: f64, key: &K, answer: Option<(V, f64)>) {
+        self.asking.remove(key);
+        let Some((value, lifetime)) = answer.filter(|(_, lifetime)| *lifetime > 0.0 && self.most > 0) else {
+            return;
+        };
+        self.forget(key);
+        while self.entries.len() >= self.most {
+            let Some((_, oldest)) = self.ages.pop_first() else { break };
+            self.entries.remove(&oldest);
+        }
+        let number = self.next;
+        self.next += 1;
+        self.ages.insert(number, key.clone());
+        self.entries.insert(key.clone(), Entry { value, until: now + lifetime, number });
+    }
+
+    /// How many answers are held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn forget(&mut self, key: &K) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.ages.remove(&entry.number);
+        }
+    }
+}
+
+/// How long an answer may be remembered, in milliseconds: the configured time, or less if the service says so by
+/// `Cache-Control`. What cannot be read counts as a wish that it be not.
+pub fn lifetime(configured: f64, cache_control: Option<&str>) -> f64 {
+    let Some(text) = cache_control else { return configured };
+    let mut most = configured;
+    for directive in text.split(',').map(str::trim) {
+        let (name, value) = directive.split_once('=').map_or((directive, None), |(n, v)| (n, Some(v)));
+        match (name.trim().to_ascii_lowercase().as_str(), value) {
+            ("no-store" | "no-cache" | "private", _) => return 0.0,
+            ("max-age" | "s-maxage", value) => {
+                let seconds = value.and_then(|v| v.trim().trim_matches('"').parse::<u32>().ok());
+                most = most.min(seconds.map_or(0.0, |s| f64::from(s) * 1000.0));
+            }
+            _ => {}
+        }
+    }
+    most
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_answer_is_good_until_its_time_ends_and_not_a_moment_longer() {
+        let mut cache = Cache::new(10);
+        assert_eq!(cache.look(0.0, &"a"), Known::Ask);
+        cache.done(5.0, &"a", Some((1, 100.0)));
+        assert_eq!(cache.look(104.9, &"a"), Known::Answer(1));
+        assert_eq!(cache.look(105.0, &"a"), Known::Ask);
+        assert!(cache.is_empty());
+    }
+
+    #[test]
+    fn equal_questions_wait_for_one_and_the_next_asks_if_that_one_dies() {
+        let mut cache = Cache::<_, i32>::new(10);
+        assert_eq!(cache.look(0.0, &"a"), Known::Ask);
+        assert_eq!(cache.look(0.0, &"a"), Known::Wait);
+        assert_eq!(cache.look(0.0, &"b"), Known::Ask);
+        cache.done(1.0, &"a", None);
+        assert_eq!(cache.look(1.0, &"a"), Known::Ask);
+        assert_eq!(cache.look(1.0, &"a"), Known::Wait);
+    }
+
+    #[test]
+    fn what_may_not_be_remembered_is_not() {
+        let mut cache = Cache::new(10);
+        cache.look(0.0, &"a");
+        cache.done(0.0, &"a", Some((1, 0.0)));
+        assert_eq!(cache.look(0.0, &"a"), Known::Ask);
+        let mut none = Cache::new(0);
+        none.look(0.0, &"a");
+        none.done(0.0, &"a", Some((1, 100.0)));
+        assert_eq!((none.look(0.0, &"a"), none.len()), (Known::Ask, 0));
+    }
+
+    #[test]
+    fn a_flood_of_questions_pushes_out_the_oldest_and_never_passes_the_bound() {
+        let mut cache = Cache::new(100);
+        for n in 0..10_000 {
+            cache.look(f64::from(n), &n);
+            cache.done(f64::from(n), &n, Some((n, 1e9)));
+            assert!(cache.len() <= 100 && cache.ages.len() == cache.len());
+        }
+        assert_eq!(cache.look(1e4, &9_999), Known::Answer(9_999));
+        assert_eq!(cache.look(1e4, &9_899), Known::Ask);
+    }
+
+    #[test]
+    fn the_service_may_shorten_a_lifetime_and_never_lengthen_it() {
+        for (text, wanted) in [
+            (None, 5000.0),
+            (Some("max-age=2"), 2000.0),
+            (Some("public, Max-Age=60"), 5000.0),
+            (Some("max-age=0"), 0.0),
+            (Some("no-store"), 0.0),
+            (Some("max-age=60, no-cache"), 0.0),
+            (Some("max-age=often"), 0.0),
+            (Some("max-age"), 0.0),
+            (Some("must-revalidate"), 5000.0),
+        ] {
+            assert_eq!(lifetime(5000.0, text), wanted, "{text:?}");
+        }
+    }
+}
--- a/crates/forward-auth/src/lib.rs
+++ b/crates/forward-auth/src/lib.rs
@@ -4,6 +4,10 @@
 //! reads no clock: inputs come through [`Gate::handle`], with the time. It must not know HTTP beyond statuses,
 //! nor which server is asked; that is the decision module's.
 
+mod cache;
+
+pub use cache::{lifetime, Cache, Known};
+
 /// What happens where the service gives no usable answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OnFailure {
--- a/crates/ivygate/tests/sidecar_sign_in.rs
+++ b/crates/ivygate/tests/sidecar_sign_in.rs
@@ -205,3 +205,79 @@
     let next = client.ask("GET /elsewhere HTTP/1.1\r\nHost: h\r\n\r\n");
     assert_eq!((next.status(), rig.app.seen()), (404, 0));
 }
+
+#[test]
+fn a_remembered_yes_is_for_the_same_credentials_on_the_same_route_and_not_for_orders() {
+    let rig = rig("read", "cache-yes 1m;", |m| {
+        let user = m.header("authorization").unwrap_or("nobody").to_owned();
+        Reply::Answer("200 OK", Box::leak(format!("X-User: {user}\r\n").into_boxed_str()), Vec::new())
+    });
+    for (credential, asked) in [("a", 1), ("a", 1), ("b", 2), ("a", 2), ("b", 2)] {
+        assert_eq!(post(&rig, "/app", &format!("Authorization: {credential}\r\n")).status(), 200);
+        assert_eq!(rig.accounts.seen(), asked);
+        let got = rig.got.lock().expect("a list");
+        assert_eq!(got.last().and_then(|m| m.header("x-user")), Some(credential));
+    }
+    let orders = self::rig("order", "cache-yes 1m;", |_| Reply::ok("yes"));
+    for asked in 1..4 {
+        assert_eq!(post(&orders, "/app", "Authorization: a\r\n").status(), 200);
+        assert_eq!(orders.accounts.seen(), asked);
+    }
+}
+
+#[test]
+fn a_remembered_no_is_given_whole_again_but_never_with_a_cookie_or_against_the_services_word() {
+    for (headers, asked) in
+        [("X-Why: late\r\n", 1), ("Set-Cookie: a=b\r\n", 3), ("Cache-Control: no-store\r\n", 3)]
+    {
+        let rig =
+            rig("read", "cache-no 1m;", move |_| Reply::Answer("403 Forbidden", headers, b"no".to_vec()));
+        for _ in 0..3 {
+            let answer = post(&rig, "/app", "Authorization: a\r\n");
+            let name = headers.split(':').next().expect("a name").to_ascii_lowercase();
+            assert_eq!((answer.status(), answer.body.as_slice()), (403, &b"no"[..]));
+            assert!(answer.header(&name).is_some(), "{headers}");
+        }
+        assert_eq!((rig.accounts.seen(), rig.app.seen()), (asked, 0), "{headers}");
+    }
+}
+
+#[test]
+fn equal_questions_at_one_time_are_asked_once_and_one_that_dies_wakes_the_others() {
+    let open = Arc::new(AtomicUsize::new(0));
+    let gate = open.clone();
+    let rig = rig("read", "cache-yes 1m; within 5s;", move |_| {
+        until("the answer may come", || gate.load(Ordering::SeqCst) > 0);
+        Reply::ok("yes")
+    });
+    let request = "POST /app HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nx=1";
+    let mut first = rig.sidecar.client();
+    first.write(request.as_bytes());
+    until("the first has asked", || rig.accounts.seen() == 1);
+    let mut others: Vec<_> = (0..5).map(|_| rig.sidecar.client()).collect();
+    for other in &mut others {
+        other.write(request.as_bytes());
+    }
+    // Whoever asked leaves: one of the others asks in its place.
+    drop(first);
+    until("another has asked", || rig.accounts.seen() == 2);
+    open.store(1, Ordering::SeqCst);
+    for other in &mut others {
+        assert_eq!(other.read().expect("an answer").status(), 200);
+    }
+    assert_eq!(rig.accounts.seen(), 2);
+}
+
+#[test]
+fn a_failure_that_let_a_request_on_is_not_remembered() {
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = count.clone();
+    let rig = rig("read", "cache-yes 1m; on-failure open;", move |_| {
+        match counted.fetch_add(1, Ordering::SeqCst) {
+            0 => Reply::Answer("500 Internal Server Error", "", Vec::new()),
+            _ => Reply::Answer("403 Forbidden", "", Vec::new()),
+        }
+    });
+    assert_eq!(post(&rig, "/app", "").status(), 200);
+    assert_eq!(post(&rig, "/app", "").status(), 403);
+}
--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -32,6 +32,11 @@
 }
 
 impl AnswerBody {
+    /// An answer that is here as a whole.
+    pub fn whole(body: Bytes, held: Held) -> Self {
+        Self { what: What::Words(body), _held: held }
+    }
+
     /// An application's answer, passed on.
     pub fn passed(body: Streamed, held: Held) -> Self {
         Self { what: What::Passed(Box::new(body)), _held: held }
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -6,6 +6,7 @@
 use crate::sign_in::{self, strip, Outcome, Question};
 use crate::site::{Route, Site};
 use crate::upload::{self, Unread};
+use bytes::Bytes;
 use hyper::body::Body;
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
@@ -94,6 +95,8 @@
 /// Why there is no answer of an application.
 enum Unfit {
     Words(Words),
+    /// A sign-in service's answer.
+    Whole(StatusCode, header::HeaderMap, Bytes),
     Lost(hyper::Error),
 }
 
@@ -151,6 +154,8 @@
                     origin: &origin,
                     client: client(&parts.headers),
                     id: self.shared.id(),
+                    route: route.number,
+                    once: route.once,
                     time: share(sign_in.settings.within, wait, route.aim),
                     deadline: begun + wait,
                 };
@@ -161,6 +166,7 @@
                         }
                     }
                     Outcome::PassOn(response) => return Ok(Answer::Passed(response)),
+                    Outcome::No(status, headers, body) => return Err(Unfit::Whole(status, headers, body)),
                     Outcome::Refused(wait) => {
                         let text = "the sign-in service has no room for this; nothing was run";
                         return Err(Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, wait).into());
@@ -251,6 +257,11 @@
             }
             Ok(answer) => in_words(&answer),
             Err(Unfit::Words(words)) => words,
+            Err(Unfit::Whole(status, headers, body)) => {
+                let mut response = Response::new(AnswerBody::whole(body, held));
+                (*response.status_mut(), *response.headers_mut()) = (status, headers);
+                return Ok(response);
+            }
             Err(Unfit::Lost(error)) => return Err(error),
         };
         Ok(words.response(held))
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 mod front;
 mod identity;
 mod pool;
+mod remembered;
 mod service;
 mod sign_in;
 mod site;
--- a/crates/sidecar/src/sign_in.rs
+++ b/crates/sidecar/src/sign_in.rs
@@ -1,12 +1,13 @@
 //! Asks a sign-in service whether a request may go on.
 
 use crate::forward::{to_client, Origin};
+use crate::remembered::Remember;
 use crate::site::{SignIn, CHECKS};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Response, Uri};
-use ivygate_forward_auth::{folded, Gate, Input, OnFailure, Said, Step};
+use hyper::{Method, Response, StatusCode, Uri};
+use ivygate_forward_auth::{folded, lifetime, Gate, Input, OnFailure, Said, Step};
 use ivygate_gateway::{Refusal, RequestId};
 use ivygate_runtime::{millis, Answer, Ask, Head, Leaving, Message, Payload, Streamed};
 use std::collections::HashSet;
@@ -31,6 +32,10 @@
     pub client: Arc<str>,
     /// The check's id.
     pub id: RequestId,
+    /// The number of its route.
+    pub route: usize,
+    /// Whether the request must not run twice.
+    pub once: bool,
     /// How long the check may take, in milliseconds.
     pub time: f64,
     /// When the request's own time is up, in milliseconds of the pool's clock.
@@ -43,6 +48,8 @@
     GoOn(Vec<(HeaderName, HeaderValue)>),
     /// The service's answer is the client's.
     PassOn(Box<Response<Streamed>>),
+    /// And so is this one, which is here as a whole.
+    No(StatusCode, HeaderMap, Bytes),
     /// The service has no room; the client should stay away this long, in milliseconds.
     Refused(f64),
     /// The service gives no usable answer.
@@ -63,32 +70,85 @@
     }
 }
 
-/// Asks, and waits for the answer. Dropping the future ends the check.
+/// Asks, or remembers, and waits for the answer. Dropping the future ends the check.
 pub async fn ask(sign_in: &SignIn, question: Question<'_>) -> Outcome {
+    let settings = &sign_in.settings;
+    let remembers = settings.cache_yes > 0.0 || settings.cache_no > 0.0;
+    if !remembers || (question.once && !settings.cache_unsafe) {
+        return ask_now(sign_in, &question, question.time).await.0;
+    }
+    let driver = &sign_in.pool.driver;
+    let begun = driver.now();
+    let key = sign_in.remembered.key(question.route, &settings.request_headers, question.headers);
+    let looking = sign_in.remembered.look(|| driver.now(), key);
+    let asking = match timeout(millis(question.time), looking).await {
+        Ok(Ok(Remember::Yes(headers))) => return Outcome::GoOn(headers),
+        Ok(Ok(Remember::No(status, headers, body))) => return Outcome::No(status, headers, body),
+        Ok(Err(asking)) => asking,
+        // Whoever asks gets no answer either.
+        Err(_) => return unanswered(settings, driver.now(), question.deadline),
+    };
+    let left = (question.time - (driver.now() - begun)).max(0.0);
+    let (outcome, lifetime) = ask_now(sign_in, &question, left).await;
+    let remember = match &outcome {
+        Outcome::GoOn(headers) => Some(Remember::Yes(headers.clone())),
+        Outcome::No(status, headers, body) => Some(Remember::No(*status, headers.clone(), body.clone())),
+        _ => None,
+    };
+    asking.done(driver.now(), remember.map(|answer| (answer, lifetime)));
+    outcome
+}
+
+fn unanswered(settings: &ivygate_config::SignIn, now: f64, deadline: f64) -> Outcome {
+    let on_failure = if settings.open { OnFailure::Open } else { OnFailure::Closed };
+    match Gate::new(on_failure, deadline).handle(now, Input::Unanswered) {
+        Step::GoOn { .. } => Outcome::GoOn(Vec::new()),
+        Step::TimeUp => Outcome::TimeUp,
+        _ => Outcome::Unavailable,
+    }
+}
+
+/// Asks. The second part is how long the answer may be remembered.
+async fn ask_now(sign_in: &SignIn, question: &Question<'_>, time: f64) -> (Outcome, f64) {
     let settings = &sign_in.settings;
     let on_failure = if settings.open { OnFailure::Open } else { OnFailure::Closed };
     let driver = &sign_in.pool.driver;
     let mut gate = Gate::new(on_failure, question.deadline);
     let asked = driver.now();
-    let (answer, wait) = answer(sign_in, &question).await;
-    let mut said = None;
+    let (answer, wait) = answer(sign_in, question, time).await;
+    let mut no = None;
     let mut headers = Vec::new();
+    let mut good = 0.0;
     let input = match answer {
         Answer::Passed(response) => {
             let mut meaning = Said::of(response.status().as_u16());
+            let left = time - (driver.now() - asked);
+            let told =
+                response.headers().get(header::CACHE_CONTROL).map(|v| v.to_str().unwrap_or("no-store"));
+            // A cookie is one client's, however equal the questions were.
+            let own = response.headers().contains_key(header::SET_COOKIE);
+            let configured = if meaning == Said::Yes { settings.cache_yes } else { settings.cache_no };
+            good = if own { 0.0 } else { lifetime(configured, told) };
             if meaning == Said::Yes {
                 let (parts, body) = response.into_parts();
-                let left = question.time - (driver.now() - asked);
                 // A yes that breaks off may be half of something else.
-                if !read_out(body, left).await {
+                if read_out(body, left).await.is_none() {
                     meaning = Said::Unusable;
                 }
                 for name in &settings.answer_headers {
                     let Ok(name) = HeaderName::try_from(name) else { continue };
                     headers.extend(parts.headers.get_all(&name).iter().map(|v| (name.clone(), v.clone())));
                 }
+            } else if meaning == Said::No && good > 0.0 {
+                let (parts, body) = response.into_parts();
+                match read_out(body, left).await {
+                    Some(body) => no = Some(Outcome::No(parts.status, to_client(parts.headers), body)),
+                    None => meaning = Said::Unusable,
+                }
             } else {
-                said = Some(response);
+                let mut response = response;
+                *response.headers_mut() = to_client(std::mem::take(response.headers_mut()));
+                no = Some(Outcome::PassOn(response));
             }
             Input::Said(meaning)
         }
@@ -98,21 +158,23 @@
             Input::Unanswered
         }
     };
-    match (gate.handle(driver.now(), input), said) {
+    let outcome = match (gate.handle(driver.now(), input), no) {
         (Step::GoOn { checked: true }, _) => Outcome::GoOn(headers),
-        (Step::GoOn { checked: false }, _) => Outcome::GoOn(Vec::new()),
-        (Step::PassOn, Some(mut response)) => {
-            *response.headers_mut() = to_client(std::mem::take(response.headers_mut()));
-            Outcome::PassOn(response)
+        (Step::GoOn { checked: false }, _) => {
+            // Nobody said so, so there is nothing to remember.
+            good = 0.0;
+            Outcome::GoOn(Vec::new())
         }
+        (Step::PassOn, Some(no)) => no,
         (Step::Refuse, _) => Outcome::Refused(wait),
         (Step::TimeUp, _) => Outcome::TimeUp,
         (Step::Unavailable | Step::Nothing | Step::PassOn, _) => Outcome::Unavailable,
-    }
+    };
+    (outcome, good)
 }
 
 /// The answer of the service's pool, and how long to stay away if it refuses.
-async fn answer(sign_in: &SignIn, question: &Question<'_>) -> (Answer, f64) {
+async fn answer(sign_in: &SignIn, question: &Question<'_>, time: f64) -> (Answer, f64) {
     let settings = &sign_in.settings;
     let Ok(uri) = Uri::try_from(&settings.path) else { return (Answer::Failed, 0.0) };
     // The check takes a place of its pool like any other request.
@@ -127,10 +189,10 @@
             customer: question.client.clone(),
             units: 1.0,
             width: sign_in.pool.settings.sidecars,
-            wait: question.time,
+            wait: time,
             once: false,
         },
-        deadline: sign_in.pool.driver.now() + question.time,
+        deadline: sign_in.pool.driver.now() + time,
         message: Message {
             method: Method::GET,
             uri,
@@ -179,18 +241,19 @@
     headers
 }
 
-/// Reads a body to its end; whether that came whole, in time and not too long.
-async fn read_out(mut body: Streamed, time: f64) -> bool {
+/// Reads a body to its end; `None` if it does not come whole, in time and not too long.
+async fn read_out(mut body: Streamed, time: f64) -> Option<Bytes> {
     let reading = async {
-        let mut length = 0;
+        let mut read = BytesMut::new();
         while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return false };
-            length += frame.data_ref().map_or(0, Bytes::len);
-            if length > BODY_MOST {
-                return false;
+            if let Ok(data) = frame.ok()?.into_data() {
+                read.extend_from_slice(&data);
+            }
+            if read.len() > BODY_MOST {
+                return None;
             }
         }
-        true
+        Some(read.freeze())
     };
-    timeout(millis(time), reading).await.unwrap_or(false)
+    timeout(millis(time), reading).await.ok().flatten()
 }
--- a/crates/sidecar/src/site.rs
+++ b/crates/sidecar/src/site.rs
@@ -1,6 +1,7 @@
 //! One configuration at work: its table, its routes, its pools. Requests end under the site they began with.
 
 use crate::pool::{once, Pool, Served};
+use crate::remembered::Remembered;
 use hyper::header::HeaderName;
 use ivygate_config::{Class, Effect, Identity, Model, Plan, Repeat};
 use ivygate_routing::{Found, Table};
@@ -43,6 +44,8 @@
     pub units: f64,
     /// Its pool.
     pub pool: Rc<Pool>,
+    /// Its number, for telling routes apart.
+    pub number: usize,
     /// Its class's aim.
     pub aim: f64,
     /// The service that is asked first.
@@ -57,6 +60,8 @@
     pub class: Arc<str>,
     /// The pool of its servers.
     pub pool: Rc<Pool>,
+    /// What it has answered.
+    pub remembered: Remembered,
 }
 
 /// The plan of checks: they take nothing from anybody's quota.
@@ -150,10 +155,11 @@
             .map(|settings| {
                 let class = check_class(settings).name.into();
                 let pool = pools[&model.pools[settings.pool].name].clone();
-                Rc::new(SignIn { settings: settings.clone(), class, pool })
+                let remembered = Remembered::new(settings.cache_size);
+                Rc::new(SignIn { settings: settings.clone(), class, pool, remembered })
             })
             .collect();
-        let route = |route: &ivygate_config::Route| -> Result<Route, String> {
+        let route = |(number, route): (usize, &ivygate_config::Route)| -> Result<Route, String> {
             let class = &model.classes[route.class];
             let narrows = narrows(route, class);
             let key = if is_keyed(class) && !narrows {
@@ -170,11 +176,12 @@
                 upload: class.upload,
                 units: class.units,
                 pool: pools[&model.pools[route.pool].name].clone(),
+                number,
                 aim: class.aim,
                 sign_in: route.sign_in.map(|number| sign_ins[number].clone()),
             })
         };
-        let routes = model.routes.iter().map(route).collect::<Result<_, _>>()?;
+        let routes = model.routes.iter().enumerate().map(route).collect::<Result<_, _>>()?;
         Ok(Self {
             identity: model.identity.clone(),
             table,
--- a/crates/tool/src/compare.rs
+++ b/crates/tool/src/compare.rs
@@ -575,6 +575,20 @@
                         fewer.then_some("clients may send these headers themselves now"),
                     ),
                     row("within", time(a.within), time(b.within), None),
+                    row(
+                        "cache-yes",
+                        time(a.cache_yes),
+                        time(b.cache_yes),
+                        (b.cache_yes > a.cache_yes).then_some("a revoked pass stays good for longer"),
+                    ),
+                    row("cache-no", time(a.cache_no), time(b.cache_no), None),
+                    row("cache-size", a.cache_size.to_string(), b.cache_size.to_string(), None),
+                    row(
+                        "cache-unsafe",
+                        a.cache_unsafe.to_string(),
+                        b.cache_unsafe.to_string(),
+                        b.cache_unsafe.then_some("what must not run twice goes on by a remembered yes"),
+                    ),
                     row(
                         "on-failure",
                         failure(a),
--- a/crates/tool/src/keywords.rs
+++ b/crates/tool/src/keywords.rs
@@ -114,6 +114,10 @@
     k("sign-in", "request-headers", "HEADER ...", "headers of the request that it gets"),
     k("sign-in", "answer-headers", "HEADER ...", "headers of its yes that go on with the request"),
     k("sign-in", "within", "TIME", "longest time for a check"),
+    k("sign-in", "cache-yes", "TIME", "how long a yes is remembered"),
+    k("sign-in", "cache-no", "TIME", "how long a no is remembered"),
+    k("sign-in", "cache-size", "COUNT", "most answers remembered"),
+    k("sign-in", "cache-unsafe", "yes | no", "whether what must not run twice goes on by a remembered yes"),
     k("sign-in", "on-failure", "closed | open", "what happens where it gives no usable answer"),
 ];
 
