--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -12,6 +12,7 @@
 mod process;
 mod proxy;
 mod routes;
+mod sign_in;
 
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -48,6 +49,12 @@
     },
     /// `check`, `diff` and `fmt` over trees of 100 to 50,000 routes
     Config,
+    /// Requests unchecked, by a remembered yes of a sign-in service, and each asked about
+    SignIn {
+        /// Turns of half a second for each
+        #[arg(long, default_value_t = 9)]
+        turns: usize,
+    },
     /// Keeps one address busy in a closed loop, for a profiler to look at
     Load {
         /// Whom to ask
@@ -80,6 +87,7 @@
         Command::Isolation { seconds } => isolation::measure(seconds),
         Command::Bodies { mib } => bodies::measure(&mib),
         Command::Config => config::measure(),
+        Command::SignIn { turns } => sign_in::measure(turns),
         Command::Load { address, path, connections, seconds } => {
             load::closed_loop(address, &path, connections, seconds).map(|mut seen| {
                 let (p50, others) = (seen.percentile(50.0), seen.others + seen.broken);
