One place each for scopes, plans without quota, 'meant', and failing sign-ins

Read over once more: the width and word of a scope stood in the checker and in diff, a plan without quota in the checker and in the sidecar, the test for 'meant' in two forms, the gate's choice and the wait at a full pool twice in the sign-in, a median twice in the bench. Each is one piece now. Requests that ask no sign-in read the clock twice less.

--- a/crates/bench/src/proxy.rs
+++ b/crates/bench/src/proxy.rs
@@ -6,7 +6,7 @@
 use std::io;
 
 /// How long each of the two is asked before it is the other's turn, in seconds.
-const TURN: f64 = 0.5;
+pub const TURN: f64 = 0.5;
 
 /// A configuration that decides all there is to decide for one server.
 fn config(server: &str) -> String {
@@ -45,7 +45,7 @@
 }
 
 /// The middle one, and the first and third quarter.
-fn quartiles(mut values: Vec<f64>) -> [f64; 3] {
+pub fn quartiles(mut values: Vec<f64>) -> [f64; 3] {
     values.sort_unstable_by(f64::total_cmp);
     let last = values.len().saturating_sub(1);
     [last / 4, last / 2, last - last / 4].map(|at| values.get(at).copied().unwrap_or(0.0))
--- a/crates/bench/src/sign_in.rs
+++ b/crates/bench/src/sign_in.rs
@@ -2,11 +2,9 @@
 
 use crate::load::closed_loop;
 use crate::process::Process;
+use crate::proxy::{quartiles, TURN};
 use std::io;
 
-/// How long each is asked before it is the next one's turn, in seconds.
-const TURN: f64 = 0.5;
-
 /// Measures and prints.
 pub fn measure(turns: usize) -> io::Result<()> {
     let application = Process::own(&["application"])?;
@@ -54,11 +52,7 @@
             }
         }
         for (number, (name, ..)) in kinds.iter().enumerate() {
-            let median = |of: usize| {
-                let mut values: Vec<f64> = seen[number].iter().map(|turn| turn[of]).collect();
-                values.sort_unstable_by(f64::total_cmp);
-                values.get(values.len() / 2).copied().unwrap_or(0.0)
-            };
+            let median = |of: usize| quartiles(seen[number].iter().map(|turn| turn[of]).collect())[1];
             println!(
                 "{name:>12} {connections:>5}  {:>9.0} {:>8.3} {:>8.3} {:>8.1} {:>6}",
                 median(0),
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -37,7 +37,7 @@
     let routes = routes(&fields, &classes, &pools, &sign_ins);
     let mut model = Model { limits, identity, listeners, classes, plans, customers, pools, sign_ins, routes };
     if model.plans.is_empty() {
-        model.plans.push(no_plan());
+        model.plans.push(Plan::without_quota("default"));
     }
     meaning::check(&fields, &model);
     fields.finish();
@@ -57,23 +57,6 @@
     all
 }
 
-/// Where the file has no plans: one without any quota.
-fn no_plan() -> Plan {
-    Plan {
-        name: "default".to_owned(),
-        quota: 0.0,
-        burst: 0.0,
-        open: 0,
-        ceiling: 0.0,
-        ceiling_burst: 0.0,
-        ceiling_slack: 0.0,
-        price: 1.0,
-        excess_worth: 0.0,
-        excess_cost: 1.0,
-        at: At::default(),
-    }
-}
-
 fn limits(fields: &Fields) -> Limits {
     let (mut descriptors, mut drain, mut memory) = (1024.0, 30_000.0, None);
     let mut at = At::default();
--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -196,7 +196,7 @@
 
     /// Whether a statement says that its value is meant.
     pub fn is_meant(&self, name: &'static str) -> bool {
-        self.all(name).first().is_some_and(|s| s.words.len() > 2 && s.words.last().is_some_and(is_meant))
+        self.all(name).first().is_some_and(|s| says_meant(s))
     }
 
     /// A quantity, if it is given.
@@ -272,6 +272,11 @@
     !word.quoted && word.defined.is_none() && word.text == "meant"
 }
 
+/// Whether a statement says that its value is meant.
+pub fn says_meant(statement: &Statement) -> bool {
+    statement.words.len() > 2 && statement.words.last().is_some_and(is_meant)
+}
+
 /// The words that open a statement.
 pub fn head_span(statement: &Statement) -> Span {
     let (first, last) = (statement.words[0].span, statement.words[statement.words.len() - 1].span);
--- a/crates/config/src/meaning.rs
+++ b/crates/config/src/meaning.rs
@@ -3,7 +3,7 @@
 
 use crate::check::{LONGEST, RESERVE};
 use crate::diagnostic::{Diagnostic, Span};
-use crate::fields::{head_span, Fields};
+use crate::fields::{head_span, says_meant, Fields};
 use crate::model::*;
 use crate::syntax::Statement;
 use ivygate_routing::{Methods, Table};
@@ -159,16 +159,16 @@
         fields.note(error.also(by, label).help(format!(
             "write `window {0}s;`, or `drops-repeats {1} {2}s;` in the pool if its servers do so",
             kept / 1000.0,
-            scope_name(scope),
+            scope.word(),
             window / 1000.0
         )));
     }
-    if let Some((dropped, _)) = pool.drops_repeats.filter(|(dropped, _)| width(scope) > width(*dropped)) {
+    if let Some((dropped, _)) = pool.drops_repeats.filter(|(dropped, _)| scope > *dropped) {
         let at = place(fields, "class", &class.name, "scope", class.at);
         let what = format!("`{}` may be repeated to servers that do not drop its repeats", class.name);
         let error = Diagnostic::error("IV0075", what, at, "wider than the servers that drop repeats");
-        let label = format!("dropped by servers of one {} only", scope_name(dropped));
-        fields.note(error.also(by, label).help(format!("write `scope {};`", scope_name(dropped))));
+        let label = format!("dropped by servers of one {} only", dropped.word());
+        fields.note(error.also(by, label).help(format!("write `scope {};`", dropped.word())));
     }
     let group = |server: &Server| match scope {
         Scope::All => String::new(),
@@ -186,11 +186,11 @@
     for server in &pool.servers {
         *sizes.entry(group(server)).or_insert(0) += 1;
     }
-    let meant = part(fields, "class", &class.name, "scope").is_some_and(|s| s.words.len() > 2);
+    let meant = part(fields, "class", &class.name, "scope").is_some_and(says_meant);
     if pool.servers.len() > 1 && !meant && sizes.values().all(|size| *size == 1) {
         let what = format!(
             "no {} of `{}` has two servers, so `{}` can never be repeated",
-            scope_name(scope),
+            scope.word(),
             pool.name,
             class.name
         );
@@ -204,23 +204,6 @@
     }
 }
 
-fn scope_name(scope: Scope) -> &'static str {
-    match scope {
-        Scope::All => "all",
-        Scope::Zone => "zone",
-        Scope::Cell => "cell",
-    }
-}
-
-/// How wide a scope is against others.
-pub(crate) fn width(scope: Scope) -> u8 {
-    match scope {
-        Scope::Cell => 0,
-        Scope::Zone => 1,
-        Scope::All => 2,
-    }
-}
-
 fn times(fields: &Fields, model: &Model) {
     for (number, pool) in model.pools.iter().enumerate() {
         let told = |name| part(fields, "pool", &pool.name, name);
@@ -301,7 +284,7 @@
         }
     }
     for plan in &model.plans {
-        let meant = part(fields, "plan", &plan.name, "burst").is_some_and(|s| s.words.len() > 2);
+        let meant = part(fields, "plan", &plan.name, "burst").is_some_and(says_meant);
         if plan.quota > 0.0 && plan.burst > 24.0 * 3600.0 * plan.quota && !meant {
             let at = place(fields, "plan", &plan.name, "burst", plan.at);
             let what = format!(
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -128,15 +128,26 @@
     Unsafe,
 }
 
-/// The servers that drop each other's repeats.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The servers that drop each other's repeats, the fewest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Scope {
-    /// All of the pool.
-    All,
-    /// Those of one zone.
-    Zone,
     /// Those of one cell.
     Cell,
+    /// Those of one zone.
+    Zone,
+    /// All of the pool.
+    All,
+}
+
+impl Scope {
+    /// As the language has it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Scope::Cell => "cell",
+            Scope::Zone => "zone",
+            Scope::All => "all",
+        }
+    }
 }
 
 /// After what a request may be sent again.
@@ -204,6 +215,25 @@
     pub at: At,
 }
 
+impl Plan {
+    /// One without any quota.
+    pub fn without_quota(name: &str) -> Self {
+        Plan {
+            name: name.to_owned(),
+            quota: 0.0,
+            burst: 0.0,
+            open: 0,
+            ceiling: 0.0,
+            ceiling_burst: 0.0,
+            ceiling_slack: 0.0,
+            price: 1.0,
+            excess_worth: 0.0,
+            excess_cost: 1.0,
+            at: At::default(),
+        }
+    }
+}
+
 /// A pool of servers with a decision module of its own.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pool {
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -21,7 +21,7 @@
 use std::sync::Arc;
 
 /// How long a client is told to stay away where a pool has no room for another request.
-const FULL_RETRY_AFTER: f64 = 1000.0;
+pub const FULL_RETRY_AFTER: f64 = 1000.0;
 
 /// What all listeners share.
 pub struct Shared {
@@ -143,8 +143,9 @@
                     false => peer_name.clone(),
                 }
             };
-            let begun = route.pool.driver.now();
+            let mut spent = 0.0;
             if let Some(sign_in) = &route.sign_in {
+                let begun = route.pool.driver.now();
                 let wait = self.wait(&site, &listener, route, &parts, trusted)?;
                 let target = target.path_and_query();
                 let question = Question {
@@ -159,7 +160,9 @@
                     time: share(sign_in.settings.within, wait, route.aim),
                     deadline: begun + wait,
                 };
-                match sign_in::ask(sign_in, question).await {
+                let outcome = sign_in::ask(sign_in, question).await;
+                spent = route.pool.driver.now() - begun;
+                match outcome {
                     Outcome::GoOn(headers) => {
                         for (name, value) in headers {
                             parts.headers.append(name, value);
@@ -182,7 +185,6 @@
                     }
                 }
             }
-            let spent = route.pool.driver.now() - begun;
             let customer =
                 customer(&site.identity.customer, &parts.headers, || client(&parts.headers)).map_err(bad)?;
             let named = match &site.identity.plan_header {
--- a/crates/sidecar/src/sign_in.rs
+++ b/crates/sidecar/src/sign_in.rs
@@ -1,6 +1,7 @@
 //! Asks a sign-in service whether a request may go on.
 
 use crate::forward::{to_client, Origin};
+use crate::front::FULL_RETRY_AFTER;
 use crate::remembered::Remember;
 use crate::site::{SignIn, CHECKS};
 use bytes::{Bytes, BytesMut};
@@ -99,9 +100,12 @@
     outcome
 }
 
+fn gate(settings: &ivygate_config::SignIn, deadline: f64) -> Gate {
+    Gate::new(if settings.open { OnFailure::Open } else { OnFailure::Closed }, deadline)
+}
+
 fn unanswered(settings: &ivygate_config::SignIn, now: f64, deadline: f64) -> Outcome {
-    let on_failure = if settings.open { OnFailure::Open } else { OnFailure::Closed };
-    match Gate::new(on_failure, deadline).handle(now, Input::Unanswered) {
+    match gate(settings, deadline).handle(now, Input::Unanswered) {
         Step::GoOn { .. } => Outcome::GoOn(Vec::new()),
         Step::TimeUp => Outcome::TimeUp,
         _ => Outcome::Unavailable,
@@ -111,9 +115,8 @@
 /// Asks. The second part is how long the answer may be remembered.
 async fn ask_now(sign_in: &SignIn, question: &Question<'_>, time: f64) -> (Outcome, f64) {
     let settings = &sign_in.settings;
-    let on_failure = if settings.open { OnFailure::Open } else { OnFailure::Closed };
     let driver = &sign_in.pool.driver;
-    let mut gate = Gate::new(on_failure, question.deadline);
+    let mut gate = gate(settings, question.deadline);
     let asked = driver.now();
     let (answer, wait) = answer(sign_in, question, time).await;
     let mut no = None;
@@ -210,9 +213,6 @@
     (answer, wait)
 }
 
-/// How long a client is told to stay away where the service's pool is full.
-const FULL_RETRY_AFTER: f64 = 1000.0;
-
 fn headers(settings: &ivygate_config::SignIn, question: &Question) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for name in &settings.request_headers {
--- a/crates/sidecar/src/site.rs
+++ b/crates/sidecar/src/site.rs
@@ -85,22 +85,6 @@
     }
 }
 
-fn check_plan() -> Plan {
-    Plan {
-        name: CHECKS.to_owned(),
-        quota: 0.0,
-        burst: 0.0,
-        open: 0,
-        ceiling: 0.0,
-        ceiling_burst: 0.0,
-        ceiling_slack: 0.0,
-        price: 1.0,
-        excess_worth: 0.0,
-        excess_cost: 1.0,
-        at: ivygate_config::At::default(),
-    }
-}
-
 /// Whether repeats depend on a key.
 fn is_keyed(class: &Class) -> bool {
     matches!(class.effect, Effect::Keyed(..)) && class.repeat == Repeat::Sent
@@ -139,7 +123,7 @@
             classes.extend(checks.iter().map(|class| Served { class, once: false }));
             let mut plans = model.plans.clone();
             if !checks.is_empty() {
-                plans.push(check_plan());
+                plans.push(Plan::without_quota(CHECKS));
             }
             let old = before.and_then(|site| site.pools.get(&pool.name));
             let pool = match old.and_then(|old| old.carried_on(pool, &classes, &plans)) {
--- a/crates/tool/src/compare.rs
+++ b/crates/tool/src/compare.rs
@@ -1,7 +1,7 @@
 //! What two configurations do differently, whatever their text.
 
 use ivygate_config::{
-    At, Block, Class, CustomerFrom, Effect, Listener, Loaded, Model, Plan, Pool, Repeat, Scope, SignIn, Span,
+    At, Block, Class, CustomerFrom, Effect, Listener, Loaded, Model, Plan, Pool, Repeat, SignIn, Span,
     Statement,
 };
 use ivygate_routing::{regions, Found, Table, TooMany};
@@ -112,26 +112,10 @@
     }
 }
 
-fn scope(scope: Scope) -> &'static str {
-    match scope {
-        Scope::All => "all",
-        Scope::Zone => "zone",
-        Scope::Cell => "cell",
-    }
-}
-
-fn width(of: Scope) -> u8 {
-    match of {
-        Scope::Cell => 0,
-        Scope::Zone => 1,
-        Scope::All => 2,
-    }
-}
-
 fn effect(effect: Effect) -> String {
     match effect {
         Effect::Safe => "safe".to_owned(),
-        Effect::Keyed(of, window) => format!("keyed, scope {}, window {}", scope(of), time(window)),
+        Effect::Keyed(of, window) => format!("keyed, scope {}, window {}", of.word(), time(window)),
         Effect::Unsafe => "unsafe".to_owned(),
     }
 }
@@ -299,9 +283,7 @@
             self.named("class", &old.classes, &new.classes, |c| c.name.clone(), |c| c.at, None)
         {
             let longer = match (a.effect, b.effect) {
-                (Effect::Keyed(from, before), Effect::Keyed(to, after)) => {
-                    after > before || width(to) > width(from)
-                }
+                (Effect::Keyed(from, before), Effect::Keyed(to, after)) => after > before || to > from,
                 _ => false,
             };
             let risk = if freedom(b) > freedom(a) {
@@ -354,10 +336,10 @@
                 pair.as_ref().map_or("none".to_owned(), |(h, v)| format!("{h} {v}"))
             };
             let drops = |p: &Pool| {
-                p.drops_repeats.map_or("not told".to_owned(), |(s, t)| format!("{} {}", scope(s), time(t)))
+                p.drops_repeats.map_or("not told".to_owned(), |(s, t)| format!("{} {}", s.word(), time(t)))
             };
             let wider = match (a.drops_repeats, b.drops_repeats) {
-                (Some((from, before)), Some((to, after))) => after > before || width(to) > width(from),
+                (Some((from, before)), Some((to, after))) => after > before || to > from,
                 (None, Some((_, after))) => after > 15_000.0,
                 _ => false,
             };
