Cheap work is no longer refused for one request that is only guessed at each server

One request that is only guessed at each server counts as 0.45 of a mean work of 150 ms = 67 ms. On the first deployment (aim 1 s) the same room was 100 ms: it worked by luck.

Now every request may join a queue of one mean work.

--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -64,6 +64,10 @@
 /// Bounds on the factor that worth for work puts on QUEUE_ROOM: cheap requests are refused first, and with
 /// them those beyond a quota that still pay.
 const QUEUE_FACTOR: (f64, f64) = (0.4, 2.0);
+/// Queue that every request may join, in works of a mean request. Where work is long against
+/// the shortest aim, QUEUE_ROOM comes to less than one request's: one that is only guessed to be at each
+/// server would then refuse all cheap work, on an idle fleet too.
+const QUEUE_LEAST: f64 = 1.0;
 /// Part of what is left of the aim after which a refused request may come back.
 const COMEBACK: f64 = 0.25;
 /// Weight of one request in the mean worth for work.
@@ -612,7 +616,7 @@
         self.mean_value += VALUE_WEIGHT * (value - self.mean_value);
         let factor = (value / self.mean_value).clamp(QUEUE_FACTOR.0, QUEUE_FACTOR.1);
         let factor = if standing == Standing::Beyond { QUEUE_FACTOR.0 } else { factor };
-        let queue_room = QUEUE_ROOM * self.shortest_aim * factor;
+        let queue_room = (QUEUE_ROOM * self.shortest_aim * factor).max(QUEUE_LEAST * self.mean_work);
         let trial = self.settings.trial && self.servers.values().all(|s| s.out.is_empty());
         match self.pick(&request) {
             Some((server, wait, queue)) if trial || (wait <= ROOM * left && queue <= queue_room) => {
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -951,3 +951,50 @@
     // A tenth of the aim for each, untold; a hundredth, told.
     assert!(let_in(None) < 8 && let_in(Some(10.0)) > 20, "{} {}", let_in(None), let_in(Some(10.0)));
 }
+
+/// A gateway in front of ten servers that keeps `out` requests on the way, every other one long and cheap: how many
+/// of the last hundred of those it sends on. Works are long against the shortest aim, as in a fleet that checks cards.
+fn long_cheap_ones_sent(out: u32) -> usize {
+    let check = Class { aim: 600.0, worth: 3.0, first_work: Some(96.0), ..class("check", Effect::Safe) };
+    let query = Class { aim: 1500.0, worth: 1.0, first_work: Some(250.0), ..class("query", Effect::Safe) };
+    let plan = Plan { rate: 0.0, burst: 0.0, ..settings().plans[0].clone() };
+    let settings = Settings { gateways: 3, classes: vec![check, query], plans: vec![plan], ..settings() };
+    let mut rig = Rig::new(settings, servers(10));
+    let mut on_the_way = std::collections::VecDeque::new();
+    let mut sent = 0;
+    for i in 0..400_u32 {
+        let now = f64::from(i) * 20.0;
+        let is_query = i % 2 == 0;
+        let (request, actions) = rig.arrive(now, if is_query { "query" } else { "check" }, "a");
+        if sent_to(&actions).is_some() {
+            sent += usize::from(is_query && i >= 200);
+            on_the_way.push_back((request, is_query));
+        }
+        while on_the_way.len() > out as usize {
+            let (request, is_long) = on_the_way.pop_front().expect("one is on the way");
+            let done = Done {
+                request,
+                attempt: 0,
+                server: 1,
+                outcome: Outcome::Ok,
+                elapsed: if is_long { 250.0 } else { 96.0 },
+                closed: true,
+                use_percent: None,
+                load: Load::default(),
+            };
+            rig.handle(now + 1.0, Event::Done(done));
+        }
+    }
+    sent
+}
+
+#[test]
+fn one_request_guessed_to_be_at_each_server_does_not_refuse_cheap_work() {
+    // Five of its own make it take one to be at each of ten servers for the two other gateways.
+    assert_eq!(long_cheap_ones_sent(5), 100);
+}
+
+#[test]
+fn a_queue_of_several_requests_at_each_server_refuses_cheap_work_first() {
+    assert_eq!(long_cheap_ones_sent(40), 0);
+}
