--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod application;
 mod bodies;
 mod config;
+mod flood;
 mod isolation;
 mod load;
 mod pass_through;
@@ -17,6 +18,7 @@
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::Duration;
 
 #[derive(Parser)]
 #[command(name = "ivygate-bench", about = "Measurements of the sidecar and its tools")]
@@ -55,6 +57,12 @@
         #[arg(long, default_value_t = 9)]
         turns: usize,
     },
+    /// Good passes beside ten times as many bad ones, and the memory of remembered answers
+    Flood {
+        /// Seconds for each row
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+    },
     /// Keeps one address busy in a closed loop, for a profiler to look at
     Load {
         /// Whom to ask
@@ -77,7 +85,11 @@
     },
     /// The application itself (run by the others)
     #[command(hide = true)]
-    Application,
+    Application {
+        /// Work of each request, one at a time, in microseconds
+        #[arg(long, default_value_t = 0)]
+        work_us: u64,
+    },
 }
 
 fn main() -> ExitCode {
@@ -88,6 +100,7 @@
         Command::Bodies { mib } => bodies::measure(&mib),
         Command::Config => config::measure(),
         Command::SignIn { turns } => sign_in::measure(turns),
+        Command::Flood { seconds } => flood::measure(seconds),
         Command::Load { address, path, connections, seconds } => {
             load::closed_loop(address, &path, connections, seconds).map(|mut seen| {
                 let (p50, others) = (seen.percentile(50.0), seen.others + seen.broken);
@@ -99,7 +112,7 @@
             })
         }
         Command::PassThrough { upstream } => pass_through::run(upstream),
-        Command::Application => application::run(),
+        Command::Application { work_us } => application::run(Duration::from_micros(work_us)),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -455,6 +455,12 @@
             read_stall: duration_or(&inner, "read-stall", 30_000.0),
             idle: duration_or(&inner, "idle", 60_000.0),
             answer_within: duration_or(&inner, "answer-within", LONGEST),
+            answers_checks: inner
+                .one("answers-checks")
+                .and_then(|s| inner.words(s, 1, 1))
+                .and_then(|w| plain_path(&inner, &w[0]))
+                .map(|p| p.split('?').next().unwrap_or("").to_owned()),
+            ids_kept: duration_or(&inner, "ids-kept", 60_000.0),
             at: At(inner.head),
         });
         if let Some(word) = inner.word("head").filter(|_| listeners.last().is_some_and(|l| l.head < 8192)) {
@@ -623,14 +629,7 @@
         let pool = inner.needed("pool", "pool NAME;").and_then(|s| inner.words(s, 1, 1));
         let pool = pool.and_then(|w| refer(&inner, "pool", &w[0], pools, |p| &p.name));
         let path = inner.needed("path", "path /check;").and_then(|s| inner.words(s, 1, 1));
-        let path = path.and_then(|words| match Target::parse(&words[0].text) {
-            Ok(target) if words[0].text.starts_with('/') => Some(target.path_and_query()),
-            _ => {
-                let error = Diagnostic::error("IV0052", "this is no path", words[0].span, "here");
-                inner.note(error.help("write one such as `/check`"));
-                None
-            }
-        });
+        let path = path.and_then(|words| plain_path(&inner, &words[0]));
         let headers = |name, default: &[&str]| -> Vec<String> {
             match inner.one(name).and_then(|s| inner.words(s, 1, 64)) {
                 None => default.iter().map(|d| (*d).to_owned()).collect(),
@@ -667,6 +666,9 @@
         let (request_headers, answer_headers) =
             (headers("request-headers", &["authorization", "cookie"]), headers("answer-headers", &[]));
         let within = duration_or(&inner, "within", 500.0);
+        let body = inner.quantity("body", Quantity::Size).map(|bytes| bytes as usize);
+        let limit = |name| inner.quantity_or(name, Quantity::Rate, 0.0);
+        let (address_limit, credential_limit) = (limit("address-limit"), limit("credential-limit"));
         let remembered = |name| inner.quantity_or(name, Quantity::Duration, 0.0).min(LONGEST);
         let (cache_yes, cache_no) = (remembered("cache-yes"), remembered("cache-no"));
         let cache_size = inner.positive_or("cache-size", Quantity::Count, 10_000.0) as usize;
@@ -683,6 +685,9 @@
             request_headers,
             answer_headers,
             within,
+            body,
+            address_limit,
+            credential_limit,
             open,
             cache_yes,
             cache_no,
@@ -694,6 +699,18 @@
     sign_ins
 }
 
+/// A path to ask for, in normal form.
+fn plain_path(fields: &Fields, word: &Word) -> Option<String> {
+    match Target::parse(&word.text) {
+        Ok(target) if word.text.starts_with('/') => Some(target.path_and_query()),
+        _ => {
+            let error = Diagnostic::error("IV0052", "this is no path", word.span, "here");
+            fields.note(error.help("write one such as `/check`"));
+            None
+        }
+    }
+}
+
 fn routes(fields: &Fields, classes: &[Class], pools: &[Pool], sign_ins: &[SignIn]) -> Vec<Route> {
     let mut seen = HashMap::new();
     let mut routes = Vec::new();
--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -567,6 +567,20 @@
         wrong: "sign-in members { within 2s; ... } class edit { aim 500ms; deadline 2s; ... }",
         right: "sign-in members { within 500ms; ... }",
     },
+    Code {
+        code: "IV0090",
+        title: "A listener that answers checks believes nobody",
+        why: "What another program asks about stands in headers, and only those of `trusted` peers are believed. Trusting all would let anyone take another's quota.",
+        wrong: "listen 127.0.0.1:8090 { answers-checks /auth; }",
+        right: "listen 127.0.0.1:8090 { answers-checks /auth; trusted 127.0.0.1; }",
+    },
+    Code {
+        code: "IV0091",
+        title: "An answer is remembered that a body decided",
+        why: "Remembered answers are found by the route and `request-headers`. Where a body goes into the check another body would get the same answer.",
+        wrong: "sign-in members { body 4KiB; cache-yes 10s; ... }",
+        right: "sign-in members { body 4KiB; ... }",
+    },
     Code {
         code: "IV0101",
         title: "A request that changes something may be sent twice",
--- a/crates/config/src/meaning.rs
+++ b/crates/config/src/meaning.rs
@@ -27,6 +27,7 @@
     servers(fields, model);
     trust(fields, model);
     sign_ins(fields, model);
+    answers(fields, model);
     sums(fields, model);
     unused(fields, model);
 }
@@ -366,7 +367,31 @@
     }
 }
 
+/// Listeners on which other programs ask, and what they must be told by.
+fn answers(fields: &Fields, model: &Model) {
+    for listener in model.listeners.iter().filter(|l| l.answers_checks.is_some()) {
+        if listener.trusted.is_empty() && !fields.has_error_in(listener.at.0) {
+            let what =
+                "nobody may ask here: what is asked about stands in headers, and no peer's are believed";
+            let error = Diagnostic::error("IV0090", what, listener.at.0, "`answers-checks` and no `trusted`");
+            fields.note(error.help("write `trusted 127.0.0.1;` or the networks of the proxies that ask"));
+        }
+    }
+}
+
 fn sign_ins(fields: &Fields, model: &Model) {
+    for sign_in in &model.sign_ins {
+        let remembers = ["cache-yes", "cache-no"].into_iter().zip([sign_in.cache_yes, sign_in.cache_no]);
+        let remembers = remembers.filter(|(_, time)| *time > 0.0).map(|(name, _)| name).next();
+        if let (Some(_), Some(name)) = (sign_in.body, remembers) {
+            let what =
+                format!("answers of `{}` are remembered though bodies go into its checks", sign_in.name);
+            let at = place(fields, "sign-in", &sign_in.name, name, sign_in.at);
+            let error = Diagnostic::error("IV0091", what, at, "another body would get this answer");
+            let also = place(fields, "sign-in", &sign_in.name, "body", sign_in.at);
+            fields.note(error.also(also, "sent with each check").help(format!("remove `{name}` or `body`")));
+        }
+    }
     for route in &model.routes {
         let Some(sign_in) = route.sign_in.map(|number| &model.sign_ins[number]) else { continue };
         let class = &model.classes[route.class];
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -113,6 +113,10 @@
     pub idle: f64,
     /// No request here has a longer deadline.
     pub answer_within: f64,
+    /// The path on which other programs ask whether their requests may go on; nothing else is served then.
+    pub answers_checks: Option<String>,
+    /// How long the ids of requests that were let on so are remembered.
+    pub ids_kept: f64,
     /// Where it stands.
     pub at: At,
 }
@@ -326,6 +330,12 @@
     pub answer_headers: Vec<String>,
     /// Longest time for a check.
     pub within: f64,
+    /// A body up to this size goes into the check, and longer ones are turned away; `None` for no body.
+    pub body: Option<usize>,
+    /// Failed checks a second from one address; 0 for no limit.
+    pub address_limit: f64,
+    /// Failed checks a second with one credential; 0 for no limit.
+    pub credential_limit: f64,
     /// Whether requests go on where it gives no usable answer.
     pub open: bool,
     /// How long a yes is remembered; 0 for not at all.
--- a/crates/config/src/slips.rs
+++ b/crates/config/src/slips.rs
@@ -11,7 +11,7 @@
 
 /// What is usual: kind of block, statement, least and most, and what the value is for. Times are
 /// milliseconds.
-const USUAL: [(&str, &str, f64, f64, &str); 37] = [
+const USUAL: [(&str, &str, f64, f64, &str); 41] = [
     ("class", "deadline", 20.0, 600_000.0, "a client's whole wait"),
     ("class", "aim", 2.0, 300_000.0, "a good answer's time"),
     ("class", "window", 500.0, 43_200_000.0, "how long servers remember a key"),
@@ -36,6 +36,10 @@
     ("sign-in", "cache-yes", 100.0, 3_600_000.0, "how long a revoked pass may still be good"),
     ("sign-in", "cache-no", 100.0, 600_000.0, "how long a new pass may be refused"),
     ("sign-in", "cache-size", 1.0, 1e6, "answers that are remembered"),
+    ("sign-in", "body", 64.0, 1_048_576.0, "a body that is sent with a check"),
+    ("sign-in", "address-limit", 0.1, 10_000.0, "failed checks a second from one address"),
+    ("sign-in", "credential-limit", 0.01, 1_000.0, "failed checks a second with one credential"),
+    ("listener", "ids-kept", 1_000.0, 3_600_000.0, "how long an id may not be asked about again"),
     ("limits block", "drain", 50.0, 3_600_000.0, "the time for requests to end"),
     ("limits block", "memory", 16_777_216.0, 1.1e12, "all memory of the process"),
     ("limits block", "descriptors", 64.0, 1e7, "all descriptors of the process"),
--- /dev/null
+++ b/crates/forward-auth/src/admissions.rs
@@ -0,0 +1,142 @@
+//! Ids of requests that other programs asked about: whoever asks twice for one id gets one admission.
+//!
+//! Times are passed in, in milliseconds.
+
+use std::collections::{BTreeSet, HashMap};
+
+/// What is known of an id that is asked about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Asked<V> {
+    /// Nothing: it is taken now, and whoever asked is to tell by [`Admissions::admitted`] or
+    /// [`Admissions::turned_away`].
+    New,
+    /// It was admitted, and may be any number of times: this was the answer.
+    Again(V),
+    /// It was admitted once and must not be twice.
+    Once,
+    /// Somebody is asking about it now.
+    Pending,
+    /// No place is left to remember another.
+    Full,
+}
+
+enum State<V> {
+    Pending,
+    Admitted { answer: V, once: bool, until: u64 },
+}
+
+/// Ids that were admitted, bounded in number. One that must not be admitted twice is never forgotten early: where no
+/// place is left, new ones are turned away.
+pub struct Admissions<V> {
+    ids: HashMap<String, State<V>>,
+    ends: BTreeSet<(u64, String)>,
+    most: usize,
+}
+
+impl<V: Clone> Admissions<V> {
+    /// None yet, and at most so many.
+    pub fn new(most: usize) -> Self {
+        Self { ids: HashMap::new(), ends: BTreeSet::new(), most }
+    }
+
+    /// Somebody asks about an id.
+    pub fn ask(&mut self, now: f64, id: &str) -> Asked<V> {
+        let now = micros(now);
+        while let Some((until, over)) = self.ends.first().filter(|(until, _)| *until <= now).cloned() {
+            self.ids.remove(&over);
+            self.ends.remove(&(until, over));
+        }
+        match self.ids.get(id) {
+            Some(State::Pending) => return Asked::Pending,
+            Some(State::Admitted { once: true, .. }) => return Asked::Once,
+            Some(State::Admitted { answer, .. }) => return Asked::Again(answer.clone()),
+            None => {}
+        }
+        if self.ids.len() >= self.most {
+            return Asked::Full;
+        }
+        self.ids.insert(id.to_owned(), State::Pending);
+        Asked::New
+    }
+
+    /// The one who asked has been told to go on, and is remembered for some time.
+    pub fn admitted(&mut self, now: f64, id: &str, answer: V, once: bool, kept: f64) {
+        let until = micros(now + kept);
+        if let Some(State::Admitted { until, .. }) =
+            self.ids.insert(id.to_owned(), State::Admitted { answer, once, until })
+        {
+            self.ends.remove(&(until, id.to_owned()));
+        }
+        self.ends.insert((until, id.to_owned()));
+    }
+
+    /// The one who asked was turned away, or left before it had an answer: the id may be asked about anew.
+    pub fn turned_away(&mut self, id: &str) {
+        if matches!(self.ids.get(id), Some(State::Pending)) {
+            self.ids.remove(id);
+        }
+    }
+
+    /// How many ids are held.
+    pub fn len(&self) -> usize {
+        self.ids.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.ids.is_empty()
+    }
+}
+
+fn micros(at: f64) -> u64 {
+    (at.max(0.0) * 1000.0) as u64
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_id_that_must_not_run_twice_is_admitted_once_until_its_time_ends() {
+        let mut ids = Admissions::new(10);
+        assert_eq!(ids.ask(0.0, "a"), Asked::New);
+        assert_eq!(ids.ask(0.0, "a"), Asked::Pending);
+        ids.admitted(10.0, "a", 1, true, 100.0);
+        assert_eq!(ids.ask(109.9, "a"), Asked::Once);
+        assert_eq!(ids.ask(110.0, "a"), Asked::New);
+    }
+
+    #[test]
+    fn one_that_may_gets_the_same_answer_again() {
+        let mut ids = Admissions::new(10);
+        assert_eq!(ids.ask(0.0, "a"), Asked::New);
+        ids.admitted(0.0, "a", 7, false, 100.0);
+        assert_eq!(ids.ask(50.0, "a"), Asked::Again(7));
+    }
+
+    #[test]
+    fn one_that_was_turned_away_may_ask_anew_and_an_admitted_one_is_not_freed_by_it() {
+        let mut ids = Admissions::new(10);
+        assert_eq!(ids.ask(0.0, "a"), Asked::<i32>::New);
+        ids.turned_away("a");
+        assert_eq!((ids.ask(0.0, "a"), ids.len()), (Asked::New, 1));
+        ids.admitted(0.0, "a", 1, true, 100.0);
+        ids.turned_away("a");
+        assert_eq!(ids.ask(0.0, "a"), Asked::Once);
+    }
+
+    #[test]
+    fn a_flood_of_ids_is_turned_away_at_the_bound_and_frees_none_that_was_admitted() {
+        let mut ids = Admissions::new(100);
+        for n in 0..1000 {
+            let id = n.to_string();
+            if ids.ask(0.0, &id) == Asked::New {
+                ids.admitted(0.0, &id, n, true, 1000.0);
+            }
+            assert!(ids.len() <= 100 && ids.ends.len() <= 100);
+        }
+        assert_eq!((ids.ask(500.0, "0"), ids.ask(500.0, "999")), (Asked::Once, Asked::Full));
+        assert_eq!(ids.ask(1000.0, "999"), Asked::New);
+        assert_eq!((ids.len(), ids.ends.len()), (1, 0));
+    }
+}
--- a/crates/forward-auth/src/lib.rs
+++ b/crates/forward-auth/src/lib.rs
@@ -1,12 +1,17 @@
-//! One request behind a sign-in check: what may happen to it, and what never.
+//! One request behind a sign-in check: what may happen to it, and what never; and what is kept of questions: answers
+//! that are remembered, failures that are counted, ids that were admitted.
 //!
 //! Called by the sidecar's front, which asks the service, sends the request on, and answers. It does no I/O and
 //! reads no clock: inputs come through [`Gate::handle`], with the time. It must not know HTTP beyond statuses,
 //! nor which server is asked; that is the decision module's.
 
+mod admissions;
 mod cache;
+mod limits;
 
+pub use admissions::{Admissions, Asked};
 pub use cache::{lifetime, Cache, Known};
+pub use limits::Limit;
 
 /// What happens where the service gives no usable answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +51,8 @@
     Said(Said),
     /// The service's pool has refused the check: nothing was asked.
     Refused,
+    /// Too many checks failed for this address or credential: nothing was asked.
+    Limited,
     /// No answer came in its time, or it broke.
     Unanswered,
     /// The client has left.
@@ -66,6 +73,8 @@
     PassOn,
     /// Answer 503 with `Retry-After`: the service has no room.
     Refuse,
+    /// Answer 429 with `Retry-After`: too many checks failed for whoever asks.
+    Limit,
     /// Answer 503: the service gives no usable answer.
     Unavailable,
     /// Answer 504.
@@ -114,6 +123,7 @@
             (Input::Said(Said::No), _) => Step::PassOn,
             // Not a failure of the service: letting all pass as soon as it is busy would invite floods.
             (Input::Refused, _) => Step::Refuse,
+            (Input::Limited, _) => Step::Limit,
             (Input::TimeUp, _) => Step::TimeUp,
             (Input::Said(Said::Unusable) | Input::Unanswered, OnFailure::Open) => {
                 Step::GoOn { checked: false }
@@ -139,11 +149,12 @@
 mod tests {
     use super::*;
 
-    const INPUTS: [Input; 7] = [
+    const INPUTS: [Input; 8] = [
         Input::Said(Said::Yes),
         Input::Said(Said::No),
         Input::Said(Said::Unusable),
         Input::Refused,
+        Input::Limited,
         Input::Unanswered,
         Input::ClientGone,
         Input::TimeUp,
@@ -152,12 +163,14 @@
     #[test]
     fn every_first_input_has_its_step_and_only_a_yes_or_an_open_failure_goes_on() {
         use Step::*;
-        let closed = [GoOn { checked: true }, PassOn, Unavailable, Refuse, Unavailable, Nothing, TimeUp];
+        let closed =
+            [GoOn { checked: true }, PassOn, Unavailable, Refuse, Limit, Unavailable, Nothing, TimeUp];
         let open = [
             GoOn { checked: true },
             PassOn,
             GoOn { checked: false },
             Refuse,
+            Limit,
             GoOn { checked: false },
             Nothing,
             TimeUp,
--- /dev/null
+++ b/crates/forward-auth/src/limits.rs
@@ -0,0 +1,159 @@
+//! How many checks may fail for one address or one credential: a flood of bad passes must not cost good ones their
+//! sign-in service.
+//!
+//! Times are passed in, in milliseconds. Keys are made by the caller.
+
+use std::collections::{BTreeSet, HashMap};
+use std::hash::Hash;
+
+/// A limit on what each key may spend: so many a second, and a few at once (the generic cell rate algorithm: all that
+/// is kept of a key is the time at which its spending is paid off).
+pub struct Limit<K> {
+    /// What one check costs, in milliseconds.
+    each: f64,
+    /// How far ahead of its payment a key may spend, in milliseconds.
+    ahead: f64,
+    most: usize,
+    /// When each key's spending is paid off, in microseconds.
+    paid: HashMap<K, u64>,
+    /// The same in order, for those that may be forgotten first.
+    order: BTreeSet<(u64, K)>,
+}
+
+impl<K: Clone + Eq + Hash + Ord> Limit<K> {
+    /// So many a second, `burst` at once, and at most `most` keys on record. Nothing is limited where the rate is 0.
+    pub fn new(rate: f64, burst: f64, most: usize) -> Self {
+        let each = if rate > 0.0 { 1000.0 / rate } else { 0.0 };
+        Self {
+            each,
+            ahead: each * burst.max(1.0),
+            most: most.max(1),
+            paid: HashMap::new(),
+            order: BTreeSet::new(),
+        }
+    }
+
+    /// Takes one for a check that is about to be made.
+    ///
+    /// # Errors
+    /// With the time to wait, in milliseconds, if the key has spent what it may; then nothing is taken.
+    pub fn take(&mut self, now: f64, key: &K) -> Result<(), f64> {
+        if self.each <= 0.0 {
+            return Ok(());
+        }
+        let paid = self.paid.get(key).map_or(0.0, |at| *at as f64 / 1000.0).max(now);
+        let next = paid + self.each;
+        // A microsecond is lost by rounding.
+        if next - now > self.ahead + 0.001 {
+            return Err(next - now - self.ahead);
+        }
+        self.set(now, key, next);
+        Ok(())
+    }
+
+    /// Gives back what a check took that was no bad one.
+    pub fn give_back(&mut self, now: f64, key: &K) {
+        if let Some(at) = self.paid.get(key).copied() {
+            self.set(now, key, at as f64 / 1000.0 - self.each);
+        }
+    }
+
+    /// How many keys are on record.
+    pub fn len(&self) -> usize {
+        self.paid.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.paid.is_empty()
+    }
+
+    fn set(&mut self, now: f64, key: &K, paid: f64) {
+        if let Some(before) = self.paid.remove(key) {
+            self.order.remove(&(before, key.clone()));
+        }
+        let now = (now.max(0.0) * 1000.0) as u64;
+        // Paid off: there is nothing to know of them.
+        while let Some((at, first)) = self.order.first().filter(|(at, _)| *at <= now).cloned() {
+            self.order.remove(&(at, first.clone()));
+            self.paid.remove(&first);
+        }
+        let paid = (paid.max(0.0) * 1000.0) as u64;
+        if paid <= now {
+            return;
+        }
+        // Where there is no place left those go that have spent least: a flood of keys must not wash out a record of
+        // those that flood.
+        if self.paid.len() >= self.most {
+            let Some(least) = self.order.first().cloned() else { return };
+            if least.0 >= paid {
+                return;
+            }
+            self.order.remove(&least);
+            self.paid.remove(&least.1);
+        }
+        self.paid.insert(key.clone(), paid);
+        self.order.insert((paid, key.clone()));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_key_has_its_burst_and_then_its_rate() {
+        let mut limit = Limit::new(10.0, 5.0, 100);
+        let taken = (0..50).filter(|_| limit.take(0.0, &"a").is_ok()).count();
+        assert_eq!(taken, 5);
+        assert_eq!(limit.take(0.0, &"a"), Err(100.0));
+        assert_eq!(limit.take(0.0, &"b"), Ok(()), "others have their own");
+        // In ten seconds a hundred more, however often it asks.
+        let taken = (1..=10_000).filter(|ms| limit.take(f64::from(*ms), &"a").is_ok()).count();
+        assert_eq!(taken, 100);
+    }
+
+    #[test]
+    fn what_was_no_bad_pass_is_given_back() {
+        let mut limit = Limit::new(1.0, 2.0, 100);
+        for _ in 0..1000 {
+            assert_eq!(limit.take(0.0, &"good"), Ok(()));
+            limit.give_back(0.0, &"good");
+        }
+        assert!(limit.is_empty());
+    }
+
+    #[test]
+    fn giving_back_twice_saves_nothing_up() {
+        let mut limit = Limit::new(1.0, 2.0, 100);
+        assert_eq!(limit.take(0.0, &"a"), Ok(()));
+        for _ in 0..10 {
+            limit.give_back(0.0, &"a");
+        }
+        let taken = (0..10).filter(|_| limit.take(0.0, &"a").is_ok()).count();
+        assert_eq!(taken, 2);
+    }
+
+    #[test]
+    fn a_flood_of_keys_stays_within_the_bound_and_does_not_free_the_one_that_spent_most() {
+        let mut limit = Limit::new(1.0, 10.0, 50);
+        while limit.take(0.0, &0).is_ok() {}
+        for key in 1..10_000 {
+            let _ = limit.take(0.0, &key);
+            assert!(limit.len() <= 50 && limit.order.len() == limit.len());
+        }
+        assert!(limit.take(0.0, &0).is_err());
+        // What is paid off is forgotten by whoever comes next.
+        assert_eq!(limit.take(60_000.0, &0), Ok(()));
+        assert_eq!(limit.len(), 1);
+    }
+
+    #[test]
+    fn no_rate_is_no_limit_and_a_clock_that_steps_back_frees_nobody() {
+        let mut none = Limit::new(0.0, 0.0, 1);
+        assert!((0..1000).all(|_| none.take(0.0, &"a").is_ok()));
+        let mut limit = Limit::new(1.0, 1.0, 10);
+        assert_eq!(limit.take(5000.0, &"a"), Ok(()));
+        assert!(limit.take(1000.0, &"a").is_err());
+    }
+}
--- a/crates/ivygate/tests/sidecar_sign_in.rs
+++ b/crates/ivygate/tests/sidecar_sign_in.rs
@@ -281,3 +281,144 @@
     assert_eq!(post(&rig, "/app", "").status(), 200);
     assert_eq!(post(&rig, "/app", "").status(), 403);
 }
+
+#[test]
+fn a_flood_of_bad_passes_from_one_address_is_turned_away_before_the_service_and_good_ones_elsewhere_go_on() {
+    let trusted = "trusted 127.0.0.1;";
+    let accounts = App::start(|m| match m.header("authorization") {
+        Some("good") => Reply::ok("yes"),
+        _ => Reply::Answer("401 Unauthorized", "", Vec::new()),
+    });
+    let app = App::start(|_| Reply::ok("done"));
+    let sidecar = Sidecar::start(&Sidecar::text(
+        trusted,
+        &[
+            pool("accounts", "", &[(accounts.address, "north")]),
+            pool("app", "", &[(app.address, "north")]),
+            "sign-in members { pool accounts; path /check; address-limit 0.01/s meant; credential-limit 0.01/s meant; }\n\
+             route app { path prefix /app; methods POST; sign-in members; class order; pool app; }\n"
+                .to_owned(),
+        ],
+    ));
+    let ask = |address: &str, pass: &str| {
+        sidecar.post("/app", &format!("X-Forwarded-For: {address}\r\nAuthorization: {pass}\r\n"), "x")
+    };
+    // Ten fail, each with another pass; then the service is not asked any more.
+    let statuses: Vec<u16> = (0..30).map(|n| ask("192.0.2.1", &format!("bad-{n}")).status()).collect();
+    assert_eq!(statuses[..10], [401; 10]);
+    assert_eq!(statuses[10..], [429; 20]);
+    assert_eq!(accounts.seen(), 10);
+    assert!(ask("192.0.2.1", "bad").header("retry-after").is_some());
+    // A good pass costs its address nothing, however often it comes.
+    for _ in 0..50 {
+        assert_eq!(ask("192.0.2.2", "good").status(), 200);
+    }
+    // One bad pass from many addresses has its own limit.
+    let statuses: Vec<u16> = (0..30).map(|n| ask(&format!("198.51.100.{n}"), "one").status()).collect();
+    assert_eq!((statuses[..10].to_vec(), statuses[10..].to_vec()), (vec![401; 10], vec![429; 20]));
+    assert_eq!(app.seen(), 50);
+}
+
+#[test]
+fn failures_of_the_service_and_redirections_are_nobodys_bad_passes() {
+    for (status, told) in [("500 Internal Server Error", 503), ("302 Found", 302)] {
+        let rig = rig("order", "address-limit 0.01/s meant;", move |_| Reply::Answer(status, "", Vec::new()));
+        for _ in 0..30 {
+            assert_eq!(post(&rig, "/app", "").status(), told);
+        }
+        assert_eq!(rig.app.seen(), 0);
+    }
+}
+
+#[test]
+fn a_body_goes_into_its_check_and_one_that_is_too_long_goes_nowhere() {
+    let rig = rig("order", "body 1KiB;", |m| match m.body.as_slice() {
+        b"x=1" => Reply::ok("yes"),
+        _ => Reply::Answer("403 Forbidden", "", Vec::new()),
+    });
+    assert_eq!(post(&rig, "/app", "Content-Type: text/x\r\n").status(), 200);
+    assert_eq!(rig.sidecar.post("/app", "", "x=2").status(), 403);
+    assert_eq!(rig.sidecar.post("/app", "", &"x".repeat(1025)).status(), 413);
+    assert_eq!(rig.sidecar.post("/app", "", &"x".repeat(100_000)).status(), 413);
+    let asked = rig.asked.lock().expect("a list");
+    assert_eq!(asked.len(), 2);
+    assert!(asked[0].start.starts_with("POST /check "), "{}", asked[0].start);
+    assert_eq!((asked[0].header("content-type"), asked[0].body.as_slice()), (Some("text/x"), &b"x=1"[..]));
+    let got = rig.got.lock().expect("a list");
+    assert_eq!((got.len(), got[0].body.as_slice()), (1, &b"x=1"[..]));
+}
+
+#[test]
+fn a_yes_that_ends_between_check_and_send_still_sends_once_and_is_asked_for_anew() {
+    // The application holds the first order until the remembered yes has long ended.
+    let rig = rig_with(
+        "read",
+        "cache-yes 100ms;",
+        |_| Reply::ok("yes"),
+        |_| Reply::Slow(Duration::from_millis(300)),
+    );
+    for asked in 1..3 {
+        assert_eq!(post(&rig, "/app", "Authorization: a\r\n").status(), 200);
+        assert_eq!((rig.accounts.seen(), rig.app.seen()), (asked, asked));
+    }
+}
+
+#[test]
+fn a_reload_between_check_and_send_ends_the_request_under_the_sign_in_it_began_with() {
+    let open = Arc::new(AtomicUsize::new(0));
+    let gate = open.clone();
+    let rig = rig("order", "within 8s;", move |_| {
+        until("the answer may come", || gate.load(Ordering::SeqCst) > 0);
+        Reply::Answer("403 Forbidden", "", Vec::new())
+    });
+    let mut client = rig.sidecar.client();
+    client.write(b"POST /app HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nx=1");
+    until("the service is asked", || rig.accounts.seen() == 1);
+    // The new configuration asks nobody.
+    let anew =
+        std::fs::read_to_string(&rig.sidecar.config).expect("the file").replace("sign-in members; ", "");
+    let anew = anew.lines().filter(|l| !l.starts_with("sign-in")).collect::<Vec<_>>().join("\n");
+    assert!(rig.sidecar.reload(&anew));
+    open.store(1, Ordering::SeqCst);
+    assert_eq!(client.read().expect("an answer").status(), 403);
+    assert_eq!(rig.app.seen(), 0);
+    assert_eq!(post(&rig, "/app", "").status(), 200);
+}
+
+#[test]
+fn the_clients_second_order_while_the_first_ones_check_is_out_is_another_order() {
+    let open = Arc::new(AtomicUsize::new(0));
+    let gate = open.clone();
+    let rig = rig("order", "within 8s;", move |_| {
+        until("the answer may come", || gate.load(Ordering::SeqCst) > 0);
+        Reply::ok("yes")
+    });
+    let request = b"POST /app HTTP/1.1\r\nHost: h\r\nReq-Id: same\r\nContent-Length: 3\r\n\r\nx=1";
+    let mut clients = [rig.sidecar.client(), rig.sidecar.client()];
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.write(request);
+        until("the service is asked", || rig.accounts.seen() == number + 1);
+    }
+    // The first one leaves: its order must not go on, and the other's must once.
+    let [first, mut second] = clients;
+    drop(first);
+    open.store(1, Ordering::SeqCst);
+    assert_eq!(second.read().expect("an answer").status(), 200);
+    assert_eq!(rig.app.seen(), 1);
+}
+
+#[test]
+fn a_service_that_answers_twice_or_floods_headers_lets_nothing_on_by_it() {
+    let twice =
+        "HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let rig = rig("order", "", move |_| Reply::Raw(twice.as_bytes().to_vec()));
+    for _ in 0..3 {
+        let status = post(&rig, "/app", "").status();
+        assert!([403, 503].contains(&status), "{status}");
+    }
+    assert_eq!(rig.app.seen(), 0);
+    let flood = format!("HTTP/1.1 200 OK\r\n{}\r\n", "X-Flood: 1\r\n".repeat(50_000));
+    let rig = self::rig("order", "", move |_| Reply::Raw(flood.as_bytes().to_vec()));
+    assert_eq!(post(&rig, "/app", "").status(), 503);
+    assert_eq!(rig.app.seen(), 0);
+}
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -114,6 +114,15 @@
     TimeUp,
 }
 
+/// Whether a request may go on that somebody else will send.
+#[derive(Debug)]
+pub enum Admission {
+    /// It may; this server would be chosen for it.
+    Admitted(Option<SocketAddr>),
+    /// It may not, and should stay away this long.
+    Refused(Millis, Refusal),
+}
+
 /// A request that has arrived, until its answer is given and all its attempts have ended.
 struct Open {
     message: Rc<Message>,
@@ -251,6 +260,52 @@
         Some(receiver)
     }
 
+    /// Asks whether a request may go on that somebody else will send: quotas, ceilings, servers and room are looked at
+    /// as for one that is sent from here, and its units are taken. `head.id` must be of no other request.
+    ///
+    /// Nothing is known of what becomes of it, so it counts as out for no time at all, and nothing is learned of its
+    /// server.
+    pub fn admit(self: &Rc<Self>, head: Head) -> Admission {
+        let mut state = self.state.borrow_mut();
+        let now = self.clock.now();
+        let id = head.id.clone();
+        let arrival = Event::Arrival(Arrival {
+            request: head.id,
+            class: head.class,
+            plan: head.plan,
+            customer: head.customer,
+            deadline: now + head.wait,
+            units: head.units,
+            width: head.width,
+        });
+        let mut actions = Vec::new();
+        state.gateway.handle(now, arrival, &mut actions);
+        let mut admission = Admission::Refused(0.0, Refusal::Room);
+        for action in actions {
+            match action {
+                Action::Send { request, server, .. } if request == id => {
+                    admission = Admission::Admitted(state.servers.get(&server).map(|s| s.address));
+                    state.events.push_back(Event::Done(Done {
+                        request,
+                        attempt: 0,
+                        server,
+                        outcome: Outcome::Cancelled,
+                        elapsed: 0.0,
+                        closed: true,
+                        use_percent: None,
+                        load: Load::default(),
+                    }));
+                }
+                Action::Refuse { request, retry_after, reason } if request == id => {
+                    admission = Admission::Refused(retry_after, reason);
+                }
+                other => self.carry_out(&mut state, other, now),
+            }
+        }
+        self.work_at(&mut state, now);
+        admission
+    }
+
     /// The client has left: nothing is owed any more, and what is out for it is given up.
     pub fn client_gone(self: &Rc<Self>, id: &RequestId) {
         let mut state = self.state.borrow_mut();
--- a/crates/runtime/src/payload.rs
+++ b/crates/runtime/src/payload.rs
@@ -51,6 +51,11 @@
         self.streamed
     }
 
+    /// Its bytes, if it is here as a whole.
+    pub fn whole_bytes(&self) -> Option<Bytes> {
+        (!self.streamed).then(|| self.held.clone())
+    }
+
     /// Whether trailers are held with it.
     pub fn has_trailers(&self) -> bool {
         self.trailers.is_some()
--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -1,6 +1,7 @@
 //! What a client gets: an application's answer as it comes, or a few words of the sidecar's own.
 
-use crate::pool::{Bytewise, Place};
+use crate::front::FULL_RETRY_AFTER;
+use crate::pool::{Bytewise, Place, Pool};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{self, HeaderValue};
@@ -20,6 +21,20 @@
     pub bytes: Option<Bytewise>,
 }
 
+impl Held {
+    /// Takes a place in a pool for this request.
+    ///
+    /// # Errors
+    /// If the pool has none left.
+    pub fn take_place(&mut self, pool: &Pool) -> Result<(), Words> {
+        self.place = Some(pool.place().ok_or_else(|| {
+            let text = "this pool has as many requests open as it may; nothing was run";
+            Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, FULL_RETRY_AFTER)
+        })?);
+        Ok(())
+    }
+}
+
 /// The body of an answer.
 pub struct AnswerBody {
     what: What,
--- /dev/null
+++ b/crates/sidecar/src/asker.rs
@@ -0,0 +1,129 @@
+//! What another program asks about: read off the headers of its check, with no I/O.
+//!
+//! Two forms are read: `X-Forwarded-Method`, `-Uri`, `-Host` (Traefik, Caddy, another ivygate) and `X-Original-Method`,
+//! `-URI`, `-URL` (nginx). What both tell must agree.
+
+use hyper::header::HeaderMap;
+use hyper::Method;
+use ivygate_routing::{host_of, Target};
+use ivygate_runtime::one;
+
+/// A request that somebody else has and asks about.
+#[derive(Debug)]
+pub struct About {
+    /// Its method, if that is told.
+    pub method: Option<Method>,
+    /// Its target, in normal form.
+    pub target: Target,
+    /// Its host.
+    pub host: String,
+}
+
+/// Reads what is asked about; `host` is the check's own.
+///
+/// # Errors
+/// Says what is missing or contradicts itself.
+pub fn read(headers: &HeaderMap, host: &str) -> Result<About, String> {
+    let uri = agreed(headers, "x-forwarded-uri", "x-original-uri")?;
+    // How the client came says nothing of where its request goes.
+    let url = one(headers, "x-original-url")?.map(|url| url.replacen("https://", "http://", 1));
+    let parse = |text: &str| Target::parse(text).map_err(|error| format!("what is asked about: {error}"));
+    let (target, named) = match (uri, url) {
+        (None, None) => {
+            return Err("what is asked about is not told: X-Forwarded-Uri or X-Original-URI is missing".into())
+        }
+        (Some(uri), _) if !uri.starts_with('/') => {
+            return Err("X-Forwarded-Uri or X-Original-URI does not begin with /".into())
+        }
+        (Some(uri), None) => (parse(uri)?, None),
+        (None, Some(url)) => {
+            let target = parse(&url)?;
+            let host = target.host.clone();
+            (target, host)
+        }
+        (Some(uri), Some(url)) => {
+            let (target, other) = (parse(uri)?, parse(&url)?);
+            if target.path_and_query() != other.path_and_query() {
+                return Err("X-Original-URL tells another target than the other headers".into());
+            }
+            (target, other.host)
+        }
+    };
+    let method = match agreed(headers, "x-forwarded-method", "x-original-method")? {
+        None => None,
+        Some(name) => Some(Method::from_bytes(name.as_bytes()).map_err(|_| "the method is malformed")?),
+    };
+    let told = match one(headers, "x-forwarded-host")? {
+        None => None,
+        Some(text) => Some(host_of(text).map_err(|error| format!("X-Forwarded-Host: {error}"))?),
+    };
+    let host = match (told, named) {
+        (Some(told), Some(named)) if told != named => {
+            return Err("X-Forwarded-Host and X-Original-URL name different hosts".into())
+        }
+        (told, named) => told.or(named).unwrap_or_else(|| host.to_owned()),
+    };
+    Ok(About { method, target, host })
+}
+
+fn agreed<'a>(headers: &'a HeaderMap, first: &str, second: &str) -> Result<Option<&'a str>, String> {
+    match (one(headers, first)?, one(headers, second)?) {
+        (Some(a), Some(b)) if a != b => Err(format!("{first} and {second} tell different things")),
+        (a, b) => Ok(a.or(b)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::header::{HeaderName, HeaderValue};
+
+    fn about(pairs: &[(&'static str, &'static str)]) -> Result<(Option<String>, String, String), String> {
+        let mut headers = HeaderMap::new();
+        for (name, value) in pairs {
+            headers.append(HeaderName::from_static(name), HeaderValue::from_static(value));
+        }
+        let about = read(&headers, "asker.example")?;
+        Ok((about.method.map(|m| m.to_string()), about.target.path_and_query(), about.host))
+    }
+
+    #[test]
+    fn both_forms_are_read_and_targets_come_in_normal_form() {
+        let told = |method: Option<&str>, target: &str, host: &str| {
+            Ok((method.map(str::to_owned), target.to_owned(), host.to_owned()))
+        };
+        assert_eq!(
+            about(&[
+                ("x-forwarded-method", "POST"),
+                ("x-forwarded-uri", "/a/../orders?x=1"),
+                ("x-forwarded-host", "Shop.example:80"),
+            ]),
+            told(Some("POST"), "/orders?x=1", "shop.example")
+        );
+        assert_eq!(about(&[("x-original-uri", "/orders")]), told(None, "/orders", "asker.example"));
+        assert_eq!(
+            about(&[("x-original-url", "https://shop.example/orders"), ("x-original-method", "PUT")]),
+            told(Some("PUT"), "/orders", "shop.example")
+        );
+    }
+
+    #[test]
+    fn what_is_missing_malformed_or_contradicts_itself_is_told() {
+        for (pairs, part) in [
+            (&[("x-forwarded-method", "GET")][..], "not told"),
+            (&[("x-forwarded-uri", "orders")], "does not begin with /"),
+            (&[("x-forwarded-uri", "/a"), ("x-original-uri", "/b")], "different things"),
+            (&[("x-forwarded-uri", "/a"), ("x-forwarded-uri", "/b")], "repeated with another value"),
+            (&[("x-forwarded-uri", "/a"), ("x-original-url", "http://h/b")], "another target"),
+            (&[("x-forwarded-host", "g"), ("x-original-url", "http://h/b")], "different hosts"),
+            (&[("x-forwarded-uri", "/a"), ("x-forwarded-method", "G T")], "malformed"),
+            (
+                &[("x-forwarded-uri", "/a"), ("x-forwarded-method", "GET"), ("x-original-method", "POST")],
+                "different",
+            ),
+        ] {
+            let error = about(pairs).expect_err("it is refused");
+            assert!(error.contains(part), "{pairs:?}: {error}");
+        }
+    }
+}
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -1,28 +1,36 @@
 //! Requests as ordinary applications have them, from their head to their answer.
 
 use crate::answer::{AnswerBody, Held, Words};
+use crate::answering::Yes;
 use crate::forward::{to_application, to_client, Origin};
 use crate::identity::{client_address, customer, duration, is_trusted};
+use crate::pool::Bytewise;
 use crate::sign_in::{self, strip, Outcome, Question};
-use crate::site::{Route, Site};
+use crate::site::{Route, SignIn, Site};
 use crate::upload::{self, Unread};
 use bytes::Bytes;
-use hyper::body::Body;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode, Uri, Version};
 use ivygate_config::Listener;
-use ivygate_forward_auth::{folded, share};
+use ivygate_forward_auth::{folded, share, Admissions};
 use ivygate_gateway::{Refusal, RequestId};
 use ivygate_routing::{host_of, Target};
-use ivygate_runtime::{millis, one, Answer, Ask, Asked, Front, Head, Leaving, Message};
+use ivygate_runtime::{millis, one, Answer, Ask, Asked, Front, Head, Leaving, Message, Payload, Streamed};
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 /// How long a client is told to stay away where a pool has no room for another request.
 pub const FULL_RETRY_AFTER: f64 = 1000.0;
 
+/// Most ids of requests that were let on that are remembered: some 30 MB of them.
+const ADMISSIONS_MOST: usize = 100_000;
+/// Most processes that a check may pass through.
+const CHAIN_MOST: usize = 4;
+
 /// What all listeners share.
 pub struct Shared {
     /// The configuration at work.
@@ -30,15 +38,28 @@
     /// Makes ids of requests unlike those of other processes and earlier lives.
     prefix: u64,
     next: Cell<u64>,
+    /// This process's name among those that a check passes through.
+    pub own: String,
+    /// Ids that other programs asked about.
+    pub admissions: RefCell<Admissions<Yes>>,
 }
 
 impl Shared {
     /// Begins with a site.
     pub fn new(site: Site) -> Rc<Self> {
-        Rc::new(Self { site: RefCell::new(Rc::new(site)), prefix: fastrand::u64(..), next: Cell::new(0) })
+        let mut own = String::new();
+        push_hex(&mut own, fastrand::u64(..));
+        Rc::new(Self {
+            site: RefCell::new(Rc::new(site)),
+            prefix: fastrand::u64(..),
+            next: Cell::new(0),
+            own,
+            admissions: RefCell::new(Admissions::new(ADMISSIONS_MOST)),
+        })
     }
 
-    fn id(&self) -> RequestId {
+    /// An id of its own for a request.
+    pub fn id(&self) -> RequestId {
         let number = self.next.get();
         self.next.set(number + 1);
         // What differs comes first: ids are compared often.
@@ -58,7 +79,8 @@
 
 /// Answers the clients of one listener.
 pub struct SidecarFront {
-    shared: Rc<Shared>,
+    /// What it shares with the others.
+    pub shared: Rc<Shared>,
     /// The listener's part of the configuration.
     pub listener: RefCell<Rc<Listener>>,
 }
@@ -70,33 +92,101 @@
     }
 }
 
+/// A request under the configuration that it began with.
+pub struct Seen<'a> {
+    pub site: &'a Site,
+    pub listener: &'a Listener,
+    pub route: &'a Route,
+    pub origin: &'a Origin<'a>,
+    pub peer: SocketAddr,
+    /// The processes that a check of it has passed through.
+    pub chain: &'a str,
+}
+
+impl Seen<'_> {
+    /// The client's address.
+    pub fn client(&self, headers: &header::HeaderMap) -> Arc<str> {
+        match self.origin.trusted {
+            true => client_address(self.peer.ip(), &self.listener.trusted, headers).to_string().into(),
+            false => self.origin.peer.into(),
+        }
+    }
+}
+
 impl SidecarFront {
     /// How long a request's client will wait.
-    fn wait(
-        &self,
-        site: &Site,
-        listener: &Listener,
-        route: &Route,
-        parts: &Parts,
-        trusted: bool,
-    ) -> Result<f64, Words> {
-        let told = match &site.identity.deadline_header {
-            Some(name) if trusted => one(&parts.headers, name).map_err(bad)?,
+    pub(crate) fn wait(&self, seen: &Seen<'_>, headers: &header::HeaderMap) -> Result<f64, Words> {
+        let told = match &seen.site.identity.deadline_header {
+            Some(name) if seen.origin.trusted => one(headers, name).map_err(bad)?,
             _ => None,
         };
+        let most = seen.route.deadline;
         let wait = match told {
-            None => route.deadline,
-            Some(text) => duration(text).ok_or_else(|| bad("the deadline is malformed"))?.min(route.deadline),
+            None => most,
+            Some(text) => duration(text).ok_or_else(|| bad("the deadline is malformed"))?.min(most),
         };
-        Ok(wait.min(listener.answer_within))
+        Ok(wait.min(seen.listener.answer_within))
+    }
+
+    /// Asks a sign-in service about a request, and gives the headers that it is to go on with.
+    pub(crate) async fn signed_in(
+        &self,
+        seen: &Seen<'_>,
+        sign_in: &SignIn,
+        (method, target): (&Method, &str),
+        headers: &header::HeaderMap,
+        wait: f64,
+        body: Bytes,
+    ) -> Result<Vec<(header::HeaderName, HeaderValue)>, Unfit> {
+        let route = seen.route;
+        let question = Question {
+            method,
+            target,
+            headers,
+            origin: seen.origin,
+            client: seen.client(headers),
+            chain: seen.chain,
+            body,
+            id: self.shared.id(),
+            route: route.number,
+            once: route.once,
+            time: share(sign_in.settings.within, wait, route.aim),
+            deadline: route.pool.driver.now() + wait,
+        };
+        let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+        Err(match sign_in::ask(sign_in, question).await {
+            Outcome::GoOn(headers) => return Ok(headers),
+            Outcome::PassOn(response) => Unfit::Passed(response),
+            Outcome::No(status, headers, body) => Unfit::Whole(status, headers, body),
+            Outcome::Refused(wait) => {
+                let text = "the sign-in service has no room for this; nothing was run";
+                Words::refused(unavailable, text, wait).into()
+            }
+            Outcome::Limited(wait) => {
+                let text = "too many checks from here have failed; nothing was run";
+                Words::refused(StatusCode::TOO_MANY_REQUESTS, text, wait).into()
+            }
+            Outcome::Unavailable => {
+                let text = "the sign-in service gives no answer; nothing was run";
+                Words::refused(unavailable, text, FULL_RETRY_AFTER).into()
+            }
+            Outcome::TimeUp => {
+                let text = "no answer of the sign-in service in time; nothing was run";
+                Words::new(StatusCode::GATEWAY_TIMEOUT, text).into()
+            }
+        })
     }
 }
 
 /// Why there is no answer of an application.
-enum Unfit {
+pub enum Unfit {
+    /// Words of the sidecar's own.
     Words(Words),
-    /// A sign-in service's answer.
+    /// A sign-in service's answer, as it comes.
+    Passed(Box<Response<Streamed>>),
+    /// And one that is here as a whole.
     Whole(StatusCode, header::HeaderMap, Bytes),
+    /// The client's connection broke.
     Lost(hyper::Error),
 }
 
@@ -106,7 +196,30 @@
     }
 }
 
-fn bad(text: impl Into<String>) -> Words {
+/// The processes that a check has passed through, this one last.
+///
+/// # Errors
+/// If it has come round, or has passed through too many.
+pub fn chain(headers: &header::HeaderMap, own: &str) -> Result<String, Words> {
+    let mut chain = String::new();
+    let values = headers.get_all(sign_in::CHAIN).iter().filter_map(|value| value.to_str().ok());
+    let before: Vec<&str> = values.flat_map(|value| value.split(',')).map(str::trim).collect();
+    let wrong = if before.contains(&own) {
+        "this check has come round to the process that asked: its sign-in leads back to itself"
+    } else if before.len() >= CHAIN_MOST {
+        "this check has passed through too many sign-in services that ask another"
+    } else {
+        for one in before {
+            chain += one;
+            chain += ", ";
+        }
+        return Ok(chain + own);
+    };
+    Err(Words::new(StatusCode::LOOP_DETECTED, wrong))
+}
+
+/// What a client got wrong.
+pub fn bad(text: impl Into<String>) -> Words {
     Words::new(StatusCode::BAD_REQUEST, text).closing()
 }
 
@@ -126,63 +239,47 @@
         let (mut parts, body) = request.into_parts();
         let has_body = !body.is_end_stream();
         let taken = async {
+            if listener.answers_checks.is_some() {
+                let asker = (peer, &*peer_name);
+                return self.check(&site, &listener, parts, has_body, asker, &mut held).await;
+            }
             let (target, host) = destination(&parts)?;
             let route = route(&site, &host, &target, &parts.method)?;
-            let place = route.pool.place();
-            held.place = Some(place.ok_or_else(|| {
-                let text = "this pool has as many requests open as it may; nothing was run";
-                Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, FULL_RETRY_AFTER)
-            })?);
+            held.take_place(&route.pool)?;
             // Before anything reads them, and also where nothing is asked.
             strip(&mut parts.headers, &site.vouched);
             let trusted = is_trusted(&listener.trusted, peer.ip());
             let origin = Origin { peer: &peer_name, trusted, host: &host };
-            let client = |headers: &header::HeaderMap| -> Arc<str> {
-                match trusted {
-                    true => client_address(peer.ip(), &listener.trusted, headers).to_string().into(),
-                    false => peer_name.clone(),
-                }
-            };
+            let mut chain = String::new();
+            if route.sign_in.is_some() {
+                chain = self::chain(&parts.headers, &self.shared.own)?;
+            }
+            let (site, listener) = (&*site, &*listener);
+            let seen = Seen { site, listener, route, origin: &origin, peer, chain: &chain };
+            let client = |headers: &header::HeaderMap| seen.client(headers);
+            let mut body = Body::Coming(body);
             let mut spent = 0.0;
             if let Some(sign_in) = &route.sign_in {
+                let wait = self.wait(&seen, &parts.headers)?;
+                let mut sent = Bytes::new();
+                if let Some(most) = sign_in.settings.body {
+                    let (payload, bytes) = body.read(route, listener).await?;
+                    match payload.whole_bytes().filter(|whole| whole.len() <= most) {
+                        Some(whole) => sent = whole,
+                        None => {
+                            let text = "the body is too long to be checked; nothing was run";
+                            return Err(Words::new(StatusCode::PAYLOAD_TOO_LARGE, text).closing().into());
+                        }
+                    }
+                    body = Body::Here(payload, bytes);
+                }
                 let begun = route.pool.driver.now();
-                let wait = self.wait(&site, &listener, route, &parts, trusted)?;
                 let target = target.path_and_query();
-                let question = Question {
-                    method: &parts.method,
-                    target: &target,
-                    headers: &parts.headers,
-                    origin: &origin,
-                    client: client(&parts.headers),
-                    id: self.shared.id(),
-                    route: route.number,
-                    once: route.once,
-                    time: share(sign_in.settings.within, wait, route.aim),
-                    deadline: begun + wait,
-                };
-                let outcome = sign_in::ask(sign_in, question).await;
+                let asked = (&parts.method, target.as_str());
+                let vouched = self.signed_in(&seen, sign_in, asked, &parts.headers, wait, sent).await?;
                 spent = route.pool.driver.now() - begun;
-                match outcome {
-                    Outcome::GoOn(headers) => {
-                        for (name, value) in headers {
-                            parts.headers.append(name, value);
-                        }
-                    }
-                    Outcome::PassOn(response) => return Ok(Answer::Passed(response)),
-                    Outcome::No(status, headers, body) => return Err(Unfit::Whole(status, headers, body)),
-                    Outcome::Refused(wait) => {
-                        let text = "the sign-in service has no room for this; nothing was run";
-                        return Err(Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, wait).into());
-                    }
-                    Outcome::Unavailable => {
-                        let text = "the sign-in service gives no answer; nothing was run";
-                        let words = Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, FULL_RETRY_AFTER);
-                        return Err(words.into());
-                    }
-                    Outcome::TimeUp => {
-                        let text = "no answer of the sign-in service in time; nothing was run";
-                        return Err(Words::new(StatusCode::GATEWAY_TIMEOUT, text).into());
-                    }
+                for (name, value) in vouched {
+                    parts.headers.append(name, value);
                 }
             }
             let customer =
@@ -195,22 +292,9 @@
                 _ => None,
             };
             let plan = site.plan(&customer, named);
-            let wait = (self.wait(&site, &listener, route, &parts, trusted)? - spent).max(0.0);
+            let wait = (self.wait(&seen, &parts.headers)? - spent).max(0.0);
             let class = class(route, &parts)?;
-            let (payload, bytes) = match upload::read(body, &route.pool, millis(listener.body_stall)).await {
-                Ok(read) => read,
-                Err(Unread::Stalled) => {
-                    return Err(Words::new(StatusCode::REQUEST_TIMEOUT, "the body stood still")
-                        .closing()
-                        .into());
-                }
-                Err(Unread::NoRoom) => {
-                    let text = "this pool holds as much of bodies as it may; nothing was run";
-                    let words = Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, FULL_RETRY_AFTER);
-                    return Err(words.closing().into());
-                }
-                Err(Unread::Lost(error)) => return Err(Unfit::Lost(error)),
-            };
+            let (payload, bytes) = body.read(route, listener).await?;
             held.bytes = Some(bytes);
             let id = self.shared.id();
             let normal = parts.uri.authority().is_none() && parts.uri.path() == target.path;
@@ -249,16 +333,10 @@
         };
         let answer = taken.await;
         let words = match answer {
-            Ok(Answer::Passed(response)) => {
-                let (mut parts, body) = response.into_parts();
-                parts.headers = to_client(parts.headers);
-                parts.version = Version::HTTP_11;
-                // What hyper noted of the other connection does not hold for this one.
-                parts.extensions.clear();
-                return Ok(Response::from_parts(parts, AnswerBody::passed(body, held)));
-            }
+            Ok(Answer::Passed(response)) => return Ok(passed(*response, held)),
             Ok(answer) => in_words(&answer),
             Err(Unfit::Words(words)) => words,
+            Err(Unfit::Passed(response)) => return Ok(passed(*response, held)),
             Err(Unfit::Whole(status, headers, body)) => {
                 let mut response = Response::new(AnswerBody::whole(body, held));
                 (*response.status_mut(), *response.headers_mut()) = (status, headers);
@@ -270,8 +348,44 @@
     }
 }
 
+/// An answer that is passed on as it comes.
+fn passed(response: Response<Streamed>, held: Held) -> Response<AnswerBody> {
+    let (mut parts, body) = response.into_parts();
+    parts.headers = to_client(parts.headers);
+    parts.version = Version::HTTP_11;
+    // What hyper noted of the other connection does not hold for this one.
+    parts.extensions.clear();
+    Response::from_parts(parts, AnswerBody::passed(body, held))
+}
+
+/// A request's body, before or after it has been read.
+enum Body {
+    Coming(Incoming),
+    Here(Payload, Bytewise),
+}
+
+impl Body {
+    /// Reads it, unless it has been.
+    async fn read(self, route: &Route, listener: &Listener) -> Result<(Payload, Bytewise), Unfit> {
+        let body = match self {
+            Body::Coming(body) => body,
+            Body::Here(payload, bytes) => return Ok((payload, bytes)),
+        };
+        upload::read(body, &route.pool, millis(listener.body_stall)).await.map_err(|error| match error {
+            Unread::Stalled => {
+                Words::new(StatusCode::REQUEST_TIMEOUT, "the body stood still").closing().into()
+            }
+            Unread::NoRoom => {
+                let text = "this pool holds as much of bodies as it may; nothing was run";
+                Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, FULL_RETRY_AFTER).closing().into()
+            }
+            Unread::Lost(error) => Unfit::Lost(error),
+        })
+    }
+}
+
 /// What is told of an answer that no application gave.
-fn in_words(answer: &Answer) -> Words {
+pub fn in_words(answer: &Answer) -> Words {
     match answer {
         Answer::Refused(wait, Refusal::Quota, _) => {
             Words::refused(StatusCode::TOO_MANY_REQUESTS, "beyond the quota; nothing was run", *wait)
@@ -291,7 +405,7 @@
 }
 
 /// The normal target and host of a request.
-fn destination(parts: &Parts) -> Result<(Target, String), Words> {
+pub fn destination(parts: &Parts) -> Result<(Target, String), Words> {
     if parts.method == Method::CONNECT {
         return Err(Words::new(StatusCode::NOT_IMPLEMENTED, "CONNECT is not offered").closing());
     }
@@ -336,7 +450,7 @@
 }
 
 /// A request's class, and whether it must never run twice.
-fn class(route: &Route, parts: &Parts) -> Result<(std::sync::Arc<str>, bool), Words> {
+pub fn class(route: &Route, parts: &Parts) -> Result<(std::sync::Arc<str>, bool), Words> {
     let Some((unkeyed, key)) = &route.unkeyed else {
         return Ok((route.class.clone(), route.once));
     };
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,6 +5,9 @@
 //! anything again or refuse for quota or room by itself.
 
 mod answer;
+mod answering;
+mod asker;
+mod floods;
 mod forward;
 mod front;
 mod identity;
--- a/crates/sidecar/src/remembered.rs
+++ b/crates/sidecar/src/remembered.rs
@@ -38,6 +38,16 @@
 
     /// The key of a question: the route, and the values of the headers that go into the check.
     pub fn key(&self, route: usize, names: &[String], headers: &HeaderMap) -> Key {
+        self.hash(Some(route), names, headers)
+    }
+
+    /// The key of what a client vouches for itself with, whatever it asks for; `None` if it does not.
+    pub fn credential(&self, names: &[String], headers: &HeaderMap) -> Option<Key> {
+        let any = names.iter().any(|name| headers.contains_key(name.as_str()));
+        any.then(|| self.hash(None, names, headers))
+    }
+
+    fn hash(&self, route: Option<usize>, names: &[String], headers: &HeaderMap) -> Key {
         let hash = |secret: &RandomState| {
             let mut hasher = secret.build_hasher();
             route.hash(&mut hasher);
--- a/crates/sidecar/src/sign_in.rs
+++ b/crates/sidecar/src/sign_in.rs
@@ -19,6 +19,9 @@
 /// Most of a yes's body that is read, so that its connection can be used again.
 const BODY_MOST: usize = 64 << 10;
 
+/// Names the processes that a check has passed through, so that none asks itself.
+pub const CHAIN: &str = "ivygate-checks";
+
 /// What is asked about.
 pub struct Question<'a> {
     /// The request's method.
@@ -29,8 +32,12 @@
     pub headers: &'a HeaderMap,
     /// Where it came from.
     pub origin: &'a Origin<'a>,
-    /// The chain of addresses that the application will get.
+    /// The client's address.
     pub client: Arc<str>,
+    /// The processes that this check has passed through, this one last.
+    pub chain: &'a str,
+    /// The body that goes with it, where the service wants one.
+    pub body: Bytes,
     /// The check's id.
     pub id: RequestId,
     /// The number of its route.
@@ -53,6 +60,8 @@
     No(StatusCode, HeaderMap, Bytes),
     /// The service has no room; the client should stay away this long, in milliseconds.
     Refused(f64),
+    /// Too many checks failed for this client; it should stay away this long, in milliseconds.
+    Limited(f64),
     /// The service gives no usable answer.
     Unavailable,
     /// The request's time is up.
@@ -76,7 +85,7 @@
     let settings = &sign_in.settings;
     let remembers = settings.cache_yes > 0.0 || settings.cache_no > 0.0;
     if !remembers || (question.once && !settings.cache_unsafe) {
-        return ask_now(sign_in, &question, question.time).await.0;
+        return ask_limited(sign_in, &question, question.time).await.0;
     }
     let driver = &sign_in.pool.driver;
     let begun = driver.now();
@@ -90,7 +99,7 @@
         Err(_) => return unanswered(settings, driver.now(), question.deadline),
     };
     let left = (question.time - (driver.now() - begun)).max(0.0);
-    let (outcome, lifetime) = ask_now(sign_in, &question, left).await;
+    let (outcome, lifetime) = ask_limited(sign_in, &question, left).await;
     let remember = match &outcome {
         Outcome::GoOn(headers) => Some(Remember::Yes(headers.clone())),
         Outcome::No(status, headers, body) => Some(Remember::No(*status, headers.clone(), body.clone())),
@@ -112,6 +121,32 @@
     }
 }
 
+/// Asks, unless too many checks have failed for this client. A client that leaves before its answer has spent what the
+/// check took: else a flood would only have to hang up.
+async fn ask_limited(sign_in: &SignIn, question: &Question<'_>, time: f64) -> (Outcome, f64) {
+    let (settings, driver) = (&sign_in.settings, &sign_in.pool.driver);
+    let credential = sign_in.remembered.credential(&settings.request_headers, question.headers);
+    let taken = match sign_in.floods.take(driver.now(), question.client.clone(), credential) {
+        Ok(taken) => taken,
+        Err(wait) => {
+            let step = gate(settings, question.deadline).handle(driver.now(), Input::Limited);
+            let outcome = if step == Step::Limit { Outcome::Limited(wait) } else { Outcome::TimeUp };
+            return (outcome, 0.0);
+        }
+    };
+    let (outcome, good) = ask_now(sign_in, question, time).await;
+    // Neither a service that fails nor one that sends visitors to its door tells of a bad pass.
+    let status = match &outcome {
+        Outcome::PassOn(response) => response.status(),
+        Outcome::No(status, ..) => *status,
+        _ => StatusCode::OK,
+    };
+    if !matches!(status, StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN) {
+        sign_in.floods.give_back(driver.now(), &taken);
+    }
+    (outcome, good)
+}
+
 /// Asks. The second part is how long the answer may be remembered.
 async fn ask_now(sign_in: &SignIn, question: &Question<'_>, time: f64) -> (Outcome, f64) {
     let settings = &sign_in.settings;
@@ -169,7 +204,7 @@
             Outcome::GoOn(Vec::new())
         }
         (Step::PassOn, Some(no)) => no,
-        (Step::Refuse, _) => Outcome::Refused(wait),
+        (Step::Refuse | Step::Limit, _) => Outcome::Refused(wait),
         (Step::TimeUp, _) => Outcome::TimeUp,
         (Step::Unavailable | Step::Nothing | Step::PassOn, _) => Outcome::Unavailable,
     };
@@ -197,10 +232,10 @@
         },
         deadline: sign_in.pool.driver.now() + time,
         message: Message {
-            method: Method::GET,
+            method: if settings.body.is_some() { Method::POST } else { Method::GET },
             uri,
             headers: headers(settings, question),
-            body: Rc::new(Payload::whole(Bytes::new())),
+            body: Rc::new(Payload::whole(question.body.clone())),
             tells_deadline: false,
         },
     };
@@ -221,6 +256,9 @@
             headers.append(name.clone(), value.clone());
         }
     }
+    if let Some(kind) = question.headers.get(header::CONTENT_TYPE).filter(|_| settings.body.is_some()) {
+        headers.insert(header::CONTENT_TYPE, kind.clone());
+    }
     let told = |name: &str| question.headers.get(name).filter(|_| question.origin.trusted).cloned();
     let proto = told("x-forwarded-proto").unwrap_or(HeaderValue::from_static("http"));
     headers.insert("x-forwarded-proto", proto);
@@ -229,6 +267,7 @@
         ("x-forwarded-uri", question.target),
         ("x-forwarded-host", question.origin.host),
         ("x-forwarded-for", &question.client),
+        (CHAIN, question.chain),
     ] {
         // What was read off a request can be written into another.
         if let Ok(value) = HeaderValue::try_from(value) {
--- a/crates/sidecar/src/site.rs
+++ b/crates/sidecar/src/site.rs
@@ -1,5 +1,6 @@
 //! One configuration at work: its table, its routes, its pools. Requests end under the site they began with.
 
+use crate::floods::Floods;
 use crate::pool::{once, Pool, Served};
 use crate::remembered::Remembered;
 use hyper::header::HeaderName;
@@ -21,6 +22,8 @@
     table: Table,
     routes: Vec<Route>,
     plans: Vec<Arc<str>>,
+    /// The class of each route, as the configuration names it.
+    class_names: Vec<Arc<str>>,
     customers: HashMap<String, usize>,
     /// Headers that only sign-in services set, folded.
     pub vouched: HashSet<String>,
@@ -30,6 +33,8 @@
 
 /// A route at work.
 pub struct Route {
+    /// Its name.
+    pub name: Arc<str>,
     /// Its class.
     pub class: Arc<str>,
     /// Its class for requests without a key, and the header that would carry one; keyed classes only.
@@ -62,8 +67,13 @@
     pub pool: Rc<Pool>,
     /// What it has answered.
     pub remembered: Remembered,
+    /// What has failed of late.
+    pub floods: Floods,
 }
 
+/// Methods that a request may have whose method is not told.
+const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+
 /// The plan of checks: they take nothing from anybody's quota.
 pub const CHECKS: &str = "(checks)";
 
@@ -140,7 +150,8 @@
                 let class = check_class(settings).name.into();
                 let pool = pools[&model.pools[settings.pool].name].clone();
                 let remembered = Remembered::new(settings.cache_size);
-                Rc::new(SignIn { settings: settings.clone(), class, pool, remembered })
+                let floods = Floods::new(settings.address_limit, settings.credential_limit);
+                Rc::new(SignIn { settings: settings.clone(), class, pool, remembered, floods })
             })
             .collect();
         let route = |(number, route): (usize, &ivygate_config::Route)| -> Result<Route, String> {
@@ -153,6 +164,7 @@
                 None
             };
             Ok(Route {
+                name: route.name.as_str().into(),
                 class: if narrows { once(&class.name).into() } else { class.name.as_str().into() },
                 unkeyed: key,
                 once: route.repeat == Repeat::Unsent,
@@ -176,6 +188,7 @@
                 .flat_map(|s| &s.answer_headers)
                 .map(|name| ivygate_forward_auth::folded(name))
                 .collect(),
+            class_names: model.routes.iter().map(|r| model.classes[r.class].name.as_str().into()).collect(),
             plans: model.plans.iter().map(|p| p.name.as_str().into()).collect(),
             customers: model.customers.iter().map(|c| (c.name.clone(), c.plan)).collect(),
             pools,
@@ -210,6 +223,26 @@
         }
     }
 
+    /// The only route that takes a host and path, whatever the method.
+    ///
+    /// # Errors
+    /// With the names of those that take it by some methods, if it depends on them.
+    pub fn only_route(&self, host: &str, path: &str) -> Result<&Route, Vec<Arc<str>>> {
+        let found = METHODS.map(|method| self.route(host, path, method).ok());
+        let mut names: Vec<Arc<str>> = found.iter().flatten().map(|route| route.name.clone()).collect();
+        names.sort();
+        names.dedup();
+        match (found[0], names.len()) {
+            (Some(route), 1) if found.iter().all(Option::is_some) => Ok(route),
+            _ => Err(names),
+        }
+    }
+
+    /// A route's class as the configuration names it.
+    pub fn class_of(&self, route: &Route) -> &Arc<str> {
+        &self.class_names[route.number]
+    }
+
     /// The plan of a customer; `told` is what a trusted peer said.
     pub fn plan(&self, customer: &str, told: Option<&str>) -> Arc<str> {
         let told = told.and_then(|told| self.plans.iter().position(|plan| **plan == *told));
--- a/crates/tool/src/compare.rs
+++ b/crates/tool/src/compare.rs
@@ -509,6 +509,7 @@
         for (subject, a, b) in self.named("listen", &old.listeners, &new.listeners, name, |l| l.at, risk) {
             let trusted = |l: &Listener| l.trusted.iter().map(ToString::to_string).collect::<BTreeSet<_>>();
             let words = |set: &BTreeSet<String>| set.iter().cloned().collect::<Vec<_>>().join(" ");
+            let or_none = |path: &Option<String>| path.clone().unwrap_or_else(|| "none".to_owned());
             let (before, after) = (trusted(a), trusted(b));
             self.rows(
                 &subject,
@@ -528,6 +529,18 @@
                     row("read-stall", time(a.read_stall), time(b.read_stall), None),
                     row("idle", time(a.idle), time(b.idle), None),
                     row("answer-within", time(a.answer_within), time(b.answer_within), None),
+                    row(
+                        "answers-checks",
+                        or_none(&a.answers_checks),
+                        or_none(&b.answers_checks),
+                        Some("what this listener serves, and to whom, is another"),
+                    ),
+                    row(
+                        "ids-kept",
+                        time(a.ids_kept),
+                        time(b.ids_kept),
+                        (b.ids_kept < a.ids_kept).then_some("an id may be let on again sooner"),
+                    ),
                 ],
             );
         }
@@ -541,6 +554,8 @@
             let words = |names: &[String]| {
                 names.iter().cloned().collect::<BTreeSet<_>>().into_iter().collect::<Vec<_>>().join(" ")
             };
+            let size = |bytes: Option<usize>| bytes.map_or("none".to_owned(), |b| format!("{b}B"));
+            let rate = |rate: f64| if rate > 0.0 { format!("{rate}/s") } else { "none".to_owned() };
             let fewer = !a.answer_headers.iter().all(|name| b.answer_headers.contains(name));
             self.rows(
                 &subject,
@@ -557,6 +572,9 @@
                         fewer.then_some("clients may send these headers themselves now"),
                     ),
                     row("within", time(a.within), time(b.within), None),
+                    row("body", size(a.body), size(b.body), Some("another question is asked")),
+                    row("address-limit", rate(a.address_limit), rate(b.address_limit), None),
+                    row("credential-limit", rate(a.credential_limit), rate(b.credential_limit), None),
                     row(
                         "cache-yes",
                         time(a.cache_yes),
