--- a/crates/ivygate/tests/sidecar_reload.rs
+++ b/crates/ivygate/tests/sidecar_reload.rs
@@ -288,10 +288,14 @@
 }
 
 #[test]
-fn the_example_under_deploy_is_a_good_one() {
-    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/sidecar.conf");
-    let (code, said, error) = run(&["check", file]);
-    assert_eq!((code, error.as_str()), (Some(0), ""), "{said}");
+fn the_examples_under_deploy_are_good_ones() {
+    for file in [
+        concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/sidecar.conf"),
+        concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/sign-in.conf"),
+    ] {
+        let (code, said, error) = run(&["check", file]);
+        assert_eq!((code, error.as_str()), (Some(0), ""), "{said}");
+    }
 }
 
 #[test]
--- a/crates/ivygate/tests/sidecar_sign_in.rs
+++ b/crates/ivygate/tests/sidecar_sign_in.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use ivygate_standin::{until, App, Message, Reply};
+use ivygate_standin::{read_message, reset, until, App, Message, Reply, Scripted};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -422,3 +424,139 @@
     assert_eq!(post(&rig, "/app", "").status(), 503);
     assert_eq!(rig.app.seen(), 0);
 }
+
+/// A sidecar whose `/app` asks a service that is at this address, and its application.
+fn asks(service: SocketAddr, extra: &str) -> (App, Sidecar, String) {
+    let app = App::start(|_| Reply::ok("done"));
+    let text = Sidecar::text(
+        "",
+        &[
+            pool("accounts", "", &[(service, "north")]),
+            pool("app", "", &[(app.address, "north")]),
+            format!(
+                "sign-in members {{ pool accounts; path /check; {extra} }}\n\
+                 route app {{ path prefix /app; methods POST; sign-in members; class order; pool app; }}\n"
+            ),
+        ],
+    );
+    let sidecar = Sidecar::start(&text);
+    (app, sidecar, text)
+}
+
+#[test]
+fn a_service_that_resets_before_in_or_after_its_head_lets_nothing_on() {
+    for part in [
+        "",
+        "HTTP/1.1 200 O",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nyes",
+    ] {
+        let service = Scripted::start(move |stream, _| {
+            let _ = read_message(stream);
+            let _ = stream.get_mut().write_all(part.as_bytes());
+            reset(stream.get_ref());
+        });
+        let (app, sidecar, _) = asks(service.address, "within 2s;");
+        assert_eq!(sidecar.post("/app", "", "x").status(), 503, "{part:?}");
+        assert_eq!(app.seen(), 0, "{part:?}");
+    }
+}
+
+#[test]
+fn a_yes_that_closes_its_connection_behind_it_is_a_yes() {
+    let service = Scripted::start(|stream, _| {
+        let _ = read_message(stream);
+        let _ = stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nyes");
+    });
+    let (app, sidecar, _) = asks(service.address, "");
+    for orders in 1..4 {
+        assert_eq!((sidecar.post("/app", "", "x").status(), app.seen()), (200, orders));
+    }
+}
+
+#[test]
+fn a_service_that_comes_back_after_a_break_is_asked_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let (app, sidecar, _) = asks(address, "");
+    for _ in 0..5 {
+        assert_eq!(sidecar.post("/app", "", "x").status(), 503);
+    }
+    assert_eq!(app.seen(), 0);
+    let _service = Scripted::on(TcpListener::bind(address).expect("the port is free"), |stream, _| {
+        while read_message(stream).is_some() {
+            let _ = stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    until("orders go on again", || sidecar.post("/app", "", "x").status() == 200);
+    assert_eq!(app.seen(), 1);
+}
+
+#[test]
+fn a_service_that_drains_is_asked_nothing_new_and_its_successor_is() {
+    let old = App::start(|_| Reply::ok("yes"));
+    let (app, sidecar, text) = asks(old.address, "");
+    assert_eq!(sidecar.post("/app", "", "x").status(), 200);
+    let new = App::start(|_| Reply::ok("yes"));
+    // The new one has just started, so it is cold, and is spared at first.
+    let line = format!("    server s0 {} {{ zone north; }}", old.address);
+    let both = format!(
+        "    server s0 {} {{ zone north; state draining; }}\n    server s1 {} {{ zone north; }}",
+        old.address, new.address
+    );
+    assert!(sidecar.reload(&text.replacen(&line, &both, 1)));
+    for _ in 0..5 {
+        assert_eq!(sidecar.post("/app", "", "x").status(), 200);
+    }
+    assert_eq!((old.seen(), new.seen(), app.seen()), (1, 5, 6));
+}
+
+#[test]
+fn a_cold_service_turns_a_rush_of_checks_away_and_takes_more_when_it_is_warm() {
+    let service = App::start(|_| Reply::Slow(Duration::from_millis(100)));
+    let app = App::start(|_| Reply::ok("done"));
+    let cold = "cold { from 0.1; warm 2s; fall 2; for 500ms; }";
+    let text = |servers: &[(SocketAddr, &str)]| {
+        Sidecar::text(
+            "",
+            &[
+                pool("accounts", cold, servers),
+                pool("app", "", &[(app.address, "north")]),
+                "sign-in members { pool accounts; path /check; within 4s; }\n\
+                 route app { path prefix /app; methods POST; sign-in members; class order; pool app; }\n"
+                    .to_owned(),
+            ],
+        )
+    };
+    let before = App::start(|_| Reply::ok("yes"));
+    let sidecar = Sidecar::start(&text(&[(before.address, "north")]));
+    assert!(sidecar.reload(&text(&[(service.address, "north")])));
+    let mut clients: Vec<_> = (0..40).map(|_| sidecar.client()).collect();
+    for client in &mut clients {
+        client.write(b"POST /app HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx");
+    }
+    let statuses: Vec<u16> = clients.iter_mut().map(|c| c.read().expect("an answer").status()).collect();
+    let refused = statuses.iter().filter(|status| **status == 503).count();
+    assert!(refused >= 20, "a cold service was sent {} checks at once", 40 - refused);
+    assert_eq!(app.seen(), 40 - refused);
+    until("it is warm", || sidecar.post("/app", "", "x").status() == 200);
+}
+
+#[test]
+fn an_application_that_fails_while_a_check_is_repeated_is_sent_the_order_once() {
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = count.clone();
+    let rig = rig_with(
+        "order",
+        "",
+        move |_| match counted.fetch_add(1, Ordering::SeqCst) {
+            0 => Reply::Answer("503 Service Unavailable", "", Vec::new()),
+            _ => Reply::ok("yes"),
+        },
+        |_| Reply::Close,
+    );
+    let status = post(&rig, "/app", "").status();
+    assert!([502, 503].contains(&status), "{status}");
+    assert_eq!(rig.app.seen(), usize::from(status == 502));
+}
