--- a/crates/ivygate/tests/sidecar_answering.rs
+++ b/crates/ivygate/tests/sidecar_answering.rs
@@ -191,7 +191,7 @@
 /// A sign-in service before the routes that are asked about.
 fn asked_first(accounts: &App) -> String {
     format!(
-        "{}sign-in members {{ pool accounts; path /check; answer-headers X-User; }}\n\
+        "{}sign-in members {{ pool accounts; path /check; answer-headers X-User X-Customer; }}\n\
          route inner {{ path prefix /inner; methods POST; sign-in members; class order; pool app; }}\n",
         pool("accounts", "", &[(accounts.address, "north")])
     )
@@ -201,15 +201,22 @@
 fn a_routes_own_sign_in_is_asked_and_its_no_is_the_askers_answer() {
     let app = App::start(|_| Reply::ok("done"));
     let accounts = App::start(|m| match m.header("authorization") {
-        Some("good") => Reply::Answer("200 OK", "X-User: ann\r\n", Vec::new()),
+        Some("good") => Reply::Answer("200 OK", "X-User: ann\r\nX-Customer: ann\r\n", Vec::new()),
         _ => Reply::Answer("401 Unauthorized", "WWW-Authenticate: Bearer\r\n", b"who?".to_vec()),
     });
     let sidecar = Sidecar::start(&Sidecar::text(ASKED, &parts(&app, &asked_first(&accounts))));
     let bad = sidecar.ask(&about("POST", "/inner", "Authorization: bad\r\nReq-Id: i\r\n"));
     assert_eq!((bad.status(), bad.header("www-authenticate")), (401, Some("Bearer")));
     // Spoofed identity is dropped, and a no frees the id.
-    let good = sidecar.ask(&about("POST", "/inner", "Authorization: good\r\nReq-Id: i\r\nX_User: root\r\n"));
+    let good = sidecar.ask(&about(
+        "POST",
+        "/inner",
+        "Authorization: good\r\nReq-Id: i\r\nX_User: root\r\nX-Customer: root\r\n",
+    ));
     assert_eq!((good.status(), good.header("x-user")), (200, Some("ann")));
+    assert_eq!(good.header("x-ivygate-customer"), Some("ann"));
+    let unasked = sidecar.ask(&about("GET", "/reads", "X-Customer: root\r\n"));
+    assert_eq!(unasked.header("x-ivygate-customer"), Some("192.0.2.7"), "only the service names customers");
     let seen = accounts.requests.lock().expect("no panic");
     assert_eq!(seen[1].header("x-forwarded-uri"), Some("/inner"));
     assert_eq!(seen[1].header("x-forwarded-for"), Some("192.0.2.7"));
@@ -273,7 +280,16 @@
     assert!(sidecar.reload(&Sidecar::text(ASKED, &parts(&app, &extra))));
     let answer = sidecar.ask(&about("POST", "/inner", ""));
     assert_eq!(answer.status(), 503);
-    // What the check itself was told, as an asker that names this process would be.
+    // What such a check is told: one that names this process, as its own checks do ...
+    let accounts = App::start(|_| Reply::ok("yes"));
+    assert!(sidecar.reload(&Sidecar::text(ASKED, &parts(&app, &asked_first(&accounts)))));
+    assert_eq!(sidecar.ask(&about("POST", "/inner", "")).status(), 200);
+    let seen = accounts.requests.lock().expect("no panic");
+    let own = seen[0].header("ivygate-checks").expect("the process names itself");
+    let answer = sidecar.ask(&about("POST", "/orders", &format!("Ivygate-Checks: a, {own}\r\n")));
+    assert_eq!(answer.status(), 508);
+    assert!(String::from_utf8_lossy(&answer.body).contains("come round"), "{:?}", answer.body);
+    // ... and one that has passed through too many.
     let long = "Ivygate-Checks: a, b, c, d\r\n";
     let answer = sidecar.ask(&about("POST", "/orders", long));
     assert_eq!(answer.status(), 508);
