--- a/crates/bench/src/flood.rs
+++ b/crates/bench/src/flood.rs
@@ -28,7 +28,8 @@
     for (name, limits, remembers) in [
         ("no limit", "", ""),
         ("address-limit 2/s", "address-limit 2/s;", ""),
-        ("and cache-yes 10s", "address-limit 2/s;", "cache-yes 10s;"),
+        ("address-limit 2/s 2", "address-limit 2/s 2;", ""),
+        ("and cache-yes 10s", "address-limit 2/s 2;", "cache-yes 10s;"),
     ] {
         let (service, sidecar) = rig(&format!("{limits} {remembers}"), &["--work-us", WORK_US])?;
         let mut all = flood(sidecar.address, seconds)?;
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -5,6 +5,7 @@
 use crate::fields::{head_span, Fields, Findings, Quantity};
 use crate::meaning;
 use crate::model::*;
+use crate::slips;
 use crate::syntax::{Block, Statement, Word};
 use ipnet::IpNet;
 use ivygate_routing::{Claim, Host, Methods, PathClaim, Target};
@@ -667,8 +668,8 @@
             (headers("request-headers", &["authorization", "cookie"]), headers("answer-headers", &[]));
         let within = duration_or(&inner, "within", 500.0);
         let body = inner.quantity("body", Quantity::Size).map(|bytes| bytes as usize);
-        let limit = |name| inner.quantity_or(name, Quantity::Rate, 0.0);
-        let (address_limit, credential_limit) = (limit("address-limit"), limit("credential-limit"));
+        let (address_limit, credential_limit) =
+            (failed_checks(&inner, "address-limit"), failed_checks(&inner, "credential-limit"));
         let remembered = |name| inner.quantity_or(name, Quantity::Duration, 0.0).min(LONGEST);
         let (cache_yes, cache_no) = (remembered("cache-yes"), remembered("cache-no"));
         let cache_size = inner.positive_or("cache-size", Quantity::Count, 10_000.0) as usize;
@@ -699,6 +700,21 @@
     sign_ins
 }
 
+/// A limit on failed checks: a rate, and perhaps how many may fail at once.
+fn failed_checks(inner: &Fields, name: &'static str) -> FailedChecks {
+    let none = FailedChecks { rate: 0.0, burst: 0.0 };
+    let Some(words) = inner.one(name).and_then(|s| inner.words(s, 1, 2)) else { return none };
+    let Some(rate) = inner.quantity_in(&words[0], Quantity::Rate) else { return none };
+    if !inner.is_meant(name) {
+        if let Some(suspicion) = slips::suspicion("sign-in", name, &words[0].text, rate) {
+            inner.note(suspicion.diagnostic(name, &words[0]));
+        }
+    }
+    // Two seconds' worth, and some at the least for checks that are on their way at the same time.
+    let burst = words.get(1).and_then(|word| inner.quantity_in(word, Quantity::Count));
+    FailedChecks { rate, burst: burst.unwrap_or((2.0 * rate).max(10.0)).max(1.0) }
+}
+
 /// A path to ask for, in normal form.
 fn plain_path(fields: &Fields, word: &Word) -> Option<String> {
     match Target::parse(&word.text) {
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -332,10 +332,10 @@
     pub within: f64,
     /// A body up to this size goes into the check, and longer ones are turned away; `None` for no body.
     pub body: Option<usize>,
-    /// Failed checks a second from one address; 0 for no limit.
-    pub address_limit: f64,
-    /// Failed checks a second with one credential; 0 for no limit.
-    pub credential_limit: f64,
+    /// Failed checks from one address.
+    pub address_limit: FailedChecks,
+    /// Failed checks with one credential.
+    pub credential_limit: FailedChecks,
     /// Whether requests go on where it gives no usable answer.
     pub open: bool,
     /// How long a yes is remembered; 0 for not at all.
@@ -350,6 +350,15 @@
     pub at: At,
 }
 
+/// How many checks may fail.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FailedChecks {
+    /// So many a second; 0 for no limit.
+    pub rate: f64,
+    /// And so many at once.
+    pub burst: f64,
+}
+
 /// A route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
--- a/crates/sidecar/src/floods.rs
+++ b/crates/sidecar/src/floods.rs
@@ -1,16 +1,13 @@
 //! Failed checks of one service, by the address and by the credential that they came with.
 
 use crate::remembered::Key;
+use ivygate_config::FailedChecks;
 use ivygate_forward_auth::Limit;
 use std::cell::RefCell;
 use std::sync::Arc;
 
 /// Most addresses, and most credentials, on record.
 const KEYS_MOST: usize = 65_536;
-/// How much may be spent at once: so many seconds' worth ...
-const BURST_S: f64 = 2.0;
-/// ... and this at the least, for checks that are on their way at the same time.
-const BURST_LEAST: f64 = 10.0;
 
 /// What has been spent of both limits.
 pub struct Floods {
@@ -24,11 +21,10 @@
 }
 
 impl Floods {
-    /// Nothing spent yet; rates are failed checks a second, 0 for no limit.
-    pub fn new(address: f64, credential: f64) -> Self {
-        let burst = |rate: f64| (BURST_S * rate).max(BURST_LEAST);
-        let address = Limit::new(address, burst(address), KEYS_MOST);
-        let credential = Limit::new(credential, burst(credential), KEYS_MOST);
+    /// Nothing spent yet.
+    pub fn new(address: FailedChecks, credential: FailedChecks) -> Self {
+        let address = Limit::new(address.rate, address.burst, KEYS_MOST);
+        let credential = Limit::new(credential.rate, credential.burst, KEYS_MOST);
         Self { limits: RefCell::new((address, credential)) }
     }
 
--- a/crates/tool/src/compare.rs
+++ b/crates/tool/src/compare.rs
@@ -555,7 +555,10 @@
                 names.iter().cloned().collect::<BTreeSet<_>>().into_iter().collect::<Vec<_>>().join(" ")
             };
             let size = |bytes: Option<usize>| bytes.map_or("none".to_owned(), |b| format!("{b}B"));
-            let rate = |rate: f64| if rate > 0.0 { format!("{rate}/s") } else { "none".to_owned() };
+            let limit = |l: ivygate_config::FailedChecks| match l.rate {
+                0.0 => "none".to_owned(),
+                rate => format!("{rate}/s {}", l.burst),
+            };
             let fewer = !a.answer_headers.iter().all(|name| b.answer_headers.contains(name));
             self.rows(
                 &subject,
@@ -573,8 +576,8 @@
                     ),
                     row("within", time(a.within), time(b.within), None),
                     row("body", size(a.body), size(b.body), Some("another question is asked")),
-                    row("address-limit", rate(a.address_limit), rate(b.address_limit), None),
-                    row("credential-limit", rate(a.credential_limit), rate(b.credential_limit), None),
+                    row("address-limit", limit(a.address_limit), limit(b.address_limit), None),
+                    row("credential-limit", limit(a.credential_limit), limit(b.credential_limit), None),
                     row(
                         "cache-yes",
                         time(a.cache_yes),
