--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -36,7 +36,9 @@
     let pools = pools(&fields);
     let sign_ins = sign_ins(&fields, &pools);
     let routes = routes(&fields, &classes, &pools, &sign_ins);
-    let mut model = Model { limits, identity, listeners, classes, plans, customers, pools, sign_ins, routes };
+    let journal = journal(&fields);
+    let mut model =
+        Model { limits, identity, listeners, classes, plans, customers, pools, sign_ins, routes, journal };
     if model.plans.is_empty() {
         model.plans.push(Plan::without_quota("default"));
     }
@@ -72,6 +74,27 @@
     Limits { descriptors: descriptors as usize, drain, memory, at }
 }
 
+fn journal(fields: &Fields) -> Option<Journal> {
+    let inner = fields.inner("journal block", fields.one("journal")?);
+    let folder = inner.needed("folder", "folder /var/lib/ivygate;").and_then(|s| inner.words(s, 1, 1));
+    let folder = folder.map(|words| words[0].text.clone());
+    let synced = match inner.word("level").map(|word| (word, word.text.as_str())) {
+        None | Some((_, "synced")) => true,
+        Some((_, "written")) => false,
+        Some((word, other)) => {
+            let what = format!("`level` is `synced` or `written`, not `{other}`");
+            let error = Diagnostic::error("IV0086", what, word.span, "here");
+            inner.note(
+                error.help("write `level synced;` (outlives the machine) or `level written;` (the process)"),
+            );
+            true
+        }
+    };
+    let at = At(inner.head);
+    inner.finish();
+    Some(Journal { folder: folder?, synced, at })
+}
+
 fn is_token(text: &str) -> bool {
     let fits = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
     !text.is_empty() && text.bytes().all(fits)
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -38,6 +38,19 @@
     pub sign_ins: Vec<SignIn>,
     /// Routes, in the file's order.
     pub routes: Vec<Route>,
+    /// Where requests that must not run twice are recorded, if they are.
+    pub journal: Option<Journal>,
+}
+
+/// Where requests that must not run twice are recorded before they are sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Journal {
+    /// The folder.
+    pub folder: String,
+    /// Whether a record counts only when the disk has it, and not already when the system does.
+    pub synced: bool,
+    /// Where it stands.
+    pub at: At,
 }
 
 /// What the process may use.
--- a/crates/ivygate/src/main.rs
+++ b/crates/ivygate/src/main.rs
@@ -6,6 +6,7 @@
 mod compare;
 mod demo;
 mod format;
+mod journal;
 mod new;
 mod routes;
 
@@ -89,6 +90,8 @@
         /// A URL with scheme and host, or a path
         url: Option<String>,
     },
+    /// Show what became of requests that must not run twice, from the journal of a process that has ended
+    Journal(journal::Options),
     /// Run three small applications and a sidecar in one process, to try things out
     Demo {
         /// Where the configuration is written
@@ -137,6 +140,7 @@
             ExitCode::SUCCESS
         }
         Command::Routes { file, method, url } => routes::show(&file, method.as_deref().zip(url.as_deref())),
+        Command::Journal(options) => journal::run(&options),
         Command::Demo { write } => served(demo::run(&write)),
     }
 }
--- /dev/null
+++ b/crates/journal/src/order.rs
@@ -0,0 +1,141 @@
+//! What is known of one request, from what was recorded of it. No I/O, no clock.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What came of one attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Came {
+    /// Nothing is known: it may have run.
+    #[default]
+    Unknown,
+    /// Proof that it never ran.
+    NotRun,
+    /// The server's answer, with its status.
+    Answer(u16),
+}
+
+/// One attempt. It is recorded before its first byte goes out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Attempt {
+    /// Its number, in order of the sends, from 0.
+    pub number: u32,
+    /// The server.
+    pub server: SocketAddr,
+    /// When it was about to be sent, in Unix milliseconds.
+    pub sent_at: f64,
+    /// What came of it.
+    pub came: Came,
+}
+
+/// A request that must not run twice.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    /// The id that its client gave it.
+    pub client_id: Option<String>,
+    /// Its customer.
+    pub customer: String,
+    /// Its route.
+    pub route: String,
+    /// Its target.
+    pub target: String,
+    /// When it was taken, in Unix milliseconds.
+    pub taken_at: f64,
+    /// Its attempts, in order.
+    pub attempts: Vec<Attempt>,
+}
+
+/// What can be said of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// No byte of it went to a server, or every attempt is proved not to have run.
+    NeverSent,
+    /// A server answered, with this status.
+    Answered(u16),
+    /// It was sent, and nothing is known of what it did: somebody must ask.
+    Unknown,
+}
+
+/// What is recorded.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Update {
+    /// It was taken. Recorded with its first attempt.
+    Taken(Order),
+    /// An attempt is about to be sent.
+    Sending(Attempt),
+    /// What came of an attempt, by its number.
+    Came(u32, Came),
+}
+
+impl Order {
+    /// Takes in what was recorded. What is known is never made less: an answer or a proof stands.
+    pub fn apply(&mut self, update: Update) {
+        match update {
+            Update::Taken(order) => {
+                let attempts = std::mem::take(&mut self.attempts);
+                *self = Order { attempts, ..order };
+            }
+            Update::Sending(attempt) => self.attempts.push(attempt),
+            Update::Came(number, came) => {
+                let found = self.attempts.iter_mut().find(|attempt| attempt.number == number);
+                let Some(attempt) = found else { return };
+                if attempt.came == Came::Unknown {
+                    attempt.came = came;
+                }
+            }
+        }
+    }
+
+    /// What can be said of it.
+    pub fn state(&self) -> State {
+        let answer = self.attempts.iter().find_map(|attempt| match attempt.came {
+            Came::Answer(status) => Some(status),
+            _ => None,
+        });
+        match answer {
+            Some(status) => State::Answered(status),
+            None if self.attempts.iter().all(|attempt| attempt.came == Came::NotRun) => State::NeverSent,
+            None => State::Unknown,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn attempt() -> Update {
+        numbered(0)
+    }
+
+    fn numbered(number: u32) -> Update {
+        let server = SocketAddr::from(([127, 0, 0, 1], 9301));
+        Update::Sending(Attempt { number, server, sent_at: 1.0, came: Came::Unknown })
+    }
+
+    fn after(updates: Vec<Update>) -> State {
+        let mut order = Order::default();
+        updates.into_iter().for_each(|update| order.apply(update));
+        order.state()
+    }
+
+    #[test]
+    fn an_order_is_never_called_unsent_while_one_attempt_may_have_run() {
+        assert_eq!(after(vec![]), State::NeverSent);
+        assert_eq!(after(vec![attempt()]), State::Unknown);
+        assert_eq!(after(vec![attempt(), Update::Came(0, Came::NotRun)]), State::NeverSent);
+        assert_eq!(after(vec![attempt(), Update::Came(0, Came::NotRun), numbered(1)]), State::Unknown);
+        assert_eq!(after(vec![attempt(), Update::Came(0, Came::Answer(500))]), State::Answered(500));
+    }
+
+    #[test]
+    fn what_is_known_is_never_made_less_and_what_names_no_attempt_changes_nothing() {
+        let answered = vec![attempt(), Update::Came(0, Came::Answer(200)), Update::Came(0, Came::Unknown)];
+        assert_eq!(after(answered), State::Answered(200));
+        let proved = vec![attempt(), Update::Came(0, Came::NotRun), Update::Came(0, Came::Answer(200))];
+        assert_eq!(after(proved), State::NeverSent);
+        assert_eq!(after(vec![Update::Came(7, Came::Answer(200))]), State::NeverSent);
+        assert_eq!(after(vec![attempt(), Update::Taken(Order::default())]), State::Unknown);
+    }
+}
--- /dev/null
+++ b/crates/journal/src/writer.rs
@@ -0,0 +1,107 @@
+//! The thread that records. Whoever must not wait hands updates over and is told when they are recorded; one commit
+//! serves all that have been handed over meanwhile.
+
+use crate::order::Update;
+use crate::store::{JournalError, Store};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::thread::JoinHandle;
+use tokio::sync::oneshot;
+
+/// Most updates that wait for a commit; beyond that nothing that must be recorded is taken.
+const WAITING_MOST: usize = 8192;
+/// Most updates in one commit.
+const COMMIT_MOST: usize = 1024;
+
+/// It is not recorded, so it must not be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unrecorded;
+
+struct Job {
+    id: String,
+    update: Update,
+    told: Option<oneshot::Sender<()>>,
+}
+
+/// A journal that is being written.
+pub struct Journal {
+    jobs: Option<SyncSender<Job>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Journal {
+    /// Begins to write to a store.
+    ///
+    /// # Errors
+    /// If no thread can be started.
+    pub fn start(store: Store) -> std::io::Result<Self> {
+        let (jobs, incoming) = sync_channel(WAITING_MOST);
+        let thread =
+            std::thread::Builder::new().name("journal".into()).spawn(move || write(&store, &incoming))?;
+        Ok(Self { jobs: Some(jobs), thread: Some(thread) })
+    }
+
+    /// Records an update, and waits until it is durable. Updates of one order are recorded in their order.
+    ///
+    /// # Errors
+    /// If it is not recorded, or it is not known whether it is.
+    pub async fn record(&self, id: &str, update: Update) -> Result<(), Unrecorded> {
+        let (told, recorded) = oneshot::channel();
+        self.hand_over(id, update, Some(told))?;
+        recorded.await.map_err(|_| Unrecorded)
+    }
+
+    /// Hands an update over whose loss is on the safe side: the order is unknown until somebody asks.
+    ///
+    /// # Errors
+    /// If too many wait, or nothing can be recorded any more.
+    pub fn note(&self, id: &str, update: Update) -> Result<(), Unrecorded> {
+        self.hand_over(id, update, None)
+    }
+
+    fn hand_over(
+        &self,
+        id: &str,
+        update: Update,
+        told: Option<oneshot::Sender<()>>,
+    ) -> Result<(), Unrecorded> {
+        let jobs = self.jobs.as_ref().ok_or(Unrecorded)?;
+        match jobs.try_send(Job { id: id.to_owned(), update, told }) {
+            Ok(()) => Ok(()),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => Err(Unrecorded),
+        }
+    }
+}
+
+impl Drop for Journal {
+    /// Waits until all that was handed over is recorded.
+    fn drop(&mut self) {
+        self.jobs = None;
+        if let Some(thread) = self.thread.take() {
+            // A failure of its own was told where it happened.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn write(store: &Store, incoming: &Receiver<Job>) {
+    while let Ok(first) = incoming.recv() {
+        let mut jobs = vec![first];
+        jobs.extend(incoming.try_iter().take(COMMIT_MOST - 1));
+        let (updates, told): (Vec<_>, Vec<_>) =
+            jobs.into_iter().map(|job| ((job.id, job.update), job.told)).unzip();
+        if let Err(error) = store.record(&updates) {
+            // After a failed write or sync nobody knows what the disk holds: what the system shows may not be
+            // there. Nothing is recorded any more by this process, and so nothing that must be is sent.
+            failed(&error);
+            return;
+        }
+        for told in told.into_iter().flatten() {
+            // One who has left needs no word.
+            let _ = told.send(());
+        }
+    }
+}
+
+fn failed(error: &JournalError) {
+    eprintln!("ivygate: {error}; requests that must not run twice are refused until a restart");
+}
--- /dev/null
+++ b/crates/journal/tests/crashes.rs
@@ -0,0 +1,230 @@
+//! Journals on a disk that fails: power cuts at every moment, with the unsynced writes lost or kept by chance, and
+//! errors of every kind.
+
+use ivygate_journal::{Attempt, Came, Journal, JournalError, Level, Order, State, Store, Update};
+use redb::StorageBackend;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+
+/// A disk with a page cache of its own: what is not synced is lost at a power cut, in any part.
+#[derive(Debug, Default)]
+struct Disk {
+    durable: Vec<u8>,
+    cached: Vec<u8>,
+    /// Writes and lengths since the last sync.
+    unsynced: Vec<(u64, Option<Vec<u8>>)>,
+    /// Operations until the power fails; writes and syncs count.
+    left: u64,
+    /// The error that comes then, in place of an end.
+    error: Option<io::ErrorKind>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Power(Arc<Mutex<Disk>>);
+
+impl Disk {
+    fn step(&mut self) -> io::Result<()> {
+        if self.left == 0 {
+            return Err(self.error.unwrap_or(io::ErrorKind::Other).into());
+        }
+        self.left -= 1;
+        Ok(())
+    }
+
+    fn apply(to: &mut Vec<u8>, offset: u64, data: &Option<Vec<u8>>) {
+        match data {
+            None => to.resize(offset as usize, 0),
+            Some(data) => {
+                let end = offset as usize + data.len();
+                if to.len() < end {
+                    to.resize(end, 0);
+                }
+                to[offset as usize..end].copy_from_slice(data);
+            }
+        }
+    }
+
+    /// What is left after a power cut: of the unsynced writes any, in whole or torn.
+    fn after_a_cut(&self, rng: &mut fastrand::Rng) -> Vec<u8> {
+        let mut left = self.durable.clone();
+        for (offset, data) in &self.unsynced {
+            match (rng.u32(0..3), data) {
+                (0, _) => {}
+                (1, Some(data)) => {
+                    let torn = data[..rng.usize(0..=data.len())].to_vec();
+                    Self::apply(&mut left, *offset, &Some(torn));
+                }
+                _ => Self::apply(&mut left, *offset, data),
+            }
+        }
+        // A file never ends before what was synced.
+        if left.len() < self.durable.len() {
+            left.resize(self.durable.len(), 0);
+        }
+        left
+    }
+}
+
+impl StorageBackend for Power {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.0.lock().unwrap().cached.len() as u64)
+    }
+
+    fn read(&self, offset: u64, len: usize) -> io::Result<Vec<u8>> {
+        let disk = self.0.lock().unwrap();
+        let (from, to) = (offset as usize, offset as usize + len);
+        disk.cached.get(from..to).map(<[u8]>::to_vec).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        let disk = &mut *self.0.lock().unwrap();
+        disk.step()?;
+        Disk::apply(&mut disk.cached, len, &None);
+        disk.unsynced.push((len, None));
+        Ok(())
+    }
+
+    fn sync_data(&self, _eventual: bool) -> io::Result<()> {
+        let disk = &mut *self.0.lock().unwrap();
+        disk.step()?;
+        disk.durable.clone_from(&disk.cached);
+        disk.unsynced.clear();
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        let disk = &mut *self.0.lock().unwrap();
+        disk.step()?;
+        let data = Some(data.to_vec());
+        Disk::apply(&mut disk.cached, offset, &data);
+        disk.unsynced.push((offset, data));
+        Ok(())
+    }
+}
+
+fn open(power: &Power) -> Result<Store, JournalError> {
+    Store::on(PathBuf::from("simulated"), power.clone())
+}
+
+fn taken(n: u32) -> Update {
+    Update::Taken(Order { client_id: Some(format!("c{n}")), taken_at: f64::from(n), ..Order::default() })
+}
+
+fn sending() -> Update {
+    Update::Sending(Attempt {
+        number: 0,
+        server: ([127, 0, 0, 1], 9301).into(),
+        sent_at: 1.0,
+        came: Came::Unknown,
+    })
+}
+
+/// Orders as an application would see them: recorded, sent only when that is durable, answered, noted.
+fn work(store: &Store, orders: u32) -> (BTreeMap<String, Option<u16>>, Option<JournalError>) {
+    let mut seen = BTreeMap::new();
+    for n in 0..orders {
+        let id = format!("o{n}");
+        if let Err(error) = store.record(&[(id.clone(), taken(n)), (id.clone(), sending())]) {
+            return (seen, Some(error));
+        }
+        seen.insert(id.clone(), None);
+        if n % 3 != 0 {
+            if let Err(error) = store.record(&[(id.clone(), Update::Came(0, Came::Answer(200)))]) {
+                return (seen, Some(error));
+            }
+            seen.insert(id, Some(200));
+        }
+    }
+    (seen, None)
+}
+
+#[test]
+fn after_a_power_cut_at_every_moment_no_order_that_was_sent_is_called_unsent() {
+    let mut cuts = 0;
+    for left in 0..150 {
+        let power = Power::default();
+        power.0.lock().unwrap().left = left;
+        let seen = match open(&power) {
+            Ok(store) => work(&store, 8).0,
+            Err(_) => BTreeMap::new(),
+        };
+        for seed in 0..2 {
+            let mut rng = fastrand::Rng::with_seed(left * 2 + seed);
+            let after = power.0.lock().unwrap().after_a_cut(&mut rng);
+            let disk = Disk { durable: after.clone(), cached: after, left: u64::MAX, ..Disk::default() };
+            let store = match open(&Power(Arc::new(Mutex::new(disk)))) {
+                Ok(store) => store,
+                // A cut before the first commit leaves what is no journal yet; then nothing was sent.
+                Err(error) => {
+                    assert!(seen.is_empty(), "cut {left}, seed {seed}: {error}");
+                    continue;
+                }
+            };
+            let mut found = BTreeMap::new();
+            store.each(|(id, order)| drop(found.insert(id, order))).expect("it can be read");
+            for (id, answer) in &seen {
+                let state = found.get(id).map(Order::state);
+                let wanted = answer.map_or(State::Unknown, State::Answered);
+                let more = state == Some(State::Answered(200));
+                assert!(state == Some(wanted) || more, "cut {left}, seed {seed}, {id}: {state:?}");
+            }
+            cuts += usize::from(!seen.is_empty());
+        }
+    }
+    assert!(cuts > 100, "{cuts}");
+}
+
+#[test]
+fn after_an_error_of_any_kind_nothing_more_is_called_recorded() {
+    for kind in [io::ErrorKind::StorageFull, io::ErrorKind::PermissionDenied, io::ErrorKind::Other] {
+        let power = Power::default();
+        power.0.lock().unwrap().left = u64::MAX;
+        let store = open(&power).expect("it opens");
+        store.record(&[("a".into(), sending())]).expect("it is recorded");
+        {
+            let mut disk = power.0.lock().unwrap();
+            (disk.left, disk.error) = (0, Some(kind));
+        }
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        let journal = Journal::start(store).expect("a thread");
+        assert!(runtime.block_on(journal.record("b", sending())).is_err(), "{kind}");
+        // The disk is well again, and the journal does not trust it.
+        power.0.lock().unwrap().left = u64::MAX;
+        assert!(runtime.block_on(journal.record("c", sending())).is_err(), "{kind}");
+    }
+}
+
+#[test]
+fn what_is_handed_over_is_recorded_in_order_and_by_few_commits() {
+    let power = Power::default();
+    power.0.lock().unwrap().left = u64::MAX;
+    let journal = Journal::start(open(&power).expect("it opens")).expect("a thread");
+    for n in 0..2000 {
+        let id = format!("o{n}");
+        journal.note(&id, taken(n)).expect("there is room");
+        journal.note(&id, sending()).expect("there is room");
+        journal.note(&id, Update::Came(0, Came::Answer(201))).expect("there is room");
+    }
+    drop(journal);
+    let store = open(&power).expect("it opens again");
+    let mut answered = 0;
+    store.each(|(_, order)| answered += usize::from(order.state() == State::Answered(201))).expect("read");
+    assert_eq!((answered, store.len().expect("read")), (2000, 2000));
+}
+
+#[test]
+fn a_second_process_is_refused_and_a_missing_journal_is_told() {
+    let folder = std::env::temp_dir().join(format!("ivygate-journal-{}", std::process::id()));
+    assert!(matches!(Store::open(&folder), Err(JournalError::Missing(_))));
+    let store = Store::create(&folder, Level::Synced).expect("it is made");
+    assert!(matches!(Store::create(&folder, Level::Synced), Err(JournalError::InUse(_))));
+    store.record(&[("a".into(), sending())]).expect("it is recorded");
+    drop(store);
+    assert_eq!(Store::open(&folder).expect("it opens").len().expect("read"), 1);
+    // No journal at all: told, and left as it is.
+    std::fs::write(folder.join("orders.redb"), b"something else").expect("written");
+    assert!(matches!(Store::open(&folder), Err(JournalError::Store(..))));
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -18,7 +18,9 @@
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::{oneshot, Notify};
@@ -114,6 +116,21 @@
     TimeUp,
 }
 
+/// What must be told of requests that must not run twice before anything of them goes out, and what came of them.
+pub trait Ledger {
+    /// An attempt is about to be sent: true once that is recorded. Where it is not, nothing is sent.
+    fn sending<'a>(
+        &'a self,
+        id: &'a RequestId,
+        attempt: u32,
+        server: SocketAddr,
+        now: Millis,
+    ) -> Pin<Box<dyn Future<Output = bool> + 'a>>;
+
+    /// What came of an attempt that was recorded: an answer's status, or proof that it never ran, or neither.
+    fn came(&self, id: &RequestId, attempt: u32, never_ran: bool, status: Option<u16>);
+}
+
 /// Whether a request may go on that somebody else will send.
 #[derive(Debug)]
 pub enum Admission {
@@ -188,6 +205,8 @@
     /// A timer became the first.
     sooner: Notify,
     retired: Cell<bool>,
+    /// Where attempts of requests that must not run twice are recorded first.
+    ledger: RefCell<Option<Rc<dyn Ledger>>>,
 }
 
 impl Driver {
@@ -210,11 +229,17 @@
             clock,
             sooner: Notify::new(),
             retired: Cell::new(false),
+            ledger: RefCell::default(),
         });
         driver.set_timer(&mut driver.state.borrow_mut(), clock.now() + SWEEP, Timer::Sweep);
         driver
     }
 
+    /// From now on attempts of requests that must not run twice are recorded first.
+    pub fn record_in(&self, ledger: Rc<dyn Ledger>) {
+        self.ledger.replace(Some(ledger));
+    }
+
     /// The time now.
     pub fn now(&self) -> Millis {
         self.clock.now()
@@ -538,7 +563,14 @@
             let (driver, id, progress) = (self.clone(), id.clone(), progress.clone());
             let message = open.message.clone();
             let once = open.once;
+            let ledger = if once { self.ledger.borrow().clone() } else { None };
             async move {
+                if let (Some(ledger), Some(address)) = (ledger, address) {
+                    if !ledger.sending(&id, number, address, now).await {
+                        return driver.attempt_ended(&id, number, End::bare(Outcome::Moot));
+                    }
+                    progress.recorded.set(true);
+                }
                 let request = |sent: &Rc<Sent>| {
                     driver.may_write(server, give_up_at).map(|left| message.request(left, sent))
                 };
@@ -590,6 +622,15 @@
         let Some(attempt) = state.attempt(id, number) else { return };
         attempt.ended = true;
         let (server, sent_at, timer) = (attempt.server, attempt.sent_at, attempt.timer);
+        if attempt.progress.recorded.get() {
+            if let Some(ledger) = &*self.ledger.borrow() {
+                let status = match &end.answer {
+                    Some(answer) => Some(answer.status().as_u16()),
+                    None => (end.outcome == Outcome::Ok).then_some(200),
+                };
+                ledger.came(id, number, end.outcome.never_ran(), status);
+            }
+        }
         state.timers.remove(&timer);
         match (end.outcome, end.answer) {
             (Outcome::Ok, Some(answer)) => {
--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -99,6 +99,8 @@
     written: RefCell<Option<(Rc<Cell<u64>>, u64)>>,
     /// How much of its body has been handed over.
     pub(crate) sent: Rc<Sent>,
+    /// It is recorded that it is about to be sent.
+    pub(crate) recorded: Cell<bool>,
 }
 
 impl Progress {
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -2,8 +2,9 @@
 
 use crate::answer::{AnswerBody, Held, Words};
 use crate::answering::Yes;
-use crate::forward::{to_application, to_client, Origin};
+use crate::forward::{to_application, to_client, Origin, REQUEST_ID};
 use crate::identity::{client_address, customer, duration, is_trusted};
+use crate::orders::Orders;
 use crate::pool::Bytewise;
 use crate::sign_in::{self, strip, Outcome, Question};
 use crate::site::{Route, SignIn, Site};
@@ -16,6 +17,7 @@
 use ivygate_config::Listener;
 use ivygate_forward_auth::{folded, share, Admissions};
 use ivygate_gateway::{Refusal, RequestId};
+use ivygate_journal::Order;
 use ivygate_routing::{host_of, Target};
 use ivygate_runtime::{millis, one, Answer, Ask, Asked, Front, Head, Leaving, Message, Payload, Streamed};
 use std::cell::{Cell, RefCell};
@@ -42,11 +44,13 @@
     pub own: String,
     /// Ids that other programs asked about.
     pub admissions: RefCell<Admissions<Yes>>,
+    /// Where requests that must not run twice are recorded, if they are.
+    pub orders: Option<Rc<Orders>>,
 }
 
 impl Shared {
     /// Begins with a site.
-    pub fn new(site: Site) -> Rc<Self> {
+    pub fn new(site: Site, orders: Option<Rc<Orders>>) -> Rc<Self> {
         let mut own = String::new();
         push_hex(&mut own, fastrand::u64(..));
         Rc::new(Self {
@@ -55,6 +59,7 @@
             next: Cell::new(0),
             own,
             admissions: RefCell::new(Admissions::new(ADMISSIONS_MOST)),
+            orders,
         })
     }
 
@@ -306,6 +311,21 @@
             let chunked = has_body && payload.is_streamed() || payload.has_trailers();
             let method = parts.method;
             let headers = to_application(parts.headers, &origin, chunked, &id);
+            let orders = self.shared.orders.as_ref().filter(|_| class.1);
+            let _taken = orders.map(|orders| {
+                let client_id = headers.get(REQUEST_ID).and_then(|id| id.to_str().ok()).map(str::to_owned);
+                orders.taken(
+                    &id,
+                    Order {
+                        client_id,
+                        customer: customer.to_string(),
+                        route: route.name.to_string(),
+                        target: target.path_and_query(),
+                        taken_at: route.pool.driver.now(),
+                        attempts: Vec::new(),
+                    },
+                )
+            });
             let deadline = wait + if payload.is_streamed() { route.upload } else { 0.0 };
             let ask = Ask {
                 head: Head {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod front;
 mod identity;
+mod orders;
 mod pool;
 mod remembered;
 mod service;
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -1,9 +1,11 @@
 //! The process round the fronts: listeners, reload, signals, end.
 
 use crate::front::{Shared, SidecarFront};
+use crate::orders::Orders;
 use crate::site::Site;
 use ivygate_config::{Listener, Model, Severity};
 use ivygate_files::Unreadable;
+use ivygate_journal::{Journal, JournalError, Level, Store};
 use ivygate_runtime::{listen, millis, ClientLimits, Clients, Clock};
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -28,6 +30,8 @@
     Configuration(String),
     /// An address can't be listened on.
     Listen(SocketAddr, std::io::Error),
+    /// The journal can't be written.
+    Journal(JournalError),
     /// The system refuses something else that is needed.
     System(std::io::Error),
 }
@@ -51,6 +55,7 @@
             StartError::Unwritable(path, error) => write!(f, "cannot write {path}: {error}"),
             StartError::Configuration(report) => f.write_str(report.trim_end()),
             StartError::Listen(address, error) => write!(f, "cannot listen on {address}: {error}"),
+            StartError::Journal(error) => error.fmt(f),
             StartError::System(error) => error.fmt(f),
         }
     }
@@ -73,6 +78,8 @@
     shared: Rc<Shared>,
     ports: RefCell<Vec<Port>>,
     drain: Cell<f64>,
+    /// The journal that this process began with.
+    journal: Option<ivygate_config::Journal>,
 }
 
 impl Sidecar {
@@ -84,9 +91,12 @@
         let clock = Clock::new();
         let bound = bind(model.listeners.iter())?;
         let site = Site::new(model, None, clock).map_err(StartError::Configuration)?;
+        let orders = model.journal.as_ref().map(record).transpose()?;
+        site.record_in(orders.as_ref());
         let sidecar = Self {
             clock,
-            shared: Shared::new(site),
+            shared: Shared::new(site, orders),
+            journal: model.journal.clone(),
             ports: RefCell::default(),
             drain: Cell::new(model.limits.drain),
         };
@@ -119,6 +129,10 @@
         let bound = bind(model.listeners.iter().filter(|l| !is_open(l)))?;
         let before = self.shared.site.borrow().clone();
         let site = Site::new(model, Some(&before), self.clock).map_err(StartError::Configuration)?;
+        site.record_in(self.shared.orders.as_ref());
+        if model.journal != self.journal {
+            eprintln!("ivygate: another journal needs a restart; the one from the start stays in use");
+        }
         // From here on nothing can fail.
         site.begin(&before);
         self.drain.set(model.limits.drain);
@@ -147,6 +161,9 @@
         if timeout(millis(self.drain.get()), self.finish()).await.is_err() {
             eprintln!("ivygate: broke off what was still open after {} s", self.drain.get() / 1000.0);
         }
+        if let Some(orders) = &self.shared.orders {
+            orders.close();
+        }
     }
 
     async fn finish(&self) {
@@ -177,6 +194,13 @@
     }
 }
 
+/// Begins to record requests that must not run twice.
+fn record(journal: &ivygate_config::Journal) -> Result<Rc<Orders>, StartError> {
+    let level = if journal.synced { Level::Synced } else { Level::Written };
+    let store = Store::create(Path::new(&journal.folder), level).map_err(StartError::Journal)?;
+    Ok(Orders::new(Journal::start(store).map_err(StartError::System)?))
+}
+
 fn bind<'a>(
     listeners: impl Iterator<Item = &'a Listener>,
 ) -> Result<Vec<(Listener, TcpListener, SocketAddr)>, StartError> {
--- a/crates/sidecar/src/site.rs
+++ b/crates/sidecar/src/site.rs
@@ -1,6 +1,7 @@
 //! One configuration at work: its table, its routes, its pools. Requests end under the site they began with.
 
 use crate::floods::Floods;
+use crate::orders::Orders;
 use crate::pool::{once, Pool, Served};
 use crate::remembered::Remembered;
 use hyper::header::HeaderName;
@@ -211,6 +212,13 @@
         }
     }
 
+    /// Has all pools record their requests that must not run twice.
+    pub fn record_in(&self, orders: Option<&Rc<Orders>>) {
+        if let Some(orders) = orders {
+            self.pools.values().for_each(|pool| pool.driver.record_in(orders.clone()));
+        }
+    }
+
     /// The route that takes a request.
     ///
     /// # Errors
--- a/crates/tool/src/compare.rs
+++ b/crates/tool/src/compare.rs
@@ -51,6 +51,7 @@
     found.listeners(before, after);
     found.sign_ins(before, after);
     found.limits(before, after);
+    found.journal(before, after);
     Ok(found.all)
 }
 
@@ -603,6 +604,27 @@
         }
     }
 
+    fn journal(&mut self, old: &Model, new: &Model) {
+        let at = |model: &Model| model.journal.as_ref().map_or(model.limits.at, |j| j.at);
+        let folder = |model: &Model| model.journal.as_ref().map_or("none".to_owned(), |j| j.folder.clone());
+        let level = |model: &Model| match &model.journal {
+            None => "none",
+            Some(journal) if journal.synced => "synced",
+            Some(_) => "written",
+        };
+        let gone = new.journal.is_none().then_some("what becomes of orders is recorded no more");
+        let weaker = (level(new) == "written").then_some("records are lost with the machine");
+        self.rows(
+            "journal",
+            at(old),
+            at(new),
+            vec![
+                row("folder", folder(old), folder(new), gone.or(Some("orders are recorded elsewhere"))),
+                row("level", level(old).to_owned(), level(new).to_owned(), weaker),
+            ],
+        );
+    }
+
     fn limits(&mut self, old: &Model, new: &Model) {
         let (a, b) = (&old.limits, &new.limits);
         let memory = |bytes: Option<usize>| bytes.map_or("not told".to_owned(), |b| format!("{b}B"));
