An order's id that may have run is answered with what is known, and never sent again

The id is looked up in the commit that records the order, by the one thread that commits; 409 with Ivygate-Order tells what is known. Seen in tests in one life and across a kill; what no server can have run is taken anew.

--- a/crates/ivygate/tests/sidecar_journal.rs
+++ b/crates/ivygate/tests/sidecar_journal.rs
@@ -155,3 +155,54 @@
     assert!(answered.iter().all(|id| seen.contains(id)) && answered.len() > 50);
     let _ = std::fs::remove_dir_all(folder);
 }
+
+#[test]
+fn an_order_asked_for_again_after_a_crash_gets_what_is_known_and_never_a_second_run() {
+    let folder = folder("again");
+    let app = App::start(|m| match m.header("req-id") {
+        Some("broken") => Reply::Close,
+        _ => Reply::ok("done"),
+    });
+    let first = sidecar(&folder, &app);
+    assert_eq!(first.ask(&order("good")).status(), 200);
+    assert_eq!(first.ask(&order("broken")).status(), 502);
+    // Also from the process that sent them.
+    assert_eq!(first.ask(&order("broken")).status(), 409);
+    drop(first);
+    let second = sidecar(&folder, &app);
+    let good = second.ask(&order("good"));
+    // What came back is noted behind the answer: the kill may have come first.
+    assert!([Some("answered 200"), Some("unknown")].contains(&good.header("ivygate-order")), "{good:?}");
+    let broken = second.ask(&order("broken"));
+    assert_eq!((good.status(), broken.status()), (409, 409));
+    assert_eq!(broken.header("ivygate-order"), Some("unknown"));
+    assert_eq!(second.ask(&order("next")).status(), 200);
+    let ids: Vec<_> = app
+        .requests
+        .lock()
+        .expect("no panic")
+        .iter()
+        .map(|m| m.header("req-id").map(str::to_owned))
+        .collect();
+    assert_eq!(ids, ["good", "broken", "next"].map(|id| Some(id.to_owned())));
+    drop(second);
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn an_order_that_no_server_took_may_be_asked_for_again() {
+    let folder = folder("untaken");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let sidecar = Sidecar::with(&[
+        format!("journal {{ folder {}; }}\n", folder.display()),
+        pool("app", "", &[(address, "north")]),
+        "route orders { path exact /orders; methods POST; class order; pool app; }\n".to_owned(),
+    ]);
+    for _ in 0..3 {
+        assert_eq!(sidecar.ask(&order("o")).status(), 503, "not 409: nothing can have run");
+    }
+    drop(sidecar);
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use order::{Attempt, Came, Order, State, Update};
 pub use store::{Found, JournalError, Level, Store};
-pub use writer::{Journal, Unrecorded};
+pub use writer::{Journal, NotRecorded};
--- a/crates/journal/src/order.rs
+++ b/crates/journal/src/order.rs
@@ -60,9 +60,9 @@
 /// What is recorded.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
-    /// It was taken. Recorded with its first attempt.
+    /// It was taken, and its first attempt, which it holds, is about to be sent.
     Taken(Order),
-    /// An attempt is about to be sent.
+    /// A further attempt is about to be sent.
     Sending(Attempt),
     /// What came of an attempt, by its number.
     Came(u32, Came),
@@ -73,7 +73,8 @@
     pub fn apply(&mut self, update: Update) {
         match update {
             Update::Taken(order) => {
-                let attempts = std::mem::take(&mut self.attempts);
+                let mut attempts = std::mem::take(&mut self.attempts);
+                attempts.extend(order.attempts);
                 *self = Order { attempts, ..order };
             }
             Update::Sending(attempt) => self.attempts.push(attempt),
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -3,7 +3,7 @@
 //! The store writes pages anew and switches to them by one checksummed page behind a sync, so that after a crash at any
 //! moment the last whole commit is there.
 
-use crate::order::{Order, Update};
+use crate::order::{Order, State, Update};
 use redb::backends::FileBackend;
 use redb::{
     Builder, Database, DatabaseError, Durability, ReadableTable, ReadableTableMetadata, StorageBackend,
@@ -17,6 +17,8 @@
 
 /// Orders as JSON, by their id in this process's lives.
 const ORDERS: TableDefinition<&str, &[u8]> = TableDefinition::new("orders-1");
+/// The order that holds a client's id.
+const KEYS: TableDefinition<&str, &str> = TableDefinition::new("client-ids-1");
 /// The store's file in the folder.
 const FILE: &str = "orders.redb";
 /// Most that the store keeps of its file in memory.
@@ -156,11 +158,12 @@
         Ok(Self { database, path })
     }
 
-    /// Records updates, all or none of them, durably to the level.
+    /// Records updates, all or none of them, durably to the level. For each it tells whether it was left out, and what is
+    /// known of the order instead that holds its client's id: one that any server may have run is not taken again.
     ///
     /// # Errors
     /// If they are not recorded, or it is not known whether they are.
-    pub fn record(&self, updates: &[(String, Update)]) -> Result<(), JournalError> {
+    pub fn record(&self, updates: &[(String, Update)]) -> Result<Vec<Option<State>>, JournalError> {
         self.try_record(updates).map_err(|error| JournalError::Store(self.path.clone(), error.to_string()))
     }
 
@@ -168,12 +171,27 @@
         clippy::result_large_err,
         reason = "the store's own errors, which go no further than this function"
     )]
-    fn try_record(&self, updates: &[(String, Update)]) -> Result<(), redb::Error> {
+    fn try_record(&self, updates: &[(String, Update)]) -> Result<Vec<Option<State>>, redb::Error> {
+        let mut left_out = Vec::with_capacity(updates.len());
         let mut write = self.database.begin_write()?;
         write.set_durability(Durability::Immediate);
         {
             let mut table = write.open_table(ORDERS)?;
+            let mut keys = write.open_table(KEYS)?;
             for (id, update) in updates {
+                if let Update::Taken(Order { client_id: Some(client_id), .. }) = update {
+                    let holder = keys.get(client_id.as_str())?.map(|holder| holder.value().to_owned());
+                    let other = match holder.filter(|holder| holder != id) {
+                        Some(holder) => table.get(holder.as_str())?.map(|order| read(order.value()).state()),
+                        None => None,
+                    };
+                    if let Some(state) = other.filter(|state| *state != State::NeverSent) {
+                        left_out.push(Some(state));
+                        continue;
+                    }
+                    keys.insert(client_id.as_str(), id.as_str())?;
+                }
+                left_out.push(None);
                 let before = table.get(id.as_str())?.map(|found| read(found.value()));
                 let mut order = before.unwrap_or_default();
                 order.apply(update.clone());
@@ -183,7 +201,7 @@
             }
         }
         write.commit()?;
-        Ok(())
+        Ok(left_out)
     }
 
     /// Calls `each` with all orders, in no order that means anything.
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -1,7 +1,7 @@
 //! The thread that records. Whoever must not wait hands updates over and is told when they are recorded; one commit
 //! serves all that have been handed over meanwhile.
 
-use crate::order::Update;
+use crate::order::{State, Update};
 use crate::store::{JournalError, Store};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::thread::JoinHandle;
@@ -14,14 +14,22 @@
 
 /// It is not recorded, so it must not be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Unrecorded;
+pub enum NotRecorded {
+    /// The journal can't, or nobody knows whether it did.
+    Failed,
+    /// An order with the same client's id may have run: this is known of it.
+    Known(State),
+}
 
 struct Job {
     id: String,
     update: Update,
-    told: Option<oneshot::Sender<()>>,
+    told: Option<Told>,
 }
 
+/// Hears whether an update was left out, and for what.
+type Told = oneshot::Sender<Option<State>>;
+
 /// A journal that is being written.
 pub struct Journal {
     jobs: Option<SyncSender<Job>>,
@@ -44,30 +52,29 @@
     ///
     /// # Errors
     /// If it is not recorded, or it is not known whether it is.
-    pub async fn record(&self, id: &str, update: Update) -> Result<(), Unrecorded> {
+    pub async fn record(&self, id: &str, update: Update) -> Result<(), NotRecorded> {
         let (told, recorded) = oneshot::channel();
         self.hand_over(id, update, Some(told))?;
-        recorded.await.map_err(|_| Unrecorded)
+        match recorded.await {
+            Ok(None) => Ok(()),
+            Ok(Some(state)) => Err(NotRecorded::Known(state)),
+            Err(_) => Err(NotRecorded::Failed),
+        }
     }
 
     /// Hands an update over whose loss is on the safe side: the order is unknown until somebody asks.
     ///
     /// # Errors
     /// If too many wait, or nothing can be recorded any more.
-    pub fn note(&self, id: &str, update: Update) -> Result<(), Unrecorded> {
+    pub fn note(&self, id: &str, update: Update) -> Result<(), NotRecorded> {
         self.hand_over(id, update, None)
     }
 
-    fn hand_over(
-        &self,
-        id: &str,
-        update: Update,
-        told: Option<oneshot::Sender<()>>,
-    ) -> Result<(), Unrecorded> {
-        let jobs = self.jobs.as_ref().ok_or(Unrecorded)?;
+    fn hand_over(&self, id: &str, update: Update, told: Option<Told>) -> Result<(), NotRecorded> {
+        let jobs = self.jobs.as_ref().ok_or(NotRecorded::Failed)?;
         match jobs.try_send(Job { id: id.to_owned(), update, told }) {
             Ok(()) => Ok(()),
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => Err(Unrecorded),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => Err(NotRecorded::Failed),
         }
     }
 }
@@ -89,15 +96,20 @@
         jobs.extend(incoming.try_iter().take(COMMIT_MOST - 1));
         let (updates, told): (Vec<_>, Vec<_>) =
             jobs.into_iter().map(|job| ((job.id, job.update), job.told)).unzip();
-        if let Err(error) = store.record(&updates) {
-            // After a failed write or sync nobody knows what the disk holds: what the system shows may not be
-            // there. Nothing is recorded any more by this process, and so nothing that must be is sent.
-            failed(&error);
-            return;
-        }
-        for told in told.into_iter().flatten() {
-            // One who has left needs no word.
-            let _ = told.send(());
+        let left_out = match store.record(&updates) {
+            Ok(left_out) => left_out,
+            Err(error) => {
+                // After a failed write or sync nobody knows what the disk holds: what the system shows may not be
+                // there. Nothing is recorded any more by this process, and so nothing that must be is sent.
+                failed(&error);
+                return;
+            }
+        };
+        for (told, left_out) in told.into_iter().zip(left_out) {
+            if let Some(told) = told {
+                // One who has left needs no word.
+                let _ = told.send(left_out);
+            }
         }
     }
 }
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -17,7 +17,7 @@
 use ivygate_config::Listener;
 use ivygate_forward_auth::{folded, share, Admissions};
 use ivygate_gateway::{Refusal, RequestId};
-use ivygate_journal::Order;
+use ivygate_journal::{Order, State};
 use ivygate_routing::{host_of, Target};
 use ivygate_runtime::{millis, one, Answer, Ask, Asked, Front, Head, Leaving, Message, Payload, Streamed};
 use std::cell::{Cell, RefCell};
@@ -312,7 +312,7 @@
             let method = parts.method;
             let headers = to_application(parts.headers, &origin, chunked, &id);
             let orders = self.shared.orders.as_ref().filter(|_| class.1);
-            let _taken = orders.map(|orders| {
+            let taken = orders.map(|orders| {
                 let client_id = headers.get(REQUEST_ID).and_then(|id| id.to_str().ok()).map(str::to_owned);
                 orders.taken(
                     &id,
@@ -349,7 +349,10 @@
             let leaving = Leaving::new(driver, id);
             let answer = answer.await.unwrap_or(Answer::Failed);
             leaving.answered();
-            Ok(answer)
+            match taken.and_then(|taken| taken.known()) {
+                Some(state) => Err(known(state).into()),
+                None => Ok(answer),
+            }
         };
         let answer = taken.await;
         let words = match answer {
@@ -404,6 +407,23 @@
     }
 }
 
+/// What is told of an order whose id an earlier one has that may have run.
+fn known(state: State) -> Words {
+    let (text, told) = match state {
+        State::Answered(status) => {
+            ("an order with this id was answered before; nothing was run again", format!("answered {status}"))
+        }
+        State::Unknown | State::NeverSent => {
+            ("an order with this id may have run before; nothing was run again", "unknown".to_owned())
+        }
+    };
+    let words = Words::new(StatusCode::CONFLICT, text);
+    match HeaderValue::try_from(told) {
+        Ok(told) => words.with(header::HeaderName::from_static("ivygate-order"), told),
+        Err(_) => words,
+    }
+}
+
 /// What is told of an answer that no application gave.
 pub fn in_words(answer: &Answer) -> Words {
     match answer {
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -1,7 +1,7 @@
 //! Requests that must not run twice, on their way into the journal.
 
 use ivygate_gateway::RequestId;
-use ivygate_journal::{Attempt, Came, Journal, Order, Update};
+use ivygate_journal::{Attempt, Came, Journal, NotRecorded, Order, State, Update};
 use ivygate_runtime::Ledger;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -10,11 +10,18 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-/// The journal of this process, and what is known of requests that were taken and not yet sent.
+/// The journal of this process, and requests on their way into it.
 pub struct Orders {
     /// Empty once the process ends.
     journal: RefCell<Option<Rc<Journal>>>,
-    taken: RefCell<HashMap<RequestId, Order>>,
+    taken: RefCell<HashMap<RequestId, Entry>>,
+}
+
+struct Entry {
+    /// Until it is recorded, with its first attempt.
+    order: Option<Order>,
+    /// What is known of another with the same client's id: then this one is never sent.
+    known: Option<State>,
 }
 
 impl Orders {
@@ -25,10 +32,25 @@
 
     /// A request has been taken; it is recorded with its first attempt. Forgotten when what comes back is dropped.
     pub fn taken(self: &Rc<Self>, id: &RequestId, order: Order) -> Taken {
-        self.taken.borrow_mut().insert(id.clone(), order);
+        self.taken.borrow_mut().insert(id.clone(), Entry { order: Some(order), known: None });
         Taken { orders: self.clone(), id: id.clone() }
     }
 
+    async fn record(&self, id: &RequestId, attempt: Attempt) -> Result<(), NotRecorded> {
+        let journal = self.journal.borrow().clone().ok_or(NotRecorded::Failed)?;
+        let order = match self.taken.borrow_mut().get_mut(id) {
+            // Whoever asked has its answer or has left.
+            None => return Err(NotRecorded::Failed),
+            Some(Entry { known: Some(state), .. }) => return Err(NotRecorded::Known(*state)),
+            Some(entry) => entry.order.take(),
+        };
+        let update = match order {
+            Some(order) => Update::Taken(Order { attempts: vec![attempt], ..order }),
+            None => Update::Sending(attempt),
+        };
+        journal.record(id, update).await
+    }
+
     /// Ends the journal: waits until all that was handed over is recorded.
     pub fn close(&self) {
         let journal = self.journal.borrow_mut().take();
@@ -52,15 +74,14 @@
         now: f64,
     ) -> Pin<Box<dyn Future<Output = bool> + 'a>> {
         Box::pin(async move {
-            let Some(journal) = self.journal.borrow().clone() else { return false };
-            let taken = self.taken.borrow_mut().remove(id);
-            if let Some(order) = taken {
-                if journal.note(id, Update::Taken(order)).is_err() {
-                    return false;
-                }
-            }
             let attempt = Attempt { number: attempt, server, sent_at: now, came: Came::Unknown };
-            journal.record(id, Update::Sending(attempt)).await.is_ok()
+            let recorded = self.record(id, attempt).await;
+            if let (Err(NotRecorded::Known(state)), Some(entry)) =
+                (recorded, self.taken.borrow_mut().get_mut(id))
+            {
+                entry.known = Some(state);
+            }
+            recorded.is_ok()
         })
     }
 
@@ -81,6 +102,13 @@
     id: RequestId,
 }
 
+impl Taken {
+    /// What is known of an earlier order with the same client's id, if that is why this one was not sent.
+    pub fn known(&self) -> Option<State> {
+        self.orders.taken.borrow().get(&self.id)?.known
+    }
+}
+
 impl Drop for Taken {
     fn drop(&mut self) {
         self.orders.taken.borrow_mut().remove(&self.id);
