--- a/crates/sidecar/src/answering.rs
+++ b/crates/sidecar/src/answering.rs
@@ -6,7 +6,7 @@
 use crate::asker::{self, About};
 use crate::forward::{Origin, REQUEST_ID};
 use crate::front::{bad, chain, class, destination, in_words, Seen, SidecarFront, Unfit, FULL_RETRY_AFTER};
-use crate::identity::{customer, is_trusted};
+use crate::identity::is_trusted;
 use crate::sign_in::strip;
 use crate::site::{Route, Site};
 use hyper::header::{HeaderName, HeaderValue};
@@ -117,13 +117,7 @@
                 parts.headers.append(name.clone(), value.clone());
             }
         }
-        let client = || seen.client(&parts.headers);
-        let customer = customer(&site.identity.customer, &parts.headers, client).map_err(bad)?;
-        let named = match &site.identity.plan_header {
-            Some(name) => one(&parts.headers, name).map_err(bad)?,
-            None => None,
-        };
-        let plan = site.plan(&customer, named);
+        let (customer, plan) = seen.customer_and_plan(&parts.headers)?;
         let (class, once) = class(route, &parts)?;
         let left = (wait - spent).max(0.0);
         let admission = route.pool.driver.admit(Head {
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -116,6 +116,21 @@
             false => self.origin.peer.into(),
         }
     }
+
+    /// The customer that a request is counted for, and its plan.
+    pub fn customer_and_plan(&self, headers: &header::HeaderMap) -> Result<(Arc<str>, Arc<str>), Words> {
+        let identity = &self.site.identity;
+        let customer = customer(&identity.customer, headers, || self.client(headers)).map_err(bad)?;
+        let named = match &identity.plan_header {
+            // What a sign-in service says is believed of whoever asked.
+            Some(name) if self.origin.trusted || self.site.vouched.contains(&folded(name)) => {
+                one(headers, name).map_err(bad)?
+            }
+            _ => None,
+        };
+        let plan = self.site.plan(&customer, named);
+        Ok((customer, plan))
+    }
 }
 
 impl SidecarFront {
@@ -261,7 +276,6 @@
             }
             let (site, listener) = (&*site, &*listener);
             let seen = Seen { site, listener, route, origin: &origin, peer, chain: &chain };
-            let client = |headers: &header::HeaderMap| seen.client(headers);
             let mut body = Body::Coming(body);
             let mut spent = 0.0;
             if let Some(sign_in) = &route.sign_in {
@@ -287,16 +301,7 @@
                     parts.headers.append(name, value);
                 }
             }
-            let customer =
-                customer(&site.identity.customer, &parts.headers, || client(&parts.headers)).map_err(bad)?;
-            let named = match &site.identity.plan_header {
-                // What a sign-in service says is believed of whoever asked.
-                Some(name) if trusted || site.vouched.contains(&folded(name)) => {
-                    one(&parts.headers, name).map_err(bad)?
-                }
-                _ => None,
-            };
-            let plan = site.plan(&customer, named);
+            let (customer, plan) = seen.customer_and_plan(&parts.headers)?;
             let wait = (self.wait(&seen, &parts.headers)? - spent).max(0.0);
             let class = class(route, &parts)?;
             let (payload, bytes) = body.read(route, listener).await?;
