A sign-in is never told a method that nobody told

Found on the last reading: an nginx check without X-Original-Method on a route of all methods asked the route's own sign-in as if for GET, so that a POST could pass by what a GET may. It is answered 400 now. The test was seen to fail before (200, and the service asked).

--- a/crates/ivygate/tests/sidecar_answering.rs
+++ b/crates/ivygate/tests/sidecar_answering.rs
@@ -244,6 +244,20 @@
     assert_eq!(sidecar.ask(&question).status(), 409);
 }
 
+#[test]
+fn a_sign_in_is_never_told_a_method_that_nobody_told() {
+    let app = App::start(|_| Reply::ok("done"));
+    let accounts = App::start(|_| Reply::ok("yes"));
+    let any = "route any { path prefix /any; sign-in members; class order; pool app; }\n";
+    let extra = asked_first(&accounts) + any;
+    let sidecar = Sidecar::start(&Sidecar::text(ASKED, &parts(&app, &extra)));
+    let untold = sidecar.ask("GET /auth HTTP/1.1\r\nHost: gate\r\nX-Original-URI: /any\r\n\r\n");
+    assert_eq!((untold.status(), accounts.seen()), (400, 0));
+    assert_eq!(sidecar.ask(&about("POST", "/any", "")).status(), 200);
+    let seen = accounts.requests.lock().expect("no panic");
+    assert_eq!(seen[0].header("x-forwarded-method"), Some("POST"));
+}
+
 #[test]
 fn one_ivygate_may_ask_another() {
     let app = App::start(|_| Reply::ok("done"));
--- a/crates/sidecar/src/answering.rs
+++ b/crates/sidecar/src/answering.rs
@@ -11,7 +11,7 @@
 use crate::site::{Route, Site};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 use ivygate_config::Listener;
 use ivygate_forward_auth::Asked;
 use ivygate_runtime::{one, Admission, Answer, Head};
@@ -97,7 +97,6 @@
         held.take_place(&route.pool)?;
         strip(&mut parts.headers, &site.vouched);
         let origin = Origin { peer: peer_name, trusted: true, host: &about.host };
-        let method = about.method.clone().unwrap_or(Method::GET);
         let seen = Seen { site, listener, route, origin: &origin, peer, chain: &chain };
         let wait = self.wait(&seen, &parts.headers)?;
         let mut spent = 0.0;
@@ -107,10 +106,16 @@
                 let text = "the sign-in of this route asks for bodies, and a check has none";
                 return Err(forbidden(text).into());
             }
+            // A service may decide by it, so none is made up.
+            let Some(method) = &about.method else {
+                let text =
+                    "the method is not told, and this route's sign-in is asked by it: send X-Original-Method";
+                return Err(bad(text).into());
+            };
             let begun = route.pool.driver.now();
             let path = about.target.path_and_query();
             vouched = self
-                .signed_in(&seen, sign_in, (&method, path.as_str()), &parts.headers, wait, Default::default())
+                .signed_in(&seen, sign_in, (method, path.as_str()), &parts.headers, wait, Default::default())
                 .await?;
             spent = route.pool.driver.now() - begun;
             for (name, value) in &vouched {
