--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -20,6 +20,14 @@
 /// Longest time of any kind.
 pub const LONGEST: f64 = 86_400_000.0;
 
+/// How long orders are kept in the journal where nothing is said.
+const KEEP: f64 = 30.0 * LONGEST;
+/// At the least: longer than any request takes from its arrival to its end, body and answer.
+const KEEP_LEAST: f64 = 3.0 * LONGEST;
+/// What the journal may take of the disk where nothing is said, and at the least.
+const DISK: f64 = 1_073_741_824.0;
+const DISK_LEAST: f64 = 67_108_864.0;
+
 /// Longest path of a route.
 const PATH_MOST: usize = 2048;
 
@@ -37,8 +45,20 @@
     let sign_ins = sign_ins(&fields, &pools);
     let routes = routes(&fields, &classes, &pools, &sign_ins);
     let journal = journal(&fields);
-    let mut model =
-        Model { limits, identity, listeners, classes, plans, customers, pools, sign_ins, routes, journal };
+    let operator = operator(&fields, &listeners);
+    let mut model = Model {
+        limits,
+        identity,
+        listeners,
+        classes,
+        plans,
+        customers,
+        pools,
+        sign_ins,
+        routes,
+        journal,
+        operator,
+    };
     if model.plans.is_empty() {
         model.plans.push(Plan::without_quota("default"));
     }
@@ -78,21 +98,68 @@
     let inner = fields.inner("journal block", fields.one("journal")?);
     let folder = inner.needed("folder", "folder /var/lib/ivygate;").and_then(|s| inner.words(s, 1, 1));
     let folder = folder.map(|words| words[0].text.clone());
-    let synced = match inner.word("level").map(|word| (word, word.text.as_str())) {
-        None | Some((_, "synced")) => true,
-        Some((_, "written")) => false,
-        Some((word, other)) => {
-            let what = format!("`level` is `synced` or `written`, not `{other}`");
-            let error = Diagnostic::error("IV0086", what, word.span, "here");
-            inner.note(
-                error.help("write `level synced;` (outlives the machine) or `level written;` (the process)"),
-            );
-            true
-        }
+    let level = "write `level synced;` (outlives the machine) or `level written;` (the process)";
+    let synced = choice(&inner, "level", ["synced", "written"], level);
+    let customers = "write `customers plain;` or `customers hashed;`";
+    let journal = Journal {
+        folder: folder?,
+        synced,
+        keep: bounded(&inner, "keep", Quantity::Duration, KEEP, KEEP_LEAST, "72h"),
+        disk: bounded(&inner, "disk", Quantity::Size, DISK, DISK_LEAST, "64MiB") as u64,
+        keyed: yes_or_no(&inner, "keyed"),
+        hashed: !choice(&inner, "customers", ["plain", "hashed"], customers),
+        id_header: inner.word("id-header").and_then(|word| header(&inner, word)).unwrap_or("req-id".into()),
+        at: At(inner.head),
     };
-    let at = At(inner.head);
     inner.finish();
-    Some(Journal { folder: folder?, synced, at })
+    Some(journal)
+}
+
+/// Whether a statement says the first of two words; where it is not given it does.
+fn choice(inner: &Fields, name: &'static str, words: [&str; 2], help: &str) -> bool {
+    let Some(word) = inner.word(name) else { return true };
+    if !words.contains(&word.text.as_str()) {
+        let what = format!("`{name}` is `{}` or `{}`, not `{}`", words[0], words[1], word.text);
+        inner.note(Diagnostic::error("IV0086", what, word.span, "here").help(help));
+    }
+    word.text != words[1]
+}
+
+/// A quantity that must not be less than something, or what it is by default.
+fn bounded(
+    inner: &Fields,
+    name: &'static str,
+    quantity: Quantity,
+    default: f64,
+    least: f64,
+    least_words: &str,
+) -> f64 {
+    let value = inner.positive_or(name, quantity, default);
+    if let Some(word) = inner.word(name).filter(|_| value < least) {
+        let what = format!("`{name}` is too small");
+        let error = Diagnostic::error("IV0023", what, word.span, format!("at least {least_words}"));
+        inner.note(error.help(format!("write `{name} {least_words};` or more")));
+    }
+    value.max(least)
+}
+
+fn operator(fields: &Fields, listeners: &[Listener]) -> Option<Operator> {
+    let statement = fields.one("operator")?;
+    let word = &fields.words(statement, 1, 1)?[0];
+    let address = address(fields, word)?;
+    let same = |l: &&Listener| {
+        l.address.port() == address.port()
+            && address.port() != 0
+            && (l.address.ip() == address.ip()
+                || l.address.ip().is_unspecified()
+                || address.ip().is_unspecified())
+    };
+    if let Some(listener) = listeners.iter().find(same) {
+        let what = "clients and operators have the same address";
+        let error = Diagnostic::error("IV0043", what, word.span, "again here");
+        fields.note(error.also(listener.at.0, "clients connect here"));
+    }
+    Some(Operator { address, at: At(head_span(statement)) })
 }
 
 fn is_token(text: &str) -> bool {
--- a/crates/config/src/meaning.rs
+++ b/crates/config/src/meaning.rs
@@ -425,11 +425,12 @@
     }
     let clients: usize = model.listeners.iter().map(|l| l.connections).sum();
     let servers: usize = model.pools.iter().map(|p| p.connections).sum();
-    let total = clients + servers + RESERVE;
+    let operators = model.operator.as_ref().map_or(0, |_| Operator::CONNECTIONS);
+    let total = clients + servers + operators + RESERVE;
     if total > model.limits.descriptors {
         let at = fields.one("limits").map_or(fields.head, |s| s.span);
         let what = "listeners and pools may use more descriptors than the process has";
-        let label = format!("{clients} for clients, {servers} for servers, {RESERVE} kept: {total}");
+        let label = format!("{clients} for clients, {servers} for servers, {operators} for operators, {RESERVE} kept: {total}");
         let error = Diagnostic::error("IV0056", what, at, label);
         let help = format!(
             "the limit is {}; lower `connections`, or write `limits {{ descriptors {total}; }}`",
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -40,6 +40,22 @@
     pub routes: Vec<Route>,
     /// Where requests that must not run twice are recorded, if they are.
     pub journal: Option<Journal>,
+    /// Where people who run this ask about it, if they may.
+    pub operator: Option<Operator>,
+}
+
+/// Where people who run this ask about it; never one of the clients' addresses.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Operator {
+    /// The address.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub at: At,
+}
+
+impl Operator {
+    /// Most connections there.
+    pub const CONNECTIONS: usize = 16;
 }
 
 /// Where requests that must not run twice are recorded before they are sent.
@@ -49,6 +65,16 @@
     pub folder: String,
     /// Whether a record counts only when the disk has it, and not already when the system does.
     pub synced: bool,
+    /// How long orders are kept.
+    pub keep: f64,
+    /// Most bytes that it may take of the disk.
+    pub disk: u64,
+    /// Whether keyed requests are recorded too.
+    pub keyed: bool,
+    /// Whether customers are recorded by pseudonyms.
+    pub hashed: bool,
+    /// The header with the client's id of an order.
+    pub id_header: String,
     /// Where it stands.
     pub at: At,
 }
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -26,9 +26,9 @@
     known.map(|(_, factor)| number * factor).ok_or_else(|| QuantityError::WrongUnit(unit.to_owned()))
 }
 
-/// `15s`, `250ms`, `2m`, `1h`, `500us`: milliseconds.
+/// `15s`, `250ms`, `2m`, `1h`, `30d`, `500us`: milliseconds.
 pub fn duration(text: &str) -> Result<f64, QuantityError> {
-    scaled(text, &[("us", 0.001), ("ms", 1.0), ("s", 1e3), ("m", 6e4), ("h", 3.6e6)])
+    scaled(text, &[("us", 0.001), ("ms", 1.0), ("s", 1e3), ("m", 6e4), ("h", 3.6e6), ("d", 8.64e7)])
 }
 
 /// `64KiB`, `1MiB`, `512B`: bytes.
--- a/crates/ivygate/src/main.rs
+++ b/crates/ivygate/src/main.rs
@@ -90,8 +90,9 @@
         /// A URL with scheme and host, or a path
         url: Option<String>,
     },
-    /// Show what became of requests that must not run twice, from the journal of a process that has ended
-    Journal(journal::Options),
+    /// Show what became of requests that must not run twice, from the journal of a process that runs or has ended
+    #[command(subcommand)]
+    Journal(journal::Question),
     /// Run three small applications and a sidecar in one process, to try things out
     Demo {
         /// Where the configuration is written
@@ -140,7 +141,7 @@
             ExitCode::SUCCESS
         }
         Command::Routes { file, method, url } => routes::show(&file, method.as_deref().zip(url.as_deref())),
-        Command::Journal(options) => journal::run(&options),
+        Command::Journal(question) => journal::run(&question),
         Command::Demo { write } => served(demo::run(&write)),
     }
 }
--- /dev/null
+++ b/crates/journal/src/asking.rs
@@ -0,0 +1,119 @@
+//! What is asked about orders, and the answers, as JSON lines: the same for a folder, a socket and over HTTP.
+
+use crate::order::{Order, State};
+use crate::pseudonym::Pseudonyms;
+use crate::store::{JournalError, Place, Store};
+use serde_json::{json, Value};
+
+/// Orders in an answer where nothing is said.
+const PAGE: usize = 100;
+/// Most orders in one answer.
+const PAGE_MOST: usize = 1000;
+/// Most orders that are read for one answer: a page may hold fewer than are there, and say where to go on.
+const READ_MOST: usize = 20_000;
+
+/// An answer.
+#[derive(Debug)]
+pub struct Told {
+    /// As in HTTP: 200, 400, 404 or 500.
+    pub status: u16,
+    /// JSON documents, one a line. The last line of a page that is not the last one is `{"next": "PLACE"}`.
+    pub lines: String,
+}
+
+/// Why a question is not one.
+type Misasked = String;
+
+struct Asked {
+    id: Option<String>,
+    state: Option<String>,
+    customer: Option<String>,
+    after: Option<Place>,
+    limit: usize,
+}
+
+/// What is known of an order, as a JSON document.
+pub fn document(id: &str, order: &Order) -> Value {
+    let status = match order.state() {
+        State::Answered(status) => Some(status),
+        State::NeverSent | State::Unknown => None,
+    };
+    json!({ "id": id, "state": order.state().word(), "status": status, "order": order })
+}
+
+/// Answers `/orders?state=…&customer=…&id=…&after=…&limit=…` and `/verify`.
+pub fn answer(store: &Store, target: &str) -> Told {
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    let told = match path {
+        "/orders" => match read(query) {
+            Ok(asked) => orders(store, &asked),
+            Err(why) => return told(400, &json!({ "error": why })),
+        },
+        "/verify" => store.verify().map(|found| {
+            let document = json!({ "orders": found.orders, "unknown": found.unknown, "wrong": found.wrong });
+            told(200, &document)
+        }),
+        _ => return told(404, &json!({ "error": "ask for `/orders` or `/verify`" })),
+    };
+    told.unwrap_or_else(|error| told_error(&error))
+}
+
+fn told(status: u16, document: &Value) -> Told {
+    Told { status, lines: format!("{document}\n") }
+}
+
+fn told_error(error: &JournalError) -> Told {
+    told(500, &json!({ "error": error.to_string() }))
+}
+
+fn read(query: &str) -> Result<Asked, Misasked> {
+    let mut asked = Asked { id: None, state: None, customer: None, after: None, limit: PAGE };
+    for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+        match &*name {
+            "id" => asked.id = Some(value.into_owned()),
+            "customer" => asked.customer = Some(value.into_owned()),
+            "state" if State::WORDS.contains(&&*value) => asked.state = Some(value.into_owned()),
+            "state" => return Err(format!("`state` is {}, not `{value}`", State::WORDS.join(", "))),
+            "after" => {
+                let place =
+                    value.split_once('-').and_then(|(at, id)| Some((at.parse().ok()?, id.to_owned())));
+                asked.after = Some(place.ok_or("`after` is what `next` said on the page before")?);
+            }
+            "limit" => {
+                let limit = value.parse().ok().filter(|limit| (1..=PAGE_MOST).contains(limit));
+                asked.limit = limit.ok_or_else(|| format!("`limit` is from 1 to {PAGE_MOST}"))?;
+            }
+            other => return Err(format!("`{other}` means nothing here")),
+        }
+    }
+    Ok(asked)
+}
+
+fn orders(store: &Store, asked: &Asked) -> Result<Told, JournalError> {
+    if let Some(id) = &asked.id {
+        return Ok(match store.find(id)? {
+            Some((id, order)) => told(200, &document(&id, &order)),
+            None => told(404, &json!({ "error": format!("the journal has no order {id}") })),
+        });
+    }
+    let pseudonym = match &asked.customer {
+        Some(customer) => store.kept_salt()?.and_then(|salt| Some(Pseudonyms::new(&salt)?.of(customer))),
+        None => None,
+    };
+    let (mut lines, mut count) = (String::new(), 0);
+    let next = store.list(asked.after.as_ref(), READ_MOST, |(id, order)| {
+        let fits = asked.state.as_ref().is_none_or(|state| order.state().word() == state)
+            && asked.customer.as_ref().is_none_or(|customer| {
+                order.customer == *customer || pseudonym.as_ref() == Some(&order.customer)
+            });
+        if fits {
+            lines += &format!("{}\n", document(&id, &order));
+            count += 1;
+        }
+        count < asked.limit
+    })?;
+    if let Some((at, id)) = next {
+        lines += &format!("{}\n", json!({ "next": format!("{at}-{id}") }));
+    }
+    Ok(Told { status: 200, lines })
+}
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -2,12 +2,19 @@
 //!
 //! Called by the sidecar, which records, and by the command line, which asks. It must never choose a server, send
 //! anything or decide that a request runs again. `order` holds what is known of one request and does no I/O; `store`
-//! keeps it in an embedded store; `writer` is the thread that does so for a process that must not wait.
+//! keeps it in an embedded store; `writer` is the thread that does so for a process that must not wait; `asking` answers
+//! questions, also over a socket in the folder, which is `desk`.
 
+mod asking;
+mod desk;
 mod order;
+mod pseudonym;
 mod store;
 mod writer;
 
-pub use order::{Attempt, Came, Order, State, Update};
-pub use store::{Found, JournalError, Level, Store};
+pub use asking::{answer, document, Told};
+pub use desk::{ask, Desk};
+pub use order::{Attempt, Came, Ended, Order, State, Update};
+pub use pseudonym::Pseudonyms;
+pub use store::{Fill, Found, JournalError, Keeping, Level, Place, Recorded, Store, Verified};
 pub use writer::{Journal, NotRecorded};
--- a/crates/journal/src/order.rs
+++ b/crates/journal/src/order.rs
@@ -29,12 +29,25 @@
     pub came: Came,
 }
 
-/// A request that must not run twice.
+/// How it ended for its client, where that was not with the answer of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ended {
+    /// The client left before there was an answer.
+    ClientGone,
+    /// Its time was up.
+    GivenUp,
+}
+
+/// A request that must not run twice, or a keyed one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Order {
     /// The id that its client gave it.
     pub client_id: Option<String>,
-    /// Its customer.
+    /// Whether its key lets servers drop its repeats: then it may be sent again, and its id holds nothing.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub keyed: bool,
+    /// Its customer, or the customer's pseudonym.
     pub customer: String,
     /// Its route.
     pub route: String,
@@ -44,6 +57,14 @@
     pub taken_at: f64,
     /// Its attempts, in order.
     pub attempts: Vec<Attempt>,
+    /// How it ended, where no attempt tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<Ended>,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "asked for by serde")]
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// What can be said of an order.
@@ -57,6 +78,20 @@
     Unknown,
 }
 
+impl State {
+    /// The words for states.
+    pub const WORDS: [&'static str; 3] = ["never-sent", "answered", "unknown"];
+
+    /// The word for it, without the status.
+    pub fn word(self) -> &'static str {
+        match self {
+            State::NeverSent => Self::WORDS[0],
+            State::Answered(_) => Self::WORDS[1],
+            State::Unknown => Self::WORDS[2],
+        }
+    }
+}
+
 /// What is recorded.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
@@ -66,6 +101,8 @@
     Sending(Attempt),
     /// What came of an attempt, by its number.
     Came(u32, Came),
+    /// It ended for its client without an answer of an attempt.
+    Ended(Ended),
 }
 
 impl Order {
@@ -85,6 +122,7 @@
                     attempt.came = came;
                 }
             }
+            Update::Ended(ended) => self.ended = Some(self.ended.unwrap_or(ended)),
         }
     }
 
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -2,8 +2,9 @@
 //! serves all that have been handed over meanwhile.
 
 use crate::order::{State, Update};
-use crate::store::{JournalError, Store};
+use crate::store::{Fill, JournalError, Recorded, Store, NEAR};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use tokio::sync::oneshot;
 
@@ -17,6 +18,8 @@
 pub enum NotRecorded {
     /// The journal can't, or nobody knows whether it did.
     Failed,
+    /// It takes as much of the disk as it may.
+    Full,
     /// An order with the same client's id may have run: this is known of it.
     Known(State),
 }
@@ -27,8 +30,8 @@
     told: Option<Told>,
 }
 
-/// Hears whether an update was left out, and for what.
-type Told = oneshot::Sender<Option<State>>;
+/// Hears what became of an update.
+type Told = oneshot::Sender<Recorded>;
 
 /// A journal that is being written.
 pub struct Journal {
@@ -41,7 +44,7 @@
     ///
     /// # Errors
     /// If no thread can be started.
-    pub fn start(store: Store) -> std::io::Result<Self> {
+    pub fn start(store: Arc<Store>) -> std::io::Result<Self> {
         let (jobs, incoming) = sync_channel(WAITING_MOST);
         let thread =
             std::thread::Builder::new().name("journal".into()).spawn(move || write(&store, &incoming))?;
@@ -56,8 +59,9 @@
         let (told, recorded) = oneshot::channel();
         self.hand_over(id, update, Some(told))?;
         match recorded.await {
-            Ok(None) => Ok(()),
-            Ok(Some(state)) => Err(NotRecorded::Known(state)),
+            Ok(Recorded::Yes) => Ok(()),
+            Ok(Recorded::Known(state)) => Err(NotRecorded::Known(state)),
+            Ok(Recorded::Full) => Err(NotRecorded::Full),
             Err(_) => Err(NotRecorded::Failed),
         }
     }
@@ -91,13 +95,14 @@
 }
 
 fn write(store: &Store, incoming: &Receiver<Job>) {
+    let mut warned = false;
     while let Ok(first) = incoming.recv() {
         let mut jobs = vec![first];
         jobs.extend(incoming.try_iter().take(COMMIT_MOST - 1));
         let (updates, told): (Vec<_>, Vec<_>) =
             jobs.into_iter().map(|job| ((job.id, job.update), job.told)).unzip();
-        let left_out = match store.record(&updates) {
-            Ok(left_out) => left_out,
+        let (became, fill) = match store.record(&updates) {
+            Ok(recorded) => recorded,
             Err(error) => {
                 // After a failed write or sync nobody knows what the disk holds: what the system shows may not be
                 // there. Nothing is recorded any more by this process, and so nothing that must be is sent.
@@ -105,15 +110,29 @@
                 return;
             }
         };
-        for (told, left_out) in told.into_iter().zip(left_out) {
+        for (told, became) in told.into_iter().zip(became) {
             if let Some(told) = told {
                 // One who has left needs no word.
-                let _ = told.send(left_out);
+                let _ = told.send(became);
             }
         }
+        if fill.is_near() && !warned {
+            near(&fill);
+        }
+        // Told again only after it was well below.
+        warned = fill.is_near() || warned && fill.part > 0.9 * NEAR;
     }
 }
 
+fn near(fill: &Fill) {
+    eprintln!(
+        "ivygate: the journal holds {} orders, {:.0} % of what its `disk` allows; at 100 % requests that must not run \
+         twice are refused until some are past their `keep`",
+        fill.orders,
+        100.0 * fill.part
+    );
+}
+
 fn failed(error: &JournalError) {
     eprintln!("ivygate: {error}; requests that must not run twice are refused until a restart");
 }
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -118,6 +118,9 @@
 
 /// What must be told of requests that must not run twice before anything of them goes out, and what came of them.
 pub trait Ledger {
+    /// Whether a request that may run again is to be recorded too.
+    fn wants(&self, id: &RequestId) -> bool;
+
     /// An attempt is about to be sent: true once that is recorded. Where it is not, nothing is sent.
     fn sending<'a>(
         &'a self,
@@ -563,7 +566,7 @@
             let (driver, id, progress) = (self.clone(), id.clone(), progress.clone());
             let message = open.message.clone();
             let once = open.once;
-            let ledger = if once { self.ledger.borrow().clone() } else { None };
+            let ledger = self.ledger.borrow().clone().filter(|ledger| once || ledger.wants(&id));
             async move {
                 if let (Some(ledger), Some(address)) = (ledger, address) {
                     if !ledger.sending(&id, number, address, now).await {
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::{AnswerBody, Held, Words};
 use crate::answering::Yes;
-use crate::forward::{to_application, to_client, Origin, REQUEST_ID};
+use crate::forward::{to_application, to_client, Origin};
 use crate::identity::{client_address, customer, duration, is_trusted};
 use crate::orders::Orders;
 use crate::pool::Bytewise;
@@ -316,21 +316,24 @@
             let chunked = has_body && payload.is_streamed() || payload.has_trailers();
             let method = parts.method;
             let headers = to_application(parts.headers, &origin, chunked, &id);
-            let orders = self.shared.orders.as_ref().filter(|_| class.1);
-            let taken = orders.map(|orders| {
-                let client_id = headers.get(REQUEST_ID).and_then(|id| id.to_str().ok()).map(str::to_owned);
-                orders.taken(
+            let keyed = route.unkeyed.is_some() && !class.1;
+            let orders = self.shared.orders.as_ref().filter(|orders| class.1 || keyed && orders.keyed);
+            let taken = match orders {
+                None => None,
+                Some(orders) => Some(orders.taken(
                     &id,
                     Order {
-                        client_id,
-                        customer: customer.to_string(),
+                        client_id: one(&headers, orders.id_header.as_str()).map_err(bad)?.map(str::to_owned),
+                        keyed,
+                        customer: orders.customer(&customer),
                         route: route.name.to_string(),
                         target: target.path_and_query(),
                         taken_at: route.pool.driver.now(),
                         attempts: Vec::new(),
+                        ended: None,
                     },
-                )
-            });
+                )),
+            };
             let deadline = wait + if payload.is_streamed() { route.upload } else { 0.0 };
             let ask = Ask {
                 head: Head {
@@ -354,6 +357,9 @@
             let leaving = Leaving::new(driver, id);
             let answer = answer.await.unwrap_or(Answer::Failed);
             leaving.answered();
+            if let Some(taken) = &taken {
+                taken.answered(&answer);
+            }
             match taken.and_then(|taken| taken.known()) {
                 Some(state) => Err(known(state).into()),
                 None => Ok(answer),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod front;
 mod identity;
+mod operator;
 mod orders;
 mod pool;
 mod remembered;
--- /dev/null
+++ b/crates/sidecar/src/operator.rs
@@ -0,0 +1,82 @@
+//! The listener for people who run this: read-only, and never one of the clients'.
+
+use crate::orders::Orders;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Response, StatusCode};
+use ivygate_config::Operator;
+use ivygate_journal::{answer, Told};
+use ivygate_runtime::{Asked, ClientLimits, Front};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Semaphore;
+
+/// Questions that are answered at once; the others wait.
+const AT_ONCE: usize = 2;
+/// Longest head of a question.
+const HEAD: usize = 8 << 10;
+/// An operator's connection that says or reads nothing for this long is closed.
+const STALL: Duration = Duration::from_secs(10);
+
+/// Answers operators.
+pub struct OperatorFront {
+    orders: Option<Rc<Orders>>,
+    turns: Semaphore,
+}
+
+impl OperatorFront {
+    /// With the journal, if there is one.
+    pub fn new(orders: Option<Rc<Orders>>) -> Self {
+        Self { orders, turns: Semaphore::new(AT_ONCE) }
+    }
+
+    async fn told(&self, method: &Method, target: &str) -> Told {
+        let wrong = |status, text: &str| Told { status, lines: format!("{{\"error\":\"{text}\"}}\n") };
+        if method != Method::GET && method != Method::HEAD {
+            return wrong(405, "this is read-only: ask with GET");
+        }
+        let Some(store) = self.orders.as_ref().and_then(|orders| orders.store()) else {
+            return wrong(404, "there is no journal here");
+        };
+        // It is never closed.
+        let _turn = self.turns.acquire().await;
+        let target = target.to_owned();
+        // Reads the disk, and so not on the thread that serves clients.
+        let told = tokio::task::spawn_blocking(move || answer(&store, &target)).await;
+        told.unwrap_or_else(|_| wrong(500, "the answer failed"))
+    }
+}
+
+/// How its clients are bounded.
+pub fn limits() -> ClientLimits {
+    ClientLimits {
+        strict_head: Some(HEAD),
+        read_stall: Some(STALL),
+        ..ClientLimits::new(Operator::CONNECTIONS)
+    }
+}
+
+impl Front for OperatorFront {
+    type Body = Full<Bytes>;
+
+    async fn answer(&self, asked: Asked) -> Result<Response<Full<Bytes>>, hyper::Error> {
+        let Asked { request, flaw, turn, .. } = asked;
+        turn.open();
+        let target = request.uri().path_and_query().map_or("", |target| target.as_str());
+        let told = match flaw {
+            Some(flaw) => Told { status: 400, lines: format!("{{\"error\":\"{flaw}\"}}\n") },
+            None => self.told(request.method(), target).await,
+        };
+        let mut response = Response::new(Full::new(Bytes::from(told.lines)));
+        *response.status_mut() =
+            StatusCode::from_u16(told.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/x-ndjson"));
+        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        if told.status == 405 {
+            headers.insert(header::ALLOW, HeaderValue::from_static("GET, HEAD"));
+        }
+        Ok(response)
+    }
+}
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -1,22 +1,41 @@
 //! Requests that must not run twice, on their way into the journal.
 
+use crate::forward::REQUEST_ID;
+use hyper::header::HeaderName;
 use ivygate_gateway::RequestId;
-use ivygate_journal::{Attempt, Came, Journal, NotRecorded, Order, State, Update};
-use ivygate_runtime::Ledger;
-use std::cell::RefCell;
+use ivygate_journal::{
+    Attempt, Came, Desk, Ended, Journal, JournalError, Keeping, Level, NotRecorded, Order, Pseudonyms, State,
+    Store, Update,
+};
+use ivygate_runtime::{Answer, Ledger};
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// The journal of this process, and requests on their way into it.
 pub struct Orders {
     /// Empty once the process ends.
-    journal: RefCell<Option<Rc<Journal>>>,
+    open: RefCell<Option<Open>>,
+    /// Whether keyed requests are recorded too.
+    pub keyed: bool,
+    /// The header with a client's id.
+    pub id_header: HeaderName,
+    /// Where customers are not recorded by name.
+    pseudonyms: Option<Pseudonyms>,
     taken: RefCell<HashMap<RequestId, Entry>>,
 }
 
+struct Open {
+    journal: Rc<Journal>,
+    store: Arc<Store>,
+    _desk: Option<Desk>,
+}
+
 struct Entry {
     /// Until it is recorded, with its first attempt.
     order: Option<Order>,
@@ -25,19 +44,65 @@
 }
 
 impl Orders {
-    /// Begins with a journal.
-    pub fn new(journal: Journal) -> Rc<Self> {
-        Rc::new(Self { journal: RefCell::new(Some(Rc::new(journal))), taken: RefCell::default() })
+    /// Begins to record in a journal of this configuration.
+    ///
+    /// # Errors
+    /// If it can't be opened.
+    pub fn open(settings: &ivygate_config::Journal) -> Result<Rc<Self>, JournalError> {
+        let folder = Path::new(&settings.folder);
+        let io = |error| JournalError::Io(folder.to_owned(), error);
+        let level = if settings.synced { Level::Synced } else { Level::Written };
+        let keeping = Keeping { keep: settings.keep, disk: settings.disk };
+        let store = Store::create(folder, level, keeping)?;
+        if store.was_repaired() {
+            let orders = store.len()?;
+            eprintln!(
+                "ivygate: the journal {} was not closed in order; what was not whole is cut off, and {orders} orders are \
+                 there",
+                folder.display()
+            );
+        }
+        let pseudonyms = if settings.hashed {
+            let mut fresh = [0; 32];
+            getrandom::fill(&mut fresh).map_err(|error| io(std::io::Error::other(error.to_string())))?;
+            let made = Pseudonyms::new(&store.salt(fresh)?);
+            Some(made.ok_or_else(|| io(std::io::ErrorKind::InvalidData.into()))?)
+        } else {
+            None
+        };
+        let store = Arc::new(store);
+        let desk = Desk::open(folder, store.clone()).map_err(|error| {
+            // Nothing that clients get rests on it.
+            eprintln!("ivygate: the journal {} can be asked when this ends only: {error}", folder.display());
+        });
+        let journal = Rc::new(Journal::start(store.clone()).map_err(io)?);
+        Ok(Rc::new(Self {
+            open: RefCell::new(Some(Open { journal, store, _desk: desk.ok() })),
+            keyed: settings.keyed,
+            id_header: HeaderName::try_from(&settings.id_header).unwrap_or(REQUEST_ID),
+            pseudonyms,
+            taken: RefCell::default(),
+        }))
+    }
+
+    /// The store, to be read.
+    pub fn store(&self) -> Option<Arc<Store>> {
+        Some(self.open.borrow().as_ref()?.store.clone())
+    }
+
+    /// A customer as it is recorded.
+    pub fn customer(&self, customer: &str) -> String {
+        self.pseudonyms.as_ref().map_or_else(|| customer.to_owned(), |made| made.of(customer))
     }
 
     /// A request has been taken; it is recorded with its first attempt. Forgotten when what comes back is dropped.
     pub fn taken(self: &Rc<Self>, id: &RequestId, order: Order) -> Taken {
         self.taken.borrow_mut().insert(id.clone(), Entry { order: Some(order), known: None });
-        Taken { orders: self.clone(), id: id.clone() }
+        Taken { orders: self.clone(), id: id.clone(), answered: Cell::new(false) }
     }
 
     async fn record(&self, id: &RequestId, attempt: Attempt) -> Result<(), NotRecorded> {
-        let journal = self.journal.borrow().clone().ok_or(NotRecorded::Failed)?;
+        let journal = self.journal().ok_or(NotRecorded::Failed)?;
         let order = match self.taken.borrow_mut().get_mut(id) {
             // Whoever asked has its answer or has left.
             None => return Err(NotRecorded::Failed),
@@ -53,12 +118,16 @@
 
     /// Ends the journal: waits until all that was handed over is recorded.
     pub fn close(&self) {
-        let journal = self.journal.borrow_mut().take();
-        drop(journal);
+        let open = self.open.borrow_mut().take();
+        drop(open);
+    }
+
+    fn journal(&self) -> Option<Rc<Journal>> {
+        Some(self.open.borrow().as_ref()?.journal.clone())
     }
 
     fn note(&self, id: &RequestId, update: Update) {
-        if let Some(journal) = &*self.journal.borrow() {
+        if let Some(journal) = self.journal() {
             // What is not noted leaves the order unknown, which is the safe side.
             let _ = journal.note(id, update);
         }
@@ -66,6 +135,10 @@
 }
 
 impl Ledger for Orders {
+    fn wants(&self, id: &RequestId) -> bool {
+        self.taken.borrow().contains_key(id)
+    }
+
     fn sending<'a>(
         &'a self,
         id: &'a RequestId,
@@ -75,7 +148,10 @@
     ) -> Pin<Box<dyn Future<Output = bool> + 'a>> {
         Box::pin(async move {
             let attempt = Attempt { number: attempt, server, sent_at: now, came: Came::Unknown };
+            // Given up while its record waits, by now or later, it is never sent.
+            let mut unsent = Unsent { orders: self, id, attempt: Some(attempt.number) };
             let recorded = self.record(id, attempt).await;
+            unsent.attempt = None;
             if let (Err(NotRecorded::Known(state)), Some(entry)) =
                 (recorded, self.taken.borrow_mut().get_mut(id))
             {
@@ -96,13 +172,44 @@
     }
 }
 
+/// An attempt whose record waits.
+struct Unsent<'a> {
+    orders: &'a Orders,
+    id: &'a RequestId,
+    attempt: Option<u32>,
+}
+
+impl Drop for Unsent<'_> {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.attempt {
+            self.orders.note(self.id, Update::Came(attempt, Came::NotRun));
+        }
+    }
+}
+
 /// A request that was taken.
 pub struct Taken {
     orders: Rc<Orders>,
     id: RequestId,
+    answered: Cell<bool>,
 }
 
 impl Taken {
+    /// It has its answer.
+    pub fn answered(&self, answer: &Answer) {
+        self.answered.set(true);
+        if matches!(answer, Answer::TimeUp) {
+            self.ended(Ended::GivenUp);
+        }
+    }
+
+    fn ended(&self, ended: Ended) {
+        let recorded = self.orders.taken.borrow().get(&self.id).is_some_and(|entry| entry.order.is_none());
+        if recorded {
+            self.orders.note(&self.id, Update::Ended(ended));
+        }
+    }
+
     /// What is known of an earlier order with the same client's id, if that is why this one was not sent.
     pub fn known(&self) -> Option<State> {
         self.orders.taken.borrow().get(&self.id)?.known
@@ -111,6 +218,61 @@
 
 impl Drop for Taken {
     fn drop(&mut self) {
+        // Nobody waits for an answer any more.
+        if !self.answered.get() {
+            self.ended(Ended::ClientGone);
+        }
         self.orders.taken.borrow_mut().remove(&self.id);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::pin::pin;
+    use std::task::{Context, Poll, Waker};
+
+    fn open(name: &str) -> (std::path::PathBuf, Rc<Orders>) {
+        let folder = std::env::temp_dir().join(format!("ivygate-taken-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let (text, synced, keyed) = (folder.display().to_string(), true, false);
+        let settings = ivygate_config::Journal {
+            folder: text,
+            synced,
+            keep: 1e9,
+            disk: 1 << 30,
+            keyed,
+            hashed: true,
+            id_header: "req-id".into(),
+            at: ivygate_config::At::default(),
+        };
+        (folder, Orders::open(&settings).expect("it opens"))
+    }
+
+    #[test]
+    fn an_order_given_up_while_its_record_waits_is_told_as_never_sent() {
+        let (folder, orders) = open("given-up");
+        let mut waited = Vec::new();
+        for n in 0..20 {
+            let id = RequestId::from(format!("o{n}").as_str());
+            let taken = orders.taken(&id, Order { customer: orders.customer("alice"), ..Order::default() });
+            let server = SocketAddr::from(([127, 0, 0, 1], 9301));
+            {
+                let mut sending = pin!(orders.sending(&id, 0, server, 1.0));
+                if sending.as_mut().poll(&mut Context::from_waker(Waker::noop())) == Poll::Pending {
+                    waited.push(id.to_string());
+                }
+            }
+            drop(taken);
+        }
+        orders.close();
+        assert!(!waited.is_empty());
+        let store = Store::open(&folder).expect("it opens");
+        for id in waited {
+            let (_, order) = store.find(&id).expect("read").expect("it is there");
+            assert_eq!((order.state(), order.ended), (State::NeverSent, Some(Ended::ClientGone)), "{id}");
+            assert!(order.customer.starts_with("hashed:") && !order.customer.contains("alice"));
+        }
+        let _ = std::fs::remove_dir_all(folder);
+    }
+}
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -1,11 +1,12 @@
 //! The process round the fronts: listeners, reload, signals, end.
 
 use crate::front::{Shared, SidecarFront};
+use crate::operator::{self, OperatorFront};
 use crate::orders::Orders;
 use crate::site::Site;
 use ivygate_config::{Listener, Model, Severity};
 use ivygate_files::Unreadable;
-use ivygate_journal::{Journal, JournalError, Level, Store};
+use ivygate_journal::JournalError;
 use ivygate_runtime::{listen, millis, ClientLimits, Clients, Clock};
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -72,11 +73,20 @@
     accepting: JoinHandle<()>,
 }
 
+/// The operators' listener at work.
+struct Desk {
+    named: SocketAddr,
+    bound: SocketAddr,
+    clients: Rc<Clients<OperatorFront>>,
+    accepting: JoinHandle<()>,
+}
+
 /// A sidecar at work, on the thread that started it.
 pub struct Sidecar {
     clock: Clock,
     shared: Rc<Shared>,
     ports: RefCell<Vec<Port>>,
+    desk: RefCell<Option<Desk>>,
     drain: Cell<f64>,
     /// The journal that this process began with.
     journal: Option<ivygate_config::Journal>,
@@ -90,20 +100,37 @@
     pub fn start(model: &Model) -> Result<Self, StartError> {
         let clock = Clock::new();
         let bound = bind(model.listeners.iter())?;
+        let desk = model.operator.as_ref().map(|o| bind_one(o.address)).transpose()?;
         let site = Site::new(model, None, clock).map_err(StartError::Configuration)?;
-        let orders = model.journal.as_ref().map(record).transpose()?;
+        let orders = model.journal.as_ref().map(Orders::open).transpose().map_err(StartError::Journal)?;
         site.record_in(orders.as_ref());
         let sidecar = Self {
             clock,
             shared: Shared::new(site, orders),
             journal: model.journal.clone(),
             ports: RefCell::default(),
+            desk: RefCell::default(),
             drain: Cell::new(model.limits.drain),
         };
         sidecar.open(bound);
+        sidecar.open_desk(model, desk);
         Ok(sidecar)
     }
 
+    /// Where operators ask, if they may.
+    pub fn operator(&self) -> Option<SocketAddr> {
+        Some(self.desk.borrow().as_ref()?.bound)
+    }
+
+    fn open_desk(&self, model: &Model, socket: Option<(TcpListener, SocketAddr)>) {
+        if let Some((operator, (socket, bound))) = model.operator.as_ref().zip(socket) {
+            let front = Rc::new(OperatorFront::new(self.shared.orders.clone()));
+            let clients = Clients::new(front, operator::limits());
+            let accepting = tokio::task::spawn_local(clients.clone().accept(socket));
+            self.desk.replace(Some(Desk { named: operator.address, bound, clients, accepting }));
+        }
+    }
+
     /// Where clients connect.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.ports.borrow().iter().map(|port| port.bound).collect()
@@ -127,6 +154,9 @@
     pub fn reload(&self, model: &Model) -> Result<(), StartError> {
         let is_open = |l: &&Listener| self.ports.borrow().iter().any(|port| port.named == l.address);
         let bound = bind(model.listeners.iter().filter(|l| !is_open(l)))?;
+        let kept = self.desk.borrow().as_ref().map(|desk| desk.named);
+        let named = model.operator.as_ref().map(|operator| operator.address);
+        let desk = named.filter(|_| kept != named).map(bind_one).transpose()?;
         let before = self.shared.site.borrow().clone();
         let site = Site::new(model, Some(&before), self.clock).map_err(StartError::Configuration)?;
         site.record_in(self.shared.orders.as_ref());
@@ -152,6 +182,12 @@
             tokio::task::spawn_local(async move { clients.wind_up(accepting).await });
         }
         self.open(bound);
+        if kept != named {
+            if let Some(Desk { clients, accepting, .. }) = self.desk.take() {
+                tokio::task::spawn_local(async move { clients.wind_up(accepting).await });
+            }
+            self.open_desk(model, desk);
+        }
         Ok(())
     }
 
@@ -168,10 +204,16 @@
 
     async fn finish(&self) {
         let ports = self.ports.take();
-        let ending: Vec<_> = ports
+        let desk = self.desk.take();
+        let mut ending: Vec<_> = ports
             .into_iter()
             .map(|port| tokio::task::spawn_local(async move { port.clients.wind_up(port.accepting).await }))
             .collect();
+        ending.extend(
+            desk.map(|desk| {
+                tokio::task::spawn_local(async move { desk.clients.wind_up(desk.accepting).await })
+            }),
+        );
         for one in ending {
             // A failure of its own changes nothing about the end.
             let _ = one.await;
@@ -194,26 +236,24 @@
     }
 }
 
-/// Begins to record requests that must not run twice.
-fn record(journal: &ivygate_config::Journal) -> Result<Rc<Orders>, StartError> {
-    let level = if journal.synced { Level::Synced } else { Level::Written };
-    let store = Store::create(Path::new(&journal.folder), level).map_err(StartError::Journal)?;
-    Ok(Orders::new(Journal::start(store).map_err(StartError::System)?))
-}
-
 fn bind<'a>(
     listeners: impl Iterator<Item = &'a Listener>,
 ) -> Result<Vec<(Listener, TcpListener, SocketAddr)>, StartError> {
     listeners
         .map(|listener| {
-            let fail = |error| StartError::Listen(listener.address, error);
-            let socket = listen(listener.address).map_err(fail)?;
-            let address = socket.local_addr().map_err(fail)?;
+            let (socket, address) = bind_one(listener.address)?;
             Ok((listener.clone(), socket, address))
         })
         .collect()
 }
 
+fn bind_one(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let fail = |error| StartError::Listen(address, error);
+    let socket = listen(address).map_err(fail)?;
+    let bound = socket.local_addr().map_err(fail)?;
+    Ok((socket, bound))
+}
+
 /// Reads and checks a file; warnings go to standard error.
 fn load(path: &Path) -> Result<Model, StartError> {
     let loaded = ivygate_files::load(path).map_err(StartError::Unreadable)?;
@@ -245,6 +285,9 @@
         for address in sidecar.addresses() {
             eprintln!("ivygate: listening on {address}");
         }
+        if let Some(address) = sidecar.operator() {
+            eprintln!("ivygate: operators ask on {address}");
+        }
         let reloading = tokio::task::spawn_local(reload_on(hangups, sidecar.clone(), path.to_owned()));
         tokio::select! {
             _ = terminate.recv() => {}
--- a/crates/tool/src/compare.rs
+++ b/crates/tool/src/compare.rs
@@ -612,6 +612,15 @@
             Some(journal) if journal.synced => "synced",
             Some(_) => "written",
         };
+        type Journal = ivygate_config::Journal;
+        let of = |model: &Model, told: &dyn Fn(&Journal) -> String| {
+            model.journal.as_ref().map_or("none".to_owned(), told)
+        };
+        let pair = |name: &'static str, told: &dyn Fn(&Journal) -> String, risk: Option<&'static str>| {
+            row(name, of(old, told), of(new, told), risk)
+        };
+        let operator =
+            |model: &Model| model.operator.as_ref().map_or("none".into(), |o| o.address.to_string());
         let gone = new.journal.is_none().then_some("what becomes of orders is recorded no more");
         let weaker = (level(new) == "written").then_some("records are lost with the machine");
         self.rows(
@@ -621,6 +630,12 @@
             vec![
                 row("folder", folder(old), folder(new), gone.or(Some("orders are recorded elsewhere"))),
                 row("level", level(old).to_owned(), level(new).to_owned(), weaker),
+                pair("keep", &|j| time(j.keep), None),
+                pair("disk", &|j| format!("{}B", j.disk), None),
+                pair("keyed", &|j| (if j.keyed { "yes" } else { "no" }).to_owned(), None),
+                pair("customers", &|j| (if j.hashed { "hashed" } else { "plain" }).to_owned(), None),
+                pair("id-header", &|j| j.id_header.clone(), Some("ids of orders are read elsewhere")),
+                row("operator", operator(old), operator(new), None),
             ],
         );
     }
