--- a/crates/bench/src/journal.rs
+++ b/crates/bench/src/journal.rs
@@ -102,6 +102,7 @@
 struct Counted {
     file: FileBackend,
     syncs: Arc<AtomicU64>,
+    bytes: Arc<AtomicU64>,
 }
 
 impl StorageBackend for Counted {
@@ -123,10 +124,24 @@
     }
 
     fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.bytes.fetch_add(data.len() as u64, Ordering::Relaxed);
         self.file.write(offset, data)
     }
 }
 
+/// How often a second the disk writes so many pages here and there in 64 MiB, and syncs them.
+fn own_syncs(file: &File, pages: u64, seconds: f64) -> io::Result<f64> {
+    let (mut syncs, start) = (0_u32, Instant::now());
+    while start.elapsed().as_secs_f64() < seconds {
+        for _ in 0..pages {
+            file.write_all_at(&[syncs as u8; 4096], fastrand::u64(0..16384) * 4096)?;
+        }
+        file.sync_data()?;
+        syncs += 1;
+    }
+    Ok(f64::from(syncs) / start.elapsed().as_secs_f64())
+}
+
 fn open_file(path: &Path) -> io::Result<File> {
     OpenOptions::new().read(true).write(true).create(true).truncate(true).open(path)
 }
@@ -152,27 +167,21 @@
 fn alone(seconds: f64, folder: &Path) -> io::Result<()> {
     let path = folder.join("syncs");
     let file = open_file(&path)?;
-    let (mut syncs, start) = (0_u32, Instant::now());
-    while start.elapsed().as_secs_f64() < seconds {
-        file.write_all_at(&[syncs as u8; 4096], 0)?;
-        file.sync_data()?;
-        syncs += 1;
-    }
-    let own = f64::from(syncs) / start.elapsed().as_secs_f64();
+    let own = own_syncs(&file, 1, seconds)?;
     println!(
         "\nThe journal alone, `synced`. The disk by itself does {own:.0} syncs of one written page a second."
     );
     println!(
-        "{:>9} {:>9} {:>12} {:>14} {:>22}",
-        "in flight", "orders/s", "syncs/order", "orders/sync", "syncs/s of the disk's"
+        "{:>9} {:>9} {:>12} {:>12} {:>9} {:>12} {:>12}",
+        "in flight", "orders/s", "syncs/order", "orders/sync", "KiB/sync", "of the disk", "with as much"
     );
     for in_flight in IN_FLIGHT {
-        let counter = Arc::new(AtomicU64::new(0));
+        let (counter, bytes) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
         let file = FileBackend::new(open_file(&path)?).map_err(io::Error::other)?;
-        let backend = Counted { file, syncs: counter.clone() };
+        let backend = Counted { file, syncs: counter.clone(), bytes: bytes.clone() };
         let store = Store::on(path.clone(), backend, KEEPING).map_err(io::Error::other)?;
         let journal = Journal::start(Arc::new(store))?;
-        let before = counter.load(Ordering::Relaxed);
+        let before = [&counter, &bytes].map(|count| count.load(Ordering::Relaxed));
         let (start, next) = (Instant::now(), std::cell::Cell::new(0));
         let end = start + Duration::from_secs_f64(seconds);
         let runtime = tokio::runtime::Builder::new_current_thread().build()?;
@@ -207,13 +216,18 @@
             return Err(io::Error::other("an order was not recorded"));
         }
         let (count, took) = (next.get() as f64, start.elapsed().as_secs_f64());
-        let syncs = (counter.load(Ordering::Relaxed) - before) as f64;
+        let [syncs, bytes] =
+            [0, 1].map(|n| ([&counter, &bytes][n].load(Ordering::Relaxed) - before[n]) as f64);
+        let pages = (bytes / syncs / 4096.0).round().max(1.0);
+        let as_much = own_syncs(&open_file(&folder.join("as-much"))?, pages as u64, seconds)?;
         println!(
-            "{in_flight:>9} {:>9.0} {:>12.3} {:>14.1} {:>22.2}",
+            "{in_flight:>9} {:>9.0} {:>12.3} {:>12.1} {:>9.0} {:>12.2} {:>12.2}",
             count / took,
             syncs / count,
             count / syncs,
-            syncs / took / own
+            bytes / syncs / 1024.0,
+            syncs / took / own,
+            syncs / took / as_much
         );
     }
     Ok(())
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -236,6 +236,16 @@
         let Some(name) = named(fields, "plan", statement, &mut seen) else { continue };
         let inner = fields.inner("plan", statement);
         let quota = inner.quantity_or("quota", Quantity::Rate, 0.0);
+        let meant = ["quota", "burst"].into_iter().any(|name| inner.is_meant(name));
+        if quota == 0.0 && !inner.all("quota").is_empty() && !meant {
+            if let Some(word) =
+                inner.word("burst").filter(|w| inner.quantity_in(w, Quantity::Number) == Some(0.0))
+            {
+                let what = format!("the plan `{}` lets nothing through", name.text);
+                let error = Diagnostic::error("IV0094", what, word.span, "and nothing is saved up");
+                inner.note(error.help("write `burst 0 meant;` if that is right"));
+            }
+        }
         let ceiling = inner.quantity_or("ceiling", Quantity::Rate, 0.0);
         let plan = Plan {
             name: name.text.clone(),
@@ -669,6 +679,10 @@
                     .help("a server counts once; use `weight` for a larger one"),
             );
         }
+        if address.port() == 0 {
+            let error = Diagnostic::error("IV0092", "a server has port 0", word.span, "reaches nobody");
+            pool.note(error.help("write the port on which it listens"));
+        }
         let inner = pool.inner("server", statement);
         let state = inner.word("state");
         let draining = match state.map(|w| w.text.as_str()) {
--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -581,6 +581,27 @@
         wrong: "sign-in members { body 4KiB; cache-yes 10s; ... }",
         right: "sign-in members { body 4KiB; ... }",
     },
+    Code {
+        code: "IV0092",
+        title: "A server has no port",
+        why: "Port 0 lets the system choose where to listen; nobody can be reached on it.",
+        wrong: "server a 127.0.0.1:0;",
+        right: "server a 127.0.0.1:9301;",
+    },
+    Code {
+        code: "IV0093",
+        title: "A pool leads back to this process",
+        why: "A server that is a listener of the same file gets its own requests again, until no room is left.",
+        wrong: "listen 127.0.0.1:8080 { } pool app { server a 127.0.0.1:8080; }",
+        right: "listen 127.0.0.1:8080 { } pool app { server a 127.0.0.1:9301; }",
+    },
+    Code {
+        code: "IV0094",
+        title: "A plan lets nothing through",
+        why: "Without a quota and without units saved up each request is beyond both.",
+        wrong: "plan closed { quota 0/s; burst 0; }",
+        right: "plan closed { quota 0/s; burst 0 meant; }",
+    },
     Code {
         code: "IV0101",
         title: "A request that changes something may be sent twice",
--- a/crates/config/src/meaning.rs
+++ b/crates/config/src/meaning.rs
@@ -28,6 +28,7 @@
     trust(fields, model);
     sign_ins(fields, model);
     answers(fields, model);
+    loops(fields, model);
     sums(fields, model);
     unused(fields, model);
 }
@@ -419,6 +420,23 @@
     }
 }
 
+/// Pools whose servers are listeners of this process. Those that answer checks send nothing on.
+fn loops(fields: &Fields, model: &Model) {
+    for (pool, server) in model.pools.iter().flat_map(|pool| pool.servers.iter().map(move |s| (pool, s))) {
+        let is_own = |listener: &&Listener| {
+            let (here, there) = (listener.address, server.address);
+            let any = here.ip().is_unspecified() && there.ip().is_loopback();
+            here.port() == there.port() && here.port() != 0 && (here.ip() == there.ip() || any)
+        };
+        let own = model.listeners.iter().filter(|l| l.answers_checks.is_none()).find(is_own);
+        if let Some(listener) = own {
+            let what = format!("the pool `{}` leads back to this process", pool.name);
+            let error = Diagnostic::error("IV0093", what, server.at.0, "a listener of this file");
+            fields.note(error.also(listener.at.0, "listens here").help("name the application's own address"));
+        }
+    }
+}
+
 fn sums(fields: &Fields, model: &Model) {
     if ["limits", "listen", "pool"].into_iter().any(|kind| any_spoilt(fields, kind)) {
         return;
--- a/crates/ivygate/tests/sidecar_journal.rs
+++ b/crates/ivygate/tests/sidecar_journal.rs
@@ -337,3 +337,69 @@
     drop(sidecar);
     let _ = std::fs::remove_dir_all(folder);
 }
+
+/// Orders get no answer but 503 with `Retry-After`, nothing of them goes out, and all else goes on.
+fn refuses_orders_only(sidecar: &Sidecar, app: &App) {
+    let before = app.seen();
+    let refused = sidecar.ask(&order("late"));
+    assert_eq!(refused.status(), 503);
+    assert!(refused.header("retry-after").is_some(), "{refused:?}");
+    assert_eq!((app.seen(), sidecar.get("/reads").status()), (before, 200));
+    assert!(sidecar.said().contains("are refused until a restart"), "{}", sidecar.said());
+}
+
+#[test]
+fn a_folder_that_vanishes_or_is_replaced_takes_no_more_orders() {
+    for replaced in [false, true] {
+        let folder = folder("vanished");
+        let app = App::start(|_| Reply::ok("done"));
+        let sidecar = sidecar(&folder, &app);
+        assert_eq!(sidecar.ask(&order("first")).status(), 200);
+        std::fs::remove_dir_all(&folder).expect("removed");
+        if replaced {
+            std::fs::create_dir(&folder).expect("made");
+            std::fs::write(folder.join("orders.redb"), "x").expect("written");
+        }
+        refuses_orders_only(&sidecar, &app);
+        let _ = std::fs::remove_dir_all(folder);
+    }
+}
+
+#[test]
+fn a_disk_that_takes_no_more_ends_orders_and_nothing_else() {
+    let folder = folder("no-space");
+    let app = App::start(|_| Reply::ok("done"));
+    // The process may write files up to so many blocks of 512 bytes, and hears of it by an error.
+    let sidecar = Sidecar::limited(
+        "trap '' XFSZ; ulimit -f 6144",
+        &[
+            format!("journal {{ folder {}; level written; }}\n", folder.display()),
+            pool("app", "attempts 3;", &[(app.address, "north")]),
+            "route orders { path prefix /orders; methods POST; class order; pool app; }\n\
+             route reads { path prefix /reads; class read; pool app; }\n"
+                .to_owned(),
+        ],
+    );
+    let mut client = sidecar.client();
+    let long = "x".repeat(8000);
+    let mut taken = 0;
+    loop {
+        let head = format!(
+            "POST /orders/{long} HTTP/1.1\r\nHost: h\r\nReq-Id: o{taken}\r\nContent-Length: 1\r\n\r\nx"
+        );
+        if client.ask(&head).status() != 200 {
+            break;
+        }
+        taken += 1;
+        assert!(taken < 5000, "the disk takes all");
+    }
+    assert_eq!(app.seen(), taken, "what was refused was not sent");
+    refuses_orders_only(&sidecar, &app);
+    drop(sidecar);
+    // What was taken is there.
+    assert!(tool(&["verify"], &folder).0.starts_with("whole: "));
+    for id in ["o0".to_owned(), format!("o{}", taken - 1)] {
+        assert!(!tool(&["show", &id], &folder).0.contains("never sent"), "{id}");
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/ivygate/tests/support/mod.rs
+++ b/crates/ivygate/tests/support/mod.rs
@@ -152,14 +152,24 @@
         format!("listen 127.0.0.1:0 {{ connections 400; {listener} }}\n{CLASSES}{}", parts.concat())
     }
 
+    /// Starts one from a shell that has set limits for it.
+    pub fn limited(limits: &str, parts: &[String]) -> Self {
+        let path = scratch(&Self::text("", parts));
+        let mut shell = Command::new("sh");
+        shell.arg("-c").arg(format!("{limits}; exec \"$0\" serve \"$1\""));
+        shell.arg(env!("CARGO_BIN_EXE_ivygate")).arg(&path);
+        Self::started(shell, path)
+    }
+
     pub fn start(config: &str) -> Self {
         let path = scratch(config);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_ivygate"))
-            .arg("serve")
-            .arg(&path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the sidecar starts");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ivygate"));
+        command.arg("serve").arg(&path);
+        Self::started(command, path)
+    }
+
+    fn started(mut command: Command, path: std::path::PathBuf) -> Self {
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the sidecar starts");
         let mut lines = BufReader::new(child.stderr.take().expect("it has standard error")).lines();
         let mut before = String::new();
         let address = loop {
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -13,7 +13,7 @@
 use std::fs::{self, OpenOptions};
 use std::io;
 use std::ops::Bound;
-use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
+use std::os::unix::fs::{DirBuilderExt, MetadataExt, OpenOptionsExt};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -105,6 +105,8 @@
     Io(PathBuf, io::Error),
     /// The store reports this.
     Store(PathBuf, String),
+    /// Another file has its name.
+    Replaced(PathBuf),
     /// It was closed in order, and is not as it was then.
     Changed(PathBuf),
     /// A later version of this program wrote it.
@@ -122,6 +124,9 @@
             JournalError::Store(path, error) => {
                 write!(f, "the journal {} cannot be read: {error}", path.display())
             }
+            JournalError::Replaced(path) => {
+                write!(f, "another file took the place of the journal {}", path.display())
+            }
             JournalError::Changed(path) => write!(
                 f,
                 "the journal {} was closed in order and has changed since: the disk may be failing, and orders in it may \
@@ -181,6 +186,8 @@
     keeping: Keeping,
     repaired: bool,
     changed: bool,
+    /// Device and number of its file, where it is one.
+    file: Option<(u64, u64)>,
 }
 
 /// An order and its id.
@@ -239,8 +246,11 @@
             let synced = fs::File::open(folder).and_then(|folder| folder.sync_all());
             synced.map_err(|error| JournalError::Io(folder.to_owned(), error))?;
         }
+        let told = file.metadata().map_err(|error| JournalError::Io(path.clone(), error))?;
         let backend = FileBackend::new(file).map_err(|error| opened(&path, error))?;
-        Self::guarded(path, backend, level, keeping)
+        let mut store = Self::guarded(path, backend, level, keeping)?;
+        store.file = Some((told.dev(), told.ino()));
+        Ok(store)
     }
 
     /// Opens a journal on a storage of another kind.
@@ -280,7 +290,7 @@
         // After a crash all pages were checked. Where it was closed in order none was, and a record that the disk has
         // changed since would be taken for what was written.
         let whole = repaired || database.check_integrity().map_err(|error| opened(&path, error))?;
-        let mut store = Self { database, path, keeping, repaired, changed: false };
+        let mut store = Self { database, path, keeping, repaired, changed: false, file: None };
         store.changed = store.told(store.has_changed(!whole))?;
         let format = store.told(store.prepare())?;
         if format > FORMAT {
@@ -386,6 +396,14 @@
     /// # Errors
     /// If they are not recorded, or it is not known whether they are.
     pub fn record(&self, updates: &[(String, Update)]) -> Result<(Vec<Recorded>, Fill), JournalError> {
+        // A file that nobody finds any more takes records and gives none back.
+        if let Some(file) = self.file {
+            let there =
+                fs::metadata(&self.path).map_err(|error| JournalError::Io(self.path.clone(), error))?;
+            if (there.dev(), there.ino()) != file {
+                return Err(JournalError::Replaced(self.path.clone()));
+            }
+        }
         self.told(self.try_record(updates))
     }
 
@@ -666,3 +684,26 @@
     // It is not the oldest, which would be dropped first.
     Order { attempts: vec![attempt], taken_at: f64::MAX, ..Order::default() }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_record_that_is_not_as_it_was_written_is_an_order_that_may_have_run() {
+        let order = Order { client_id: Some("c".into()), customer: "m".into(), ..Order::default() };
+        let value = written("o", &order);
+        assert_eq!((whole("o", &value), read("o", &value).state()), (Some(order), State::NeverSent));
+        for bit in 0..8 * value.len() {
+            let mut flipped = value.clone();
+            flipped[bit / 8] ^= 1 << (bit % 8);
+            assert_eq!(read("o", &flipped).state(), State::Unknown, "bit {bit}");
+        }
+        for length in 0..value.len() {
+            assert_eq!(read("o", &value[..length]).state(), State::Unknown, "{length} bytes");
+        }
+        let twice = [&value[..], &value[..]].concat();
+        assert_eq!(read("o", &twice).state(), State::Unknown);
+        assert_eq!(read("other", &value).state(), State::Unknown, "the record of another order");
+    }
+}
