--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -573,6 +573,10 @@
                         return driver.attempt_ended(&id, number, End::bare(Outcome::Moot));
                     }
                     progress.recorded.set(true);
+                    // The wait for the disk is none of the server's time.
+                    if let Some(attempt) = driver.state.borrow_mut().attempt(&id, number) {
+                        attempt.sent_at = driver.clock.now();
+                    }
                 }
                 let request = |sent: &Rc<Sent>| {
                     driver.may_write(server, give_up_at).map(|left| message.request(left, sent))
