--- a/crates/bench/src/journal.rs
+++ b/crates/bench/src/journal.rs
@@ -1,8 +1,7 @@
 //! What the journal costs: orders with it off, `written` and `synced`; its syncs against the disk's own; recovery.
 
-use crate::load::closed_loop_of;
 use crate::process::Process;
-use crate::proxy::{quartiles, TURN};
+use crate::turns;
 use ivygate_journal::{Attempt, Came, Journal, Keeping, Level, Order, Store, Update};
 use redb::backends::FileBackend;
 use redb::StorageBackend;
@@ -62,39 +61,8 @@
         ("reads, off", &off, read),
         ("reads, synced", &synced, read),
     ];
-    println!("Through the sidecar: medians of {turns} turns each, taken in turns.");
-    println!(
-        "{:>16} {:>9}  {:>9} {:>8} {:>8} {:>8} {:>6}",
-        "", "in flight", "req/s", "p50 ms", "p99 ms", "CPU us", "other"
-    );
-    for in_flight in IN_FLIGHT {
-        let mut seen: Vec<Vec<[f64; 4]>> = vec![Vec::new(); kinds.len()];
-        let mut others = vec![0; kinds.len()];
-        for turn in 0..=turns {
-            for (number, (_, process, request)) in kinds.iter().enumerate() {
-                let before = process.cpu();
-                let mut all = closed_loop_of(process.address, request, in_flight, TURN)?;
-                let cpu = (process.cpu() - before) * 1e6 / (all.times.len() as f64).max(1.0);
-                // What is learned and opened first is no part of it.
-                if turn > 0 {
-                    seen[number].push([all.rate(), all.percentile(50.0), all.percentile(99.0), cpu]);
-                    others[number] += all.others + all.broken;
-                }
-            }
-        }
-        for (number, (name, ..)) in kinds.iter().enumerate() {
-            let median = |of: usize| quartiles(seen[number].iter().map(|turn| turn[of]).collect())[1];
-            println!(
-                "{name:>16} {in_flight:>9}  {:>9.0} {:>8.3} {:>8.3} {:>8.1} {:>6}",
-                median(0),
-                median(1),
-                median(2),
-                median(3),
-                others[number]
-            );
-        }
-    }
-    Ok(())
+    println!("Through the sidecar.");
+    turns::measure(&kinds, &IN_FLIGHT, turns)
 }
 
 /// A file whose syncs are counted.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -15,6 +15,7 @@
 mod proxy;
 mod routes;
 mod sign_in;
+mod turns;
 
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
