One place words why a question about orders has no answer

The operators' listener wrote JSON errors by hand beside those of asking; both call one function now, with the same text. What only the package itself calls is no longer exported.

--- a/crates/journal/src/asking.rs
+++ b/crates/journal/src/asking.rs
@@ -21,6 +21,13 @@
     pub lines: String,
 }
 
+impl Told {
+    /// Why there is nothing to be told.
+    pub fn error(status: u16, why: &str) -> Self {
+        told(status, &json!({ "error": why }))
+    }
+}
+
 /// Why a question is not one.
 type Misasked = String;
 
@@ -33,7 +40,7 @@
 }
 
 /// What is known of an order, as a JSON document.
-pub fn document(id: &str, order: &Order) -> Value {
+fn document(id: &str, order: &Order) -> Value {
     let status = match order.state() {
         State::Answered(status) => Some(status),
         State::NeverSent | State::Unknown => None,
@@ -47,25 +54,21 @@
     let told = match path {
         "/orders" => match read(query) {
             Ok(asked) => orders(store, &asked),
-            Err(why) => return told(400, &json!({ "error": why })),
+            Err(why) => return Told::error(400, &why),
         },
         "/verify" => store.verify().map(|found| {
             let document = json!({ "orders": found.orders, "unknown": found.unknown, "wrong": found.wrong });
             told(200, &document)
         }),
-        _ => return told(404, &json!({ "error": "ask for `/orders` or `/verify`" })),
+        _ => return Told::error(404, "ask for `/orders` or `/verify`"),
     };
-    told.unwrap_or_else(|error| told_error(&error))
+    told.unwrap_or_else(|error| Told::error(500, &error.to_string()))
 }
 
 fn told(status: u16, document: &Value) -> Told {
     Told { status, lines: format!("{document}\n") }
 }
 
-fn told_error(error: &JournalError) -> Told {
-    told(500, &json!({ "error": error.to_string() }))
-}
-
 fn read(query: &str) -> Result<Asked, Misasked> {
     let mut asked = Asked { id: None, state: None, customer: None, after: None, limit: PAGE };
     for (name, value) in form_urlencoded::parse(query.as_bytes()) {
@@ -93,7 +96,7 @@
     if let Some(id) = &asked.id {
         return Ok(match store.find(id)? {
             Some((id, order)) => told(200, &document(&id, &order)),
-            None => told(404, &json!({ "error": format!("the journal has no order {id}") })),
+            None => Told::error(404, &format!("the journal has no order {id}")),
         });
     }
     let pseudonym = match &asked.customer {
--- a/crates/sidecar/src/operator.rs
+++ b/crates/sidecar/src/operator.rs
@@ -32,19 +32,18 @@
     }
 
     async fn told(&self, method: &Method, target: &str) -> Told {
-        let wrong = |status, text: &str| Told { status, lines: format!("{{\"error\":\"{text}\"}}\n") };
         if method != Method::GET && method != Method::HEAD {
-            return wrong(405, "this is read-only: ask with GET");
+            return Told::error(405, "this is read-only: ask with GET");
         }
         let Some(store) = self.orders.as_ref().and_then(|orders| orders.store()) else {
-            return wrong(404, "there is no journal here");
+            return Told::error(404, "there is no journal here");
         };
         // It is never closed.
         let _turn = self.turns.acquire().await;
         let target = target.to_owned();
         // Reads the disk, and so not on the thread that serves clients.
         let told = tokio::task::spawn_blocking(move || answer(&store, &target)).await;
-        told.unwrap_or_else(|_| wrong(500, "the answer failed"))
+        told.unwrap_or_else(|_| Told::error(500, "the answer failed"))
     }
 }
 
@@ -65,7 +64,7 @@
         turn.open();
         let target = request.uri().path_and_query().map_or("", |target| target.as_str());
         let told = match flaw {
-            Some(flaw) => Told { status: 400, lines: format!("{{\"error\":\"{flaw}\"}}\n") },
+            Some(flaw) => Told::error(400, &flaw.to_string()),
             None => self.told(request.method(), target).await,
         };
         let mut response = Response::new(Full::new(Bytes::from(told.lines)));
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -136,7 +136,7 @@
 
 impl Ledger for Orders {
     fn wants(&self, id: &RequestId) -> bool {
-        self.taken.borrow().contains_key(id)
+        self.keyed && self.taken.borrow().contains_key(id)
     }
 
     fn sending<'a>(
