A refused TCP_NODELAY no longer counts as a failed connect: the hint decides nothing

Traced by lines in upstream.rs: 139,000 of 152,000 connects ended at set_nodelay with 'bad file descriptor', five within 4 ms for a request, each noted as ConnectFailed, which ejects the server. At fault: upstream.rs, set_nodelay(..).map_err(|_| Outcome::ConnectFailed)?, which takes a hint of this system for the server's failure, and discovery.rs, .ok()?, which gave up the watch for it. Test: a node with a library that refuses the call; it fails without either mend.

--- /dev/null
+++ b/crates/ivygate/tests/refused_hints.rs
@@ -0,0 +1,47 @@
+//! A node on a system that refuses what is only a hint. A library that this test compiles and loads into the node's
+//! process answers setting TCP_NODELAY with "bad file descriptor"; all else goes to the system.
+
+mod support;
+
+use std::process::{Command, Stdio};
+use support::*;
+
+const REFUSES_NO_DELAY: &str = r#"
+#define _GNU_SOURCE
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+int setsockopt(int socket, int level, int name, const void *value, socklen_t length) {
+    if (level == IPPROTO_TCP && name == TCP_NODELAY) { errno = EBADF; return -1; }
+    return (int)syscall(SYS_setsockopt, socket, level, name, value, length);
+}
+"#;
+
+#[test]
+fn connections_that_refuse_a_hint_serve_and_eject_no_server() {
+    let source = scratch(REFUSES_NO_DELAY);
+    let library = source.with_extension("so");
+    let mut compiler = Command::new("cc");
+    compiler.args(["-shared", "-fPIC", "-x", "c", "-o"]).arg(&library).arg(&source).stdin(Stdio::null());
+    assert!(compiler.status().expect("a C compiler, as the build needs one").success());
+    let app = App::start(|_| Reply::ok("x"));
+    let late = App::start(|_| Reply::ok("late"));
+    let list = listing(1, true, &[target("a", app.address, "north", "SERVING")]);
+    let discovery = Discovery::start(list.clone());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ivygate"));
+    command.env("LD_PRELOAD", &library);
+    let node = Node::started(command, &config(discovery.address, &list, SETTINGS, 1024));
+    for (number, class) in ["read", "edit", "order"].into_iter().enumerate() {
+        assert_eq!(node.ask(&request(class, &format!("r{number}"))).status(), 200, "{class}");
+    }
+    // One connection each time: nothing was taken for a failed connect and tried again.
+    assert_eq!((app.seen(), app.accepted.load(std::sync::atomic::Ordering::SeqCst)), (3, 1));
+    // And the list is followed.
+    discovery.push(&listing(2, true, &[target("b", late.address, "north", "SERVING")]));
+    until("the new list holds", || node.ask(&request("read", &format!("l{}", late.seen()))).body == b"late");
+    for path in [source, library] {
+        let _ = std::fs::remove_file(path);
+    }
+}
--- a/crates/ivygate/tests/support/mod.rs
+++ b/crates/ivygate/tests/support/mod.rs
@@ -40,12 +40,14 @@
     }
 
     pub fn start(config: &str) -> Self {
+        Self::started(Command::new(env!("CARGO_BIN_EXE_ivygate")), config)
+    }
+
+    /// Starts one by a command that has an environment of its own.
+    pub fn started(mut command: Command, config: &str) -> Self {
         let path = scratch(config);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_ivygate"))
-            .env("RELAY_CONFIG", &path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the node starts");
+        command.env("RELAY_CONFIG", &path).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the node starts");
         let mut lines = BufReader::new(child.stderr.take().expect("it has standard error"));
         let mut line = String::new();
         lines.read_line(&mut line).expect("it says where it listens");
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -88,7 +88,8 @@
 
 async fn call(agent: SocketAddr, path: &str) -> Option<Call> {
     let stream = timeout(CONNECT, TcpStream::connect(agent)).await.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
+    // A hint: a list that comes a little later is better than none.
+    let _ = stream.set_nodelay(true);
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
     let connection = tokio::task::spawn_local(connection).abort_handle();
     let request = Request::get(path).header("host", agent.to_string()).body(Empty::<Bytes>::new()).ok()?;
--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -434,7 +434,8 @@
             Ok(Err(error)) if out_of_descriptors(&error) => return Err(Outcome::Moot),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
-        stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+        // A hint: where the system refuses it the connection serves all the same, and the server has not failed.
+        let _ = stream.set_nodelay(true);
         let written = Rc::new(Cell::new(0));
         let resting = Rc::new(Cell::new(false));
         let counted = Counted { stream, written: written.clone(), resting: resting.clone(), _slot: slot };
