ivygate-fleet: many processes with faults between them, judged from outside

Change: crates/fleet starts 1 to 40 nodes as they are shipped, a relay on each link to an app server, app servers with queue, cold start, memory of keys and meter, discovery for each node, an open-loop generator; twelve scenarios in TOML, checked with places; oracles for the five rules, settling and crashes that read only what servers ran and clients got; a guard that ends all when the rig is killed; compare plays two programs in turns. Tests: made-up traces break each rule; the relay passes the same bytes, cuts one direction, holds writers back; nodes that are told something wrong break a rule in a play of the shipped program, and the judge finds it. Tried: telling nodes alone that orders are safe broke nothing, since a node answers 400 where request and class disagree; so clients are told the same.

--- /dev/null
+++ b/crates/fleet/src/client.rs
@@ -0,0 +1,148 @@
+//! The open-loop generator's hands: one request, from its intended moment to its final answer. It never waits for an
+//! earlier one.
+
+use crate::http::{self, Message};
+use crate::trace::{Answer, Class, Effect, Recorder, Request};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+
+/// A kept connection is used again within this time; nodes close idle ones after 5 s at the earliest.
+const KEEP: Duration = Duration::from_secs(2);
+/// A client listens this long after its deadline before it calls an answer missing, in milliseconds.
+const LISTENS: f64 = 300.0;
+
+/// A node as clients see it.
+pub struct Door {
+    pub address: SocketAddr,
+    /// It was killed: what it held is lost, and is never sent again under its id.
+    pub killed: AtomicBool,
+    idle: Mutex<Vec<(Instant, BufReader<TcpStream>)>>,
+}
+
+/// A request that is to be sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Planned {
+    pub id: u32,
+    pub class: usize,
+    pub customer: u32,
+    pub meant: f64,
+}
+
+impl Door {
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, killed: AtomicBool::new(false), idle: Mutex::default() }
+    }
+
+    /// The kept connection last used, if it still stands.
+    fn kept(&self) -> Option<BufReader<TcpStream>> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        while let Some((since, stream)) = idle.pop() {
+            let quiet =
+                stream.get_ref().try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+            if since.elapsed() < KEEP && quiet && stream.buffer().is_empty() {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, stream: BufReader<TcpStream>) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push((Instant::now(), stream));
+    }
+}
+
+/// Asks the first of these nodes that takes a connection, and notes what came of it.
+pub async fn ask(
+    doors: &[(usize, &Door)],
+    planned: Planned,
+    class: &Class,
+    spread: usize,
+    recorder: &Recorder,
+) {
+    let late = recorder.now() - planned.meant;
+    recorder.note(|trace| trace.late.push(late));
+    let deadline = planned.meant + class.deadline;
+    let Some(&(first, _)) = doors.first() else { return };
+    let mut request = Request {
+        id: planned.id,
+        class: planned.class,
+        customer: planned.customer,
+        meant: planned.meant,
+        written: recorder.now(),
+        node: first,
+        ended: 0.0,
+        answer: Answer::Nothing,
+        answers: 0,
+    };
+    let asking = async {
+        for (node, door) in doors {
+            // A kept connection that ends before a byte of the answer had not been read: once more on a new one.
+            for kept in [door.kept(), None] {
+                let reused = kept.is_some();
+                let mut stream = match kept {
+                    Some(stream) => stream,
+                    None => match TcpStream::connect(door.address).await {
+                        Ok(stream) => BufReader::new(stream),
+                        Err(_) => break,
+                    },
+                };
+                (request.node, request.written) = (*node, recorder.now());
+                let left = deadline - recorder.now();
+                let text = text(planned, class, spread, left);
+                let written = stream.get_mut().write_all(text.as_bytes()).await;
+                request.written = recorder.now();
+                let answer = match written {
+                    Ok(()) => http::read(&mut stream).await,
+                    Err(error) => Err(error),
+                };
+                match answer {
+                    Ok(Some(message)) => {
+                        (request.answer, request.answers) = (kind(&message, planned.id), 1);
+                        let closes = message.header("connection") == Some("close");
+                        if !closes && stream.buffer().is_empty() {
+                            door.keep(stream);
+                        }
+                        return;
+                    }
+                    Ok(None) | Err(_) if reused && !door.killed.load(Ordering::SeqCst) => {}
+                    Ok(None) | Err(_) => return,
+                }
+            }
+        }
+    };
+    let until = recorder.instant(deadline + LISTENS);
+    let _ = tokio::time::timeout_at(until, asking).await;
+    request.ended = recorder.now();
+    recorder.note(|trace| trace.requests.push(request));
+}
+
+fn kind(answer: &Message, id: u32) -> Answer {
+    match answer.status() {
+        200 if answer.body == format!("made for {id}").as_bytes() => Answer::Served,
+        200 => Answer::Wrong,
+        429 | 503 => Answer::Refused,
+        _ => Answer::Failed,
+    }
+}
+
+fn text(planned: Planned, class: &Class, spread: usize, left: f64) -> String {
+    let Planned { id, customer, .. } = planned;
+    let (method, key, body) = match class.effect {
+        Effect::Safe => ("GET", String::new(), ""),
+        Effect::Keyed => ("POST", format!("Idempotency-Key: {id:032x}\r\n"), "body"),
+        Effect::Unsafe => ("POST", String::new(), "body"),
+    };
+    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let wait = left.max(1.0) as u64;
+    format!(
+        "{method} /api HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id:08}\r\nReq-Kind: {}\r\nApi-Plan: plain\r\n\
+         Cookie: customer={customer:016x}\r\nReq-Deadline: {wait}m\r\n{key}{length}\
+         Api-Terms: units={},spread={spread},first=0\r\n\r\n{body}",
+        class.name, class.units
+    )
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,26 @@
+//! Many processes of the program together while parts fail: starts them as they are shipped, puts a relay on every
+//! link, plays a scenario's faults, and judges from what servers ran and clients got.
+//!
+//! Called by the command `ivygate-fleet` and its tests. It must never ask a node what happened, nor use any other
+//! package of this workspace: a fault of theirs would hide itself.
+//!
+//! `scenario` and `oracle` do no I/O; `relay`, `server`, `discovery`, `client`, `node` each stand in for one part of the
+//! world; `play` puts them together.
+
+mod client;
+mod discovery;
+mod http;
+mod node;
+mod oracle;
+mod play;
+mod relay;
+mod scenario;
+mod server;
+mod trace;
+
+pub use node::{guard, Program};
+pub use oracle::{judge, Figures, Finding, Rules, Verdict};
+pub use play::{play, Played, RigError};
+pub use relay::{Link, Way};
+pub use scenario::{shipped, Fault, Plant, Scenario, ScenarioError, Select, Step};
+pub use trace::{Answer, Class, Drain, Effect, Excuse, Origin, Request, Run, Span, Trace};
--- /dev/null
+++ b/crates/fleet/src/node.rs
@@ -0,0 +1,183 @@
+//! One process of the program, as it is shipped, in the platform's form; and the guard that ends all of them when the
+//! rig itself is killed.
+
+use rustix::process::{kill_process, Pid, Signal};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, ChildStdin, Command};
+
+/// How long a node may take to say where it listens and to answer `GET /up`.
+const START: Duration = Duration::from_secs(20);
+
+/// What is started.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// The program under test.
+    pub program: PathBuf,
+    /// This rig's own program, whose `guard` ends what it started; `None` where a test does without.
+    pub guard: Option<PathBuf>,
+}
+
+/// A process that ends those it was told of when its own standard input ends.
+pub struct Guard {
+    input: ChildStdin,
+    _child: Child,
+}
+
+impl Guard {
+    pub fn start(program: &Path) -> io::Result<Self> {
+        let mut command = Command::new(program);
+        command.arg("guard").stdin(Stdio::piped()).stdout(Stdio::null());
+        let mut child = command.spawn()?;
+        let input = child.stdin.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        Ok(Self { input, _child: child })
+    }
+
+    async fn tell(&mut self, sign: char, id: u32) {
+        // A guard that has died guards nothing any more; the rig's own ends still hold.
+        let _ = self.input.write_all(format!("{sign}{id}\n").as_bytes()).await;
+        let _ = self.input.flush().await;
+    }
+}
+
+/// Reads `+ID` and `-ID` line by line, and at the end kills those processes that are left.
+///
+/// # Errors
+/// If standard input cannot be read; what is known is ended all the same.
+pub fn guard(input: impl io::BufRead) -> io::Result<()> {
+    let mut watched = std::collections::BTreeMap::new();
+    let mut read = Ok(());
+    for line in input.lines() {
+        let line = match line {
+            Ok(line) => line,
+            Err(error) => {
+                read = Err(error);
+                break;
+            }
+        };
+        match line.split_at_checked(1).map(|(sign, id)| (sign, id.parse::<i32>())) {
+            Some(("+", Ok(id))) => drop(watched.insert(id, started(id))),
+            Some(("-", Ok(id))) => drop(watched.remove(&id)),
+            _ => {}
+        }
+    }
+    for (id, when) in watched {
+        // Guards a stranger that has the number of one that ended meanwhile.
+        if let Some(pid) = Pid::from_raw(id).filter(|_| when.is_some() && started(id) == when) {
+            let _ = kill_process(pid, Signal::KILL);
+        }
+    }
+    read
+}
+
+/// When a process started, in the system's words.
+fn started(id: i32) -> Option<String> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    stat.rsplit(") ").next()?.split(' ').nth(19).map(str::to_owned)
+}
+
+/// A node, running or not.
+pub struct Node {
+    program: PathBuf,
+    config: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    /// Where it listens, also after a restart.
+    pub address: SocketAddr,
+}
+
+impl Node {
+    /// A node that has not started; its files go into a folder.
+    pub fn new(program: &Path, folder: &Path, number: usize) -> Self {
+        let (config, log) = (folder.join(format!("n{number}.json")), folder.join(format!("n{number}.log")));
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self { program: program.to_owned(), config, log, child: None, address }
+    }
+
+    /// Starts it and waits until it answers; `config` makes its configuration from the address to listen on.
+    pub async fn start(
+        &mut self,
+        guard: &mut Option<Guard>,
+        config: impl FnOnce(SocketAddr) -> String,
+    ) -> io::Result<()> {
+        std::fs::write(&self.config, config(self.address))?;
+        let mut command = Command::new(&self.program);
+        command
+            .env("RELAY_CONFIG", &self.config)
+            .stdin(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true);
+        let mut child = command
+            .spawn()
+            .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", self.program.display())))?;
+        if let (Some(guard), Some(id)) = (guard, child.id()) {
+            guard.tell('+', id).await;
+        }
+        let mut lines = BufReader::new(child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?).lines();
+        let mut log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let mut said = String::new();
+        self.address = loop {
+            let line = tokio::time::timeout(START, lines.next_line()).await.map_err(io::Error::other)??;
+            let line = line.ok_or_else(|| io::Error::other(format!("a node ended at its start: {said}")))?;
+            if let Some((_, address)) = line.split_once("listening on ") {
+                break address.trim().parse().map_err(io::Error::other)?;
+            }
+            said += &line;
+        };
+        tokio::spawn(async move {
+            use std::io::Write;
+            while let Ok(Some(line)) = lines.next_line().await {
+                // A log that can't be written is missing, no more.
+                let _ = writeln!(log, "{line}");
+            }
+        });
+        self.child = Some(child);
+        tokio::time::timeout(START, self.up()).await.map_err(io::Error::other)
+    }
+
+    /// Waits until it answers `GET /up` with 200.
+    async fn up(&self) {
+        loop {
+            let asked = async {
+                let stream = tokio::net::TcpStream::connect(self.address).await.ok()?;
+                let mut stream = BufReader::new(stream);
+                stream.get_mut().write_all(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n").await.ok()?;
+                crate::http::read(&mut stream).await.ok()?
+            };
+            if asked.await.is_some_and(|answer| answer.status() == 200) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Sends it a signal, if it runs.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(Child::id).and_then(|id| Pid::from_raw(id as i32));
+        if let Some(pid) = id {
+            // One that has ended by itself is found out when it is waited for.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Whether it has ended, though nobody ended it.
+    pub fn crashed(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Waits for the end of its process, which is killed if that takes longer than a time.
+    pub async fn ended(&mut self, guard: &mut Option<Guard>, patience: Duration) {
+        let Some(mut child) = self.child.take() else { return };
+        let id = child.id();
+        if tokio::time::timeout(patience, child.wait()).await.is_err() {
+            let _ = child.kill().await;
+        }
+        if let (Some(guard), Some(id)) = (guard, id) {
+            guard.tell('-', id).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/server.rs
@@ -0,0 +1,261 @@
+//! A stand-in app server of the platform's protocol: a queue, some workers, a cold start, memory of keys by zone, the
+//! meter, and the faults put on it while it runs.
+
+use crate::http::{self, Message};
+use crate::scenario::ZONES;
+use crate::trace::{Class, Effect, Recorder, Run};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Semaphore};
+
+/// Requests that wait for each worker before further ones are turned away.
+const QUEUE: usize = 16;
+/// Period of the meter, and how late its readings are, in milliseconds.
+const METER_PERIOD: f64 = 1000.0;
+const METER_LATE: f64 = 400.0;
+
+/// What an app server is like.
+#[derive(Clone, Copy, Debug)]
+pub struct Make {
+    /// Requests that it works on at once.
+    pub workers: usize,
+    /// Part of its pace that it has at its start.
+    pub cold_from: f64,
+    /// It is warm after this, in milliseconds.
+    pub warm_after: f64,
+    /// Repeats of a key are dropped for this long, in milliseconds.
+    pub key_window: f64,
+    /// Units a second of a customer's quota, of which the meter tells a part.
+    pub quota: f64,
+}
+
+/// What all app servers share.
+pub struct Backend {
+    pub classes: Vec<Class>,
+    pub make: Make,
+    pub recorder: Recorder,
+    /// Keys known to each zone, and until when.
+    keys: Mutex<[HashMap<u32, f64>; ZONES.len()]>,
+    /// Units by customer and period.
+    meter: Mutex<HashMap<u32, Vec<(u64, f64)>>>,
+    /// Through which node a connection comes, by the address that it comes from.
+    origins: Mutex<HashMap<SocketAddr, usize>>,
+    seed: u64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Backend {
+    pub fn new(classes: Vec<Class>, make: Make, recorder: Recorder, seed: u64) -> Arc<Self> {
+        let (keys, meter, origins) = Default::default();
+        Arc::new(Self { classes, make, recorder, keys, meter, origins, seed })
+    }
+
+    /// From now on a connection from this address is a node's.
+    pub fn comes_from(&self, address: SocketAddr, node: usize) {
+        lock(&self.origins).insert(address, node);
+    }
+
+    /// The work of a request, the same at every server.
+    pub fn work(&self, class: usize, id: u32) -> f64 {
+        let mut draw = fastrand::Rng::with_seed(self.seed ^ (u64::from(id) << 20));
+        draw.f64();
+        self.classes[class].work * (0.3 - 0.7 * (1.0 - draw.f64()).ln())
+    }
+
+    /// Whether a keyed request is new to a zone, which from now on knows it.
+    fn is_new(&self, zone: usize, id: u32, now: f64) -> bool {
+        let mut keys = lock(&self.keys);
+        let known = keys[zone].get(&id).is_some_and(|until| now < *until);
+        if !known {
+            keys[zone].insert(id, now + self.make.key_window);
+        }
+        !known
+    }
+
+    /// Takes in a run, and tells the customer's use in the last period that is told by now, in percent.
+    fn meter(&self, customer: u32, units: f64, now: f64) -> u64 {
+        let period = (now / METER_PERIOD) as u64;
+        let mut meter = lock(&self.meter);
+        let periods = meter.entry(customer).or_default();
+        match periods.last_mut() {
+            Some((last, sum)) if *last == period => *sum += units,
+            _ => periods.push((period, units)),
+        }
+        if periods.len() > 4 {
+            periods.remove(0);
+        }
+        let told = ((now - METER_LATE) / METER_PERIOD) as u64;
+        let used = periods.iter().find(|(p, _)| p + 1 == told).map_or(0.0, |(_, sum)| *sum);
+        (100.0 * used / self.make.quota) as u64
+    }
+}
+
+/// What holds at a server now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Condition {
+    /// It runs; one that does not resets what is open and what comes.
+    pub up: bool,
+    /// When it last started, in milliseconds of the play; `None` for long ago.
+    pub started: Option<f64>,
+    /// It takes this many times as long.
+    pub slow: f64,
+    /// Part of the requests that it answers with 500 at once.
+    pub wrong: f64,
+    /// It runs what comes and breaks the connection.
+    pub swallows: bool,
+}
+
+impl Default for Condition {
+    fn default() -> Self {
+        Self { up: true, started: None, slow: 1.0, wrong: 0.0, swallows: false }
+    }
+}
+
+/// An app server that runs until it is dropped.
+pub struct Server {
+    pub number: usize,
+    pub address: SocketAddr,
+    condition: watch::Sender<Condition>,
+}
+
+struct Site {
+    number: usize,
+    backend: Arc<Backend>,
+    workers: Semaphore,
+    waiting: AtomicUsize,
+    condition: watch::Receiver<Condition>,
+}
+
+impl Server {
+    pub async fn start(number: usize, backend: Arc<Backend>) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (condition, seen) = watch::channel(Condition::default());
+        let workers = Semaphore::new(backend.make.workers);
+        let site = Arc::new(Site {
+            number,
+            backend,
+            workers,
+            waiting: AtomicUsize::new(0),
+            condition: seen.clone(),
+        });
+        tokio::spawn(async move {
+            let mut over = seen;
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    gone = over.wait_for(|_| false) => { drop(gone); return }
+                };
+                match accepted {
+                    Ok((stream, peer)) => drop(tokio::spawn(site.clone().serve(stream, peer))),
+                    Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                }
+            }
+        });
+        Ok(Self { number, address, condition })
+    }
+
+    /// Changes what holds.
+    pub fn change(&self, change: impl FnOnce(&mut Condition)) {
+        self.condition.send_modify(change);
+    }
+}
+
+impl Site {
+    async fn serve(self: Arc<Self>, stream: TcpStream, peer: SocketAddr) {
+        // A break is to be seen as one.
+        let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        let _ = stream.set_nodelay(true);
+        let mut condition = self.condition.clone();
+        let died = async move {
+            let _ = condition.wait_for(|condition| !condition.up).await;
+        };
+        let serving = async {
+            let mut stream = BufReader::new(stream);
+            while let Ok(Some(request)) = http::read(&mut stream).await {
+                let Some(answer) = self.answer(&request, peer).await else { return };
+                if stream.get_mut().write_all(&answer).await.is_err() {
+                    return;
+                }
+            }
+            let _ = socket2::SockRef::from(stream.get_ref()).set_linger(None);
+        };
+        tokio::select! {
+            () = died => {}
+            () = serving => {}
+        }
+        lock(&self.backend.origins).remove(&peer);
+    }
+
+    /// The answer to a request; `None` breaks the connection.
+    async fn answer(&self, request: &Message, peer: SocketAddr) -> Option<Vec<u8>> {
+        let backend = &self.backend;
+        let id: u32 = request.header("req-id")?.parse().ok()?;
+        let class = backend.classes.iter().position(|c| Some(c.name) == request.header("req-kind"))?;
+        let customer = request.header("cookie")?.strip_prefix("customer=")?;
+        let customer = u32::from_str_radix(customer, 16).ok()?;
+        let node = lock(&backend.origins).get(&peer).copied()?;
+        let condition = *self.condition.borrow();
+        let (now, work) = (backend.recorder.now(), backend.work(class, id));
+        let mut run = Run { id, server: self.number, node, at: now, work, effect: false, declined: false };
+        if self.waiting.load(Ordering::SeqCst) >= QUEUE * backend.make.workers {
+            run.declined = true;
+            backend.recorder.note(|trace| trace.runs.push(run));
+            return Some(
+                b"HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".to_vec(),
+            );
+        }
+        let wrong = fastrand::f64() < condition.wrong;
+        run.effect = match backend.classes[class].effect {
+            Effect::Safe | Effect::Unsafe => true,
+            Effect::Keyed => backend.is_new(self.number % ZONES.len(), id, now),
+        };
+        backend.recorder.note(|trace| trace.runs.push(run));
+        let percent = backend.meter(customer, backend.classes[class].units, now);
+        if wrong {
+            return Some(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n".to_vec());
+        }
+        let waits = Waits::enter(&self.waiting);
+        let worker = self.workers.acquire().await.ok()?;
+        drop(waits);
+        let begun = backend.recorder.now();
+        let warmth = condition.started.map_or(1.0, |started| {
+            let age = ((begun - started) / backend.make.warm_after).clamp(0.0, 1.0);
+            backend.make.cold_from + (1.0 - backend.make.cold_from) * age
+        });
+        tokio::time::sleep(Duration::from_secs_f64(work * condition.slow / warmth / 1000.0)).await;
+        drop(worker);
+        if self.condition.borrow().swallows {
+            return None;
+        }
+        let body = format!("made for {id}");
+        let head =
+            format!("HTTP/1.1 200 OK\r\nApi-Usage: {percent}\r\nContent-Length: {}\r\n\r\n", body.len());
+        Some((head + &body).into_bytes())
+    }
+}
+
+/// A request that waits for a worker; also one whose connection breaks meanwhile waits no more.
+struct Waits<'a>(&'a AtomicUsize);
+
+impl<'a> Waits<'a> {
+    fn enter(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::SeqCst);
+        Self(count)
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/oracles.rs
@@ -0,0 +1,154 @@
+//! Each rule, broken in a made-up trace, is found; and nothing else is.
+
+use ivygate_fleet::*;
+
+fn rules() -> Rules {
+    let class = |name, effect| Class { name, effect, work: 10.0, aim: 200.0, deadline: 1000.0, units: 2.0 };
+    Rules {
+        classes: vec![
+            class("read", Effect::Safe),
+            class("edit", Effect::Keyed),
+            class("order", Effect::Unsafe),
+        ],
+        answer_slack: 50.0,
+        drain_grace: 1050.0,
+        capacity: 4.0,
+        cold_from: 0.25,
+        warm_after: 6000.0,
+        fall_multiple: 2.0,
+        fall_window: 1000.0,
+        ceiling_rate: 4.0,
+        ceiling_burst: 8.0,
+        ceiling_slack: 2.0,
+        settle: 1000.0,
+        late_most: 25.0,
+    }
+}
+
+/// A request each 100 ms of customers in turn, served by one run 50 ms after it was written.
+fn sound() -> Trace {
+    let mut trace = Trace::default();
+    for id in 0..200 {
+        let meant = 100.0 * f64::from(id);
+        let (node, server) = (id as usize % 2, id as usize % 4);
+        trace.requests.push(Request {
+            id,
+            class: id as usize % 3,
+            customer: id % 10,
+            meant,
+            written: meant + 1.0,
+            node,
+            ended: meant + 50.0,
+            answer: Answer::Served,
+            answers: 1,
+        });
+        trace.runs.push(Run { id, server, node, at: meant + 2.0, work: 10.0, effect: true, declined: false });
+        trace.late.push(1.0);
+    }
+    trace
+}
+
+/// The rules that a trace breaks, each named once.
+fn broken(trace: &Trace) -> Vec<&'static str> {
+    let (verdict, _, findings) = judge(&rules(), trace);
+    assert_eq!(verdict == Verdict::Kept, findings.is_empty());
+    let mut names: Vec<_> = findings.iter().map(|f| f.rule).collect();
+    names.dedup();
+    names
+}
+
+fn run_again(trace: &mut Trace, id: u32, server: usize, at: f64) {
+    let node = trace.requests[id as usize].node;
+    trace.runs.push(Run { id, server, node, at, work: 10.0, effect: true, declined: false });
+    trace.runs.sort_by(|a, b| a.at.total_cmp(&b.at));
+}
+
+#[test]
+fn a_sound_trace_keeps_all_rules() {
+    assert_eq!(broken(&sound()), Vec::<&str>::new());
+}
+
+#[test]
+fn answers_that_are_missing_late_wrong_or_double_are_found_but_for_killed_nodes() {
+    let changes: [fn(&mut Request); 4] = [
+        |r| r.answer = Answer::Nothing,
+        |r| r.ended = r.meant + 1060.0,
+        |r| r.answer = Answer::Wrong,
+        |r| r.answers = 2,
+    ];
+    for change in changes {
+        let mut trace = sound();
+        change(&mut trace.requests[7]);
+        assert_eq!(broken(&trace), ["one answer in time"]);
+        trace.excuses.push(Excuse { node: 1, span: Span { from: 710.0, to: 720.0 } });
+        assert_eq!(broken(&trace), Vec::<&str>::new());
+    }
+}
+
+#[test]
+fn effects_that_happen_twice_and_refusals_after_one_are_found() {
+    // 5 is an order, 4 an edit, 3 a read, which may run as often as it likes.
+    for (id, names) in [(5, vec!["no effect twice"]), (4, vec!["no effect twice"]), (3, vec![])] {
+        let mut trace = sound();
+        run_again(&mut trace, id, 1, 560.0);
+        assert_eq!(broken(&trace), names);
+        let mut trace = sound();
+        trace.requests[id as usize].answer = Answer::Refused;
+        assert_eq!(broken(&trace), names);
+    }
+}
+
+#[test]
+fn what_is_sent_to_a_drained_server_after_the_grace_is_found() {
+    let mut trace = sound();
+    let drain = Drain { node: 1, server: 3, at: 15_000.0, until: f64::INFINITY };
+    trace.drains.push(drain);
+    assert_eq!(broken(&trace), ["drains kept"]);
+    // Back on the list before the grace ends, or the other node's: nothing to say.
+    trace.drains[0].until = 16_000.0;
+    assert_eq!(broken(&trace), Vec::<&str>::new());
+    trace.drains[0] = Drain { node: 0, server: 3, at: 15_000.0, until: f64::INFINITY };
+    assert_eq!(broken(&trace), Vec::<&str>::new());
+}
+
+#[test]
+fn work_that_a_cold_server_cannot_bear_is_found() {
+    let mut trace = sound();
+    trace.cold.push((2, 1000.0));
+    assert_eq!(broken(&trace), Vec::<&str>::new());
+    // Two warm servers' work for a second within one window.
+    for id in [3, 6, 9, 12, 15] {
+        trace
+            .runs
+            .iter_mut()
+            .filter(|run| run.id == id)
+            .for_each(|run| (run.server, run.work, run.at) = (2, 500.0, 1500.0));
+    }
+    assert_eq!(broken(&trace), ["cold servers"]);
+}
+
+#[test]
+fn a_customer_beyond_its_ceiling_over_all_nodes_is_found() {
+    let mut trace = sound();
+    // Ten first runs within a second, of two units each: 8 and 4 are allowed, and 2 by the slack.
+    trace.requests[..5].iter_mut().for_each(|r| r.customer = 3);
+    assert_eq!(broken(&trace), Vec::<&str>::new());
+    trace.requests[..10].iter_mut().for_each(|r| r.customer = 3);
+    assert_eq!(broken(&trace), ["ceilings hold"]);
+}
+
+#[test]
+fn service_that_does_not_come_back_is_found_and_a_late_generator_says_nothing() {
+    let mut trace = sound();
+    trace.faults.push(("cut".into(), Span { from: 6000.0, to: 8000.0 }));
+    trace
+        .requests
+        .iter_mut()
+        .filter(|r| r.meant < 8500.0 && r.meant > 6000.0)
+        .for_each(|r| r.answer = Answer::Failed);
+    assert_eq!(broken(&trace), Vec::<&str>::new());
+    trace.requests.iter_mut().filter(|r| r.meant > 16_000.0).for_each(|r| r.answer = Answer::Failed);
+    assert_eq!(broken(&trace), ["settles"]);
+    trace.late[..10].fill(40.0);
+    assert_eq!(judge(&rules(), &trace).0, Verdict::Void);
+}
--- /dev/null
+++ b/crates/ivygate/tests/fleet.rs
@@ -0,0 +1,70 @@
+//! Several processes of the program with faults between them, judged by what servers ran and clients got. The same plays
+//! with nodes that are told something wrong show that the judge sees it.
+
+use ivygate_fleet::{play, Played, Program, Scenario, Verdict};
+
+/// Plays until the machine has had enough to spare for a verdict.
+fn played(extra: &str, steps: &str) -> Played {
+    let text = format!(
+        "name = \"test\"\nabout = \"a test\"\nseed = 5\nlength = \"5s\"\nsettle = \"1s\"\nnodes = 4\nservers = 4\n\
+         rate = 80\ncustomers = 10\n{extra}\n{steps}"
+    );
+    let scenario = Scenario::parse(&text).unwrap_or_else(|error| panic!("{error}\n{text}"));
+    let program = Program { program: env!("CARGO_BIN_EXE_ivygate").into(), guard: None };
+    let folder =
+        std::env::temp_dir().join(format!("ivygate-fleet-test-{}-{}", std::process::id(), steps.len()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
+    let mut last = None;
+    for _ in 0..5 {
+        let played = runtime.block_on(play(&scenario, &program, &folder, scenario.seed)).expect("a play");
+        if played.verdict != Verdict::Void {
+            last = Some(played);
+            break;
+        }
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+    last.expect("five plays in turn had too little of the machine")
+}
+
+/// Rules that were broken, without the figure of service, which a busy machine may lower.
+fn broken(played: &Played) -> Vec<&'static str> {
+    let mut rules: Vec<_> =
+        played.findings.iter().map(|f| f.rule).filter(|rule| *rule != "settles").collect();
+    rules.dedup();
+    rules
+}
+
+fn step(at: &str, lasts: &str, does: &str) -> String {
+    format!("[[step]]\nat = \"{at}\"\nfor = \"{lasts}\"\n{does}\n")
+}
+
+#[test]
+fn rules_hold_while_nodes_die_links_break_and_servers_drain() {
+    let steps = [
+        step("1s", "500ms", "do = \"kill\"\nnodes = \"0,1\""),
+        step("1s", "2s", "do = \"drain\"\nservers = \"3\""),
+        step("1500ms", "1s", "do = \"cut\"\nnodes = \"all\"\nservers = \"south\"\nways = \"back\""),
+        step("2s", "500ms", "do = \"term\"\nnodes = \"2\""),
+        step("3s", "500ms", "do = \"reset\"\nnodes = \"all\"\nservers = \"0\""),
+        step("3s", "500ms", "do = \"pause\"\nnodes = \"3\""),
+    ];
+    let played = played("", &steps.concat());
+    assert_eq!(broken(&played), Vec::<&str>::new(), "{:?}", played.findings);
+    assert!(played.figures.requests > 300 && played.trace.drains.len() >= 4, "{:?}", played.figures);
+}
+
+#[test]
+fn repeats_of_what_must_not_run_twice_are_found() {
+    let lost = step("1s", "3s", "do = \"swallow\"\nservers = \"all\"");
+    assert_eq!(broken(&played("", &lost)), Vec::<&str>::new());
+    assert_eq!(broken(&played("plant = [\"unsafe-as-safe\"]", &lost)), ["no effect twice"]);
+    assert_eq!(broken(&played("plant = [\"keyed-everywhere\"]", &lost)), ["no effect twice"]);
+}
+
+#[test]
+fn nodes_that_take_the_whole_of_a_ceiling_each_are_found() {
+    let none = step("1s", "1s", "do = \"slow\"\nservers = \"0\"\ntimes = 1.0");
+    assert_eq!(broken(&played("ceiling = 4.0", &none)), Vec::<&str>::new());
+    assert_eq!(broken(&played("ceiling = 4.0\nplant = [\"alone\"]", &none)), ["ceilings hold"]);
+}
