Worth for work has its say only as far as own attempts see the queue

A typical line: 'queue 154, room 126, usual 1.57': one and a half own attempts stand for 470 at 170 servers, the same queue is guessed at each, and all reads are refused while nothing else is. Change: the factor counts as a power of how much of the servers own attempts see (SIGHT); with a few gateways it is whole.

--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -64,6 +64,9 @@
 /// Bounds on the factor that worth for work puts on QUEUE_ROOM: cheap requests are refused first, and with
 /// them those beyond a quota that still pay.
 const QUEUE_FACTOR: (f64, f64) = (0.4, 2.0);
+/// One over the own attempts out for each server from which on QUEUE_FACTOR has its full say: with fewer a gateway
+/// mostly knows nothing of the queue at the server that it chooses.
+const SIGHT: f64 = 4.0;
 /// Queue that every request may join, in works of a mean request. Where work is long against
 /// the shortest aim, QUEUE_ROOM comes to less than one request's: one that is only guessed to be at each
 /// server would then refuse all cheap work, on an idle fleet too.
@@ -450,8 +453,12 @@
 
     /// Requests that other gateways are taken to keep on each server: as many as this one.
     fn unreported(&self) -> f64 {
-        let ready = self.servers.values().filter(|s| s.state == ServerState::Ready).count();
-        self.usual_out / f64::max(ready as f64, 1.0) * f64::from(self.settings.gateways - 1)
+        self.usual_out / self.ready() * f64::from(self.settings.gateways - 1)
+    }
+
+    /// Servers that take requests, one at the least.
+    fn ready(&self) -> f64 {
+        f64::max(self.servers.values().filter(|s| s.state == ServerState::Ready).count() as f64, 1.0)
     }
 
     /// Requests thought to be on a server.
@@ -614,7 +621,10 @@
         }
         self.mean_work += VALUE_WEIGHT * (work - self.mean_work);
         self.mean_value += VALUE_WEIGHT * (value - self.mean_value);
-        let factor = (value / self.mean_value).clamp(QUEUE_FACTOR.0, QUEUE_FACTOR.1);
+        // Guards cheap classes against many gateways that see little: each guesses the same queue at all servers,
+        // and would refuse all cheap work on it, also where there is room.
+        let sight = (SIGHT * self.usual_out / self.ready()).min(1.0);
+        let factor = (value / self.mean_value).clamp(QUEUE_FACTOR.0, QUEUE_FACTOR.1).powf(sight);
         let factor = if standing == Standing::Beyond { QUEUE_FACTOR.0 } else { factor };
         let queue_room = (QUEUE_ROOM * self.shortest_aim * factor).max(QUEUE_LEAST * self.mean_work);
         let trial = self.settings.trial && self.servers.values().all(|s| s.out.is_empty());
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -952,22 +952,23 @@
     assert!(let_in(None) < 8 && let_in(Some(10.0)) > 20, "{} {}", let_in(None), let_in(Some(10.0)));
 }
 
-/// A gateway in front of ten servers that keeps `out` requests on the way, every other one long and cheap: how many
-/// of the last hundred of those it sends on. Works are long against the shortest aim, as in a fleet that checks cards.
-fn long_cheap_ones_sent(out: u32) -> usize {
+/// One of many gateways that keeps `out` requests on the way, every other one long and cheap: how many of the last
+/// hundred of those it sends on, and of the others. Works are long against the shortest aim, as in a fleet that checks
+/// cards.
+fn long_cheap_ones_sent(gateways: u32, count: u32, out: u32) -> [usize; 2] {
     let check = Class { aim: 600.0, worth: 3.0, first_work: Some(96.0), ..class("check", Effect::Safe) };
     let query = Class { aim: 1500.0, worth: 1.0, first_work: Some(250.0), ..class("query", Effect::Safe) };
     let plan = Plan { rate: 0.0, burst: 0.0, ..settings().plans[0].clone() };
-    let settings = Settings { gateways: 3, classes: vec![check, query], plans: vec![plan], ..settings() };
-    let mut rig = Rig::new(settings, servers(10));
+    let settings = Settings { gateways, classes: vec![check, query], plans: vec![plan], ..settings() };
+    let mut rig = Rig::new(settings, servers(count));
     let mut on_the_way = std::collections::VecDeque::new();
-    let mut sent = 0;
+    let mut sent = [0; 2];
     for i in 0..400_u32 {
         let now = f64::from(i) * 20.0;
         let is_query = i % 2 == 0;
         let (request, actions) = rig.arrive(now, if is_query { "query" } else { "check" }, "a");
         if sent_to(&actions).is_some() {
-            sent += usize::from(is_query && i >= 200);
+            sent[usize::from(!is_query)] += usize::from(i >= 200);
             on_the_way.push_back((request, is_query));
         }
         while on_the_way.len() > out as usize {
@@ -991,10 +992,18 @@
 #[test]
 fn one_request_guessed_to_be_at_each_server_does_not_refuse_cheap_work() {
     // Five of its own make it take one to be at each of ten servers for the two other gateways.
-    assert_eq!(long_cheap_ones_sent(5), 100);
+    assert_eq!(long_cheap_ones_sent(3, 10, 5)[0], 100);
 }
 
 #[test]
 fn a_queue_of_several_requests_at_each_server_refuses_cheap_work_first() {
-    assert_eq!(long_cheap_ones_sent(40), 0);
+    assert_eq!(long_cheap_ones_sent(3, 10, 40)[0], 0);
+}
+
+#[test]
+fn a_queue_that_hundreds_of_gateways_only_guess_is_no_reason_to_refuse_the_cheap_alone() {
+    for out in 1..=4 {
+        let [cheap, dear] = long_cheap_ones_sent(300, 170, out);
+        assert!(cheap.abs_diff(dear) <= 25, "{out} out: {cheap} of the cheap and {dear} of the dear");
+    }
 }
