--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -2,9 +2,17 @@
 
 use clap::{Parser, Subcommand};
 use ivygate_fleet::{guard, play, shipped, Figures, Played, Program, Scenario, Verdict};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Prints a line. A reader that has seen enough, as `head`, is no failure.
+macro_rules! say {
+    ($($words:tt)*) => {
+        drop(writeln!(std::io::stdout(), $($words)*))
+    };
+}
+
 /// Plays many processes of ivygate with faults between them, and judges by what servers ran and clients got.
 #[derive(Parser)]
 #[command(name = "ivygate-fleet", version)]
@@ -65,15 +73,15 @@
         Command::List => {
             for (name, text) in shipped() {
                 match Scenario::parse(text) {
-                    Ok(scenario) => println!("{name:20} {}", scenario.about),
-                    Err(error) => println!("{name:20} {error}"),
+                    Ok(scenario) => say!("{name:20} {}", scenario.about),
+                    Err(error) => say!("{name:20} {error}"),
                 }
             }
             ExitCode::SUCCESS
         }
         Command::Show { scenario } => match text(&scenario) {
             Ok(text) => {
-                print!("{text}");
+                say!("{}", text.trim_end());
                 ExitCode::SUCCESS
             }
             Err(error) => misused(&error),
@@ -147,33 +155,33 @@
         Err(error) => return misused(&error),
     };
     let seed = seed.unwrap_or(scenario.seed);
-    println!("{}: {} (seed {seed})", scenario.name, scenario.about);
+    say!("{}: {} (seed {seed})", scenario.name, scenario.about);
     let played = match once(scenario, program, seed, keep) {
         Ok(played) => played,
         Err(error) => return failed(&error),
     };
-    println!("{}", worded(&played.figures));
+    say!("{}", worded(&played.figures));
     for (fault, span) in &played.trace.faults {
-        println!("  {:5.1} to {:5.1} s  {fault}", span.from / 1000.0, span.to / 1000.0);
+        say!("  {:5.1} to {:5.1} s  {fault}", span.from / 1000.0, span.to / 1000.0);
     }
     const SHOWN: usize = 12;
     for finding in played.findings.iter().take(SHOWN) {
-        println!("  {}: {}", finding.rule, finding.what);
+        say!("  {}: {}", finding.rule, finding.what);
     }
     if played.findings.len() > SHOWN {
-        println!("  and {} more", played.findings.len() - SHOWN);
+        say!("  and {} more", played.findings.len() - SHOWN);
     }
     match played.verdict {
         Verdict::Kept => {
-            println!("kept: all rules");
+            say!("kept: all rules");
             ExitCode::SUCCESS
         }
         Verdict::Broken => {
-            println!("broken: {} findings", played.findings.len());
+            say!("broken: {} findings", played.findings.len());
             ExitCode::FAILURE
         }
         Verdict::Void => {
-            println!(
+            say!(
                 "void: the generator was {:.0} ms late; this machine has too little to spare",
                 played.figures.late
             );
@@ -215,13 +223,13 @@
                 Err(error) => return failed(&error),
             };
             if played.verdict == Verdict::Void {
-                println!("seed {seed}: void, {:.0} ms late", played.figures.late);
+                say!("seed {seed}: void, {:.0} ms late", played.figures.late);
                 return ExitCode::from(VOID);
             }
             broken[which] += usize::from(played.verdict == Verdict::Broken);
             served[which] = played.figures.served;
         }
-        println!("seed {seed}: old {:.3}, new {:.3}", served[0], served[1]);
+        say!("seed {seed}: old {:.3}, new {:.3}", served[0], served[1]);
         differences.push(served[1] - served[0]);
     }
     let count = differences.len() as f64;
@@ -234,9 +242,10 @@
         mean if -mean > error => "old serves more",
         _ => "no difference can be told",
     };
-    println!(
+    say!(
         "new less old: {mean:+.3} within {error:.3}: {verdict}; plays with a broken rule: old {}, new {}",
-        broken[0], broken[1]
+        broken[0],
+        broken[1]
     );
     ExitCode::SUCCESS
 }
