Rig: nodes start together, one accept loop, one place for each figure

A node's start held the guard's lock until it was up, so nodes that were to start together started one after the other; the guard now locks its own input for a line. It was never told of an end, since each caller passed none: now it is. The accept loop stood three times, taking a lock thrice, the ceiling's tolerance and store and the key window two or three times each; a type alias and an Arc round what is shared already are gone. The oracle for double answers was fed a constant 1: bytes behind an answer now count as a second one.

--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -2,11 +2,11 @@
 //! earlier one.
 
 use crate::http::{self, Message};
-use crate::trace::{Answer, Class, Effect, Recorder, Request};
+use crate::trace::{lock, Answer, Class, Effect, Recorder, Request};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -40,7 +40,7 @@
 
     /// The kept connection last used, if it still stands.
     fn kept(&self) -> Option<BufReader<TcpStream>> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         while let Some((since, stream)) = idle.pop() {
             let quiet =
                 stream.get_ref().try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
@@ -52,7 +52,7 @@
     }
 
     fn keep(&self, stream: BufReader<TcpStream>) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push((Instant::now(), stream));
+        lock(&self.idle).push((Instant::now(), stream));
     }
 }
 
@@ -102,9 +102,11 @@
                 };
                 match answer {
                     Ok(Some(message)) => {
-                        (request.answer, request.answers) = (kind(&message, planned.id), 1);
+                        // What came behind the answer was not asked for.
+                        let more = !stream.buffer().is_empty();
+                        (request.answer, request.answers) = (kind(&message, planned.id), 1 + u32::from(more));
                         let closes = message.header("connection") == Some("close");
-                        if !closes && stream.buffer().is_empty() {
+                        if !closes && !more {
                             door.keep(stream);
                         }
                         return;
--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -1,11 +1,11 @@
 //! A stand-in for discovery's agent on one node's machine: the list as that node sees it, and a watch of its changes.
 
+use crate::accept::accept;
 use crate::scenario::ZONES;
 use crate::trace::{Drain, Recorder};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -66,21 +66,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (list, seen) = watch::channel(List::default());
-        let recorder = Arc::new(recorder);
-        tokio::spawn(async move {
-            let mut over = seen.clone();
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    gone = over.wait_for(|_| false) => { drop(gone); return }
-                };
-                match accepted {
-                    Ok((stream, _)) => {
-                        drop(tokio::spawn(answer(stream, node, seen.clone(), recorder.clone())))
-                    }
-                    Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
-                }
-            }
+        accept(listener, seen.clone(), move |stream, _| {
+            tokio::spawn(answer(stream, node, seen.clone(), recorder.clone()));
         });
         Ok(Self { address, list })
     }
@@ -104,7 +91,7 @@
     }
 }
 
-async fn answer(stream: TcpStream, node: usize, mut list: watch::Receiver<List>, recorder: Arc<Recorder>) {
+async fn answer(stream: TcpStream, node: usize, mut list: watch::Receiver<List>, recorder: Recorder) {
     let mut stream = BufReader::new(stream);
     let Ok(Some(request)) = crate::http::read(&mut stream).await else { return };
     let Ok(_) = list.wait_for(|list| !list.silent).await else { return };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! `scenario` and `oracle` do no I/O; `relay`, `server`, `discovery`, `client`, `node` each stand in for one part of the
 //! world; `play` puts them together.
 
+mod accept;
 mod client;
 mod discovery;
 mod http;
@@ -23,4 +24,4 @@
 pub use play::{play, Played, RigError};
 pub use relay::{Link, Way};
 pub use scenario::{shipped, Fault, Plant, Scenario, ScenarioError, Select, Step};
-pub use trace::{Answer, Class, Drain, Effect, Excuse, Origin, Request, Run, Span, Trace};
+pub use trace::{Answer, Class, Drain, Effect, Excuse, Request, Run, Span, Trace};
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::process::{Child, ChildStdin, Command};
+use tokio::sync::Mutex;
 
 /// How long a node may take to say where it listens and to answer `GET /up`.
 const START: Duration = Duration::from_secs(20);
@@ -24,7 +25,7 @@
 
 /// A process that ends those it was told of when its own standard input ends.
 pub struct Guard {
-    input: ChildStdin,
+    input: Mutex<ChildStdin>,
     _child: Child,
 }
 
@@ -34,13 +35,14 @@
         command.arg("guard").stdin(Stdio::piped()).stdout(Stdio::null());
         let mut child = command.spawn()?;
         let input = child.stdin.take().ok_or(io::ErrorKind::BrokenPipe)?;
-        Ok(Self { input, _child: child })
+        Ok(Self { input: Mutex::new(input), _child: child })
     }
 
-    async fn tell(&mut self, sign: char, id: u32) {
+    async fn tell(&self, sign: char, id: u32) {
         // A guard that has died guards nothing any more; the rig's own ends still hold.
-        let _ = self.input.write_all(format!("{sign}{id}\n").as_bytes()).await;
-        let _ = self.input.flush().await;
+        let mut input = self.input.lock().await;
+        let _ = input.write_all(format!("{sign}{id}\n").as_bytes()).await;
+        let _ = input.flush().await;
     }
 }
 
@@ -101,7 +103,7 @@
     /// Starts it and waits until it answers; `config` makes its configuration from the address to listen on.
     pub async fn start(
         &mut self,
-        guard: &mut Option<Guard>,
+        guard: Option<&Guard>,
         config: impl FnOnce(SocketAddr) -> String,
     ) -> io::Result<()> {
         std::fs::write(&self.config, config(self.address))?;
@@ -170,7 +172,7 @@
     }
 
     /// Waits for the end of its process, which is killed if that takes longer than a time.
-    pub async fn ended(&mut self, guard: &mut Option<Guard>, patience: Duration) {
+    pub async fn ended(&mut self, guard: Option<&Guard>, patience: Duration) {
         let Some(mut child) = self.child.take() else { return };
         let id = child.id();
         if tokio::time::timeout(patience, child.wait()).await.is_err() {
--- a/crates/fleet/src/play.rs
+++ b/crates/fleet/src/play.rs
@@ -21,6 +21,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, Instant};
 
+/// Servers of a zone drop repeats of a key for this long, in milliseconds.
+const KEY_WINDOW: f64 = 15_000.0;
 /// Time before the first request.
 const LEAD: Duration = Duration::from_millis(300);
 /// The list tells this much later that a process runs or runs no more, in milliseconds.
@@ -87,13 +89,19 @@
         fall_window: 2000.0,
         ceiling_rate: scenario.ceiling,
         ceiling_burst: 4.0 * scenario.ceiling,
-        // One of the largest requests, and what the rate gives in 150 ms.
-        ceiling_slack: (0.4 * scenario.ceiling).max(3.0) + 0.15 * scenario.ceiling,
+        // What nodes are told, and what the rate gives in 150 ms.
+        ceiling_slack: tolerance(scenario) + 0.15 * scenario.ceiling,
         settle: scenario.settle,
         late_most: LATE_MOST,
     }
 }
 
+/// Units by which nodes are told that a ceiling's store may fall below nothing: a tenth of it, or one of the largest
+/// requests.
+fn tolerance(scenario: &Scenario) -> f64 {
+    (0.4 * scenario.ceiling).max(3.0)
+}
+
 /// Units a second that each customer's quota gives: four times what it asks for, or half of its ceiling.
 fn quota(scenario: &Scenario) -> f64 {
     let units: f64 =
@@ -118,7 +126,7 @@
     nodes: Vec<Mutex<Node>>,
     /// Set once all nodes have started; they keep their addresses.
     doors: OnceLock<Vec<Door>>,
-    guard: Mutex<Option<Guard>>,
+    guard: Option<Guard>,
     seed: u64,
 }
 
@@ -130,7 +138,7 @@
             workers: scenario.workers,
             cold_from: rules.cold_from,
             warm_after: rules.warm_after,
-            key_window: 15_000.0,
+            key_window: KEY_WINDOW,
             quota: quota(scenario),
         };
         let backend = Backend::new(classes(), make, recorder.clone(), seed);
@@ -155,7 +163,7 @@
             links.push(own);
             nodes.push(Mutex::new(Node::new(&program.program, folder, number)));
         }
-        let guard = Mutex::new(program.guard.as_deref().map(Guard::start).transpose()?);
+        let guard = program.guard.as_deref().map(Guard::start).transpose()?;
         let (epoch, scenario) = (0.0, scenario.clone());
         let doors = OnceLock::new();
         Ok(Self { scenario, rules, recorder, epoch, servers, agents, links, nodes, doors, guard, seed })
@@ -174,8 +182,7 @@
         let agent = &self.agents[number];
         let (listed, known) = (agent.address, agent.known());
         let seed = self.seed ^ (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let mut guard = self.guard.lock().await;
-        node.start(&mut guard, |address| self.config(number, address, listed, &known, seed)).await
+        node.start(self.guard.as_ref(), |address| self.config(number, address, listed, &known, seed)).await
     }
 
     fn config(&self, number: usize, listen: SocketAddr, agent: SocketAddr, known: &str, seed: u64) -> String {
@@ -193,12 +200,11 @@
                     Effect::Unsafe => "unsafe",
                 };
                 json!({"name": c.name, "aimMs": c.aim, "deadlineMs": c.deadline, "worth": c.units, "lateWorth": 0.2,
-                       "effect": effect, "keyScope": scope, "windowMs": 15000})
+                       "effect": effect, "keyScope": scope, "windowMs": KEY_WINDOW})
             })
             .collect();
         let quota = quota(scenario);
         let (extra, cost) = if scenario.ceiling > 0.0 { (0.3, 0.0) } else { (0.0, 1.0) };
-        let slack = (0.4 * scenario.ceiling).max(3.0);
         let config = json!({
             "name": format!("n{number}"), "listen": listen.to_string(), "discovery": agent.to_string(),
             "seed": format!("{seed:016x}"), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -210,7 +216,8 @@
                 "discovery": "automatic", "prices": {"crossZone": 0.02}, "classes": classes,
                 "contracts": [{"name": "plain", "refill": quota, "mostAtOnce": (4.0 * quota).max(12.0),
                                "worthFactor": 1.0, "extraWorth": extra, "excessCost": cost,
-                               "capRate": scenario.ceiling, "capDepth": 4.0 * scenario.ceiling, "tolerance": slack}],
+                               "capRate": rules.ceiling_rate, "capDepth": rules.ceiling_burst,
+                               "tolerance": tolerance(scenario)}],
                 "domain": {"unitsTop": 3, "usePeriodMs": 1000},
                 "rules": {"coldFrom": rules.cold_from, "warmAfterMs": rules.warm_after,
                           "fallMultiple": rules.fall_multiple, "overloadForMs": rules.fall_window}}
@@ -326,7 +333,7 @@
                             let mut node = world.nodes[number].lock().await;
                             node.signal(if killed { Signal::KILL } else { Signal::TERM });
                             let patience = Duration::from_secs_f64(patience / 1000.0 + 5.0);
-                            node.ended(&mut None, patience).await;
+                            node.ended(world.guard.as_ref(), patience).await;
                         }
                         sleep_until(ends).await;
                         world.start(number).await?;
@@ -483,7 +490,7 @@
     for node in &world.nodes {
         let mut node = node.lock().await;
         node.signal(Signal::KILL);
-        node.ended(&mut None, Duration::from_secs(5)).await;
+        node.ended(world.guard.as_ref(), Duration::from_secs(5)).await;
     }
     Ok(Played { verdict, figures, findings, trace })
 }
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -1,6 +1,7 @@
 //! One link: a relay that passes bytes on as they are, and the faults put on it while it runs. Each direction stands
 //! for itself; back-pressure passes through.
 
+use crate::accept::accept;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -55,20 +56,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (state, seen) = watch::channel(State::default());
-        tokio::spawn(async move {
-            let mut ended = seen.clone();
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    // The sender is gone: so is the link.
-                    gone = ended.wait_for(|_| false) => { drop(gone); return }
-                };
-                match accepted {
-                    Ok((stream, _)) => drop(tokio::spawn(pass(stream, target, seen.clone(), opened.clone()))),
-                    // No descriptor left: whoever holds some has to end first.
-                    Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
-                }
-            }
+        accept(listener, seen.clone(), move |stream, _| {
+            tokio::spawn(pass(stream, target, seen.clone(), opened.clone()));
         });
         Ok(Self { address, state })
     }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -1,14 +1,15 @@
 //! A stand-in app server of the platform's protocol: a queue, some workers, a cold start, memory of keys by zone, the
 //! meter, and the faults put on it while it runs.
 
+use crate::accept::accept;
 use crate::http::{self, Message};
 use crate::scenario::ZONES;
-use crate::trace::{Class, Effect, Recorder, Run};
+use crate::trace::{lock, Class, Effect, Recorder, Run};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -49,10 +50,6 @@
     seed: u64,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Backend {
     pub fn new(classes: Vec<Class>, make: Make, recorder: Recorder, seed: u64) -> Arc<Self> {
         let (keys, meter, origins) = Default::default();
@@ -148,18 +145,8 @@
             waiting: AtomicUsize::new(0),
             condition: seen.clone(),
         });
-        tokio::spawn(async move {
-            let mut over = seen;
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    gone = over.wait_for(|_| false) => { drop(gone); return }
-                };
-                match accepted {
-                    Ok((stream, peer)) => drop(tokio::spawn(site.clone().serve(stream, peer))),
-                    Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
-                }
-            }
+        accept(listener, seen, move |stream, peer| {
+            tokio::spawn(site.clone().serve(stream, peer));
         });
         Ok(Self { number, address, condition })
     }
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -1,6 +1,11 @@
 //! What happened, as servers and clients saw it. Times are milliseconds since the play began.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Takes a lock also where a part panicked with it: what is kept under one here is whole after each step.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
 /// Whether a request may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,9 +73,6 @@
     pub answers: u32,
 }
 
-/// Through which node a run came.
-pub type Origin = usize;
-
 /// A request whose last byte has come to a server, which began it.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -79,7 +81,7 @@
     /// The server.
     pub server: usize,
     /// The node that sent it.
-    pub node: Origin,
+    pub node: usize,
     /// When it came.
     pub at: f64,
     /// Its work, on a warm server.
@@ -162,11 +164,11 @@
 
     /// The play begins at another moment.
     pub fn begin(&self, at: tokio::time::Instant) {
-        *self.begun.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = at;
+        *lock(&self.begun) = at;
     }
 
     fn begun(&self) -> tokio::time::Instant {
-        *self.begun.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        *lock(&self.begun)
     }
 
     /// The time now; before the beginning it is nothing.
@@ -181,12 +183,11 @@
 
     /// Notes something.
     pub fn note(&self, note: impl FnOnce(&mut Trace)) {
-        // A part that panicked while it noted leaves a trace that is still whole: each note is one push.
-        note(&mut self.trace.lock().unwrap_or_else(std::sync::PoisonError::into_inner));
+        note(&mut lock(&self.trace));
     }
 
     /// What has been noted.
     pub fn take(&self) -> Trace {
-        std::mem::take(&mut *self.trace.lock().unwrap_or_else(std::sync::PoisonError::into_inner))
+        std::mem::take(&mut *lock(&self.trace))
     }
 }
--- a/crates/ivygate/tests/fleet.rs
+++ b/crates/ivygate/tests/fleet.rs
@@ -2,6 +2,7 @@
 //! with nodes that are told something wrong show that the judge sees it.
 
 use ivygate_fleet::{play, Played, Program, Scenario, Verdict};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Plays until the machine has had enough to spare for a verdict.
 fn played(extra: &str, steps: &str) -> Played {
@@ -11,8 +12,9 @@
     );
     let scenario = Scenario::parse(&text).unwrap_or_else(|error| panic!("{error}\n{text}"));
     let program = Program { program: env!("CARGO_BIN_EXE_ivygate").into(), guard: None };
-    let folder =
-        std::env::temp_dir().join(format!("ivygate-fleet-test-{}-{}", std::process::id(), steps.len()));
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let (process, number) = (std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
+    let folder = std::env::temp_dir().join(format!("ivygate-fleet-test-{process}-{number}"));
     std::fs::create_dir_all(&folder).expect("a folder");
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
     let mut last = None;
