--- a/crates/ivygate/tests/sidecar_answering.rs
+++ b/crates/ivygate/tests/sidecar_answering.rs
@@ -135,6 +135,11 @@
     assert_eq!(rig.ask("GET", "/reads", "X-Customer: ben\r\nX-Plan: small\r\n").status(), 200);
 }
 
+/// The headers but for the second in which the answer was written.
+fn undated(answer: &Message) -> Vec<&(String, String)> {
+    answer.headers.iter().filter(|(name, _)| name != "date").collect()
+}
+
 #[test]
 fn an_id_that_is_asked_about_twice_takes_its_units_once() {
     let rig = rig();
@@ -142,7 +147,7 @@
     let first = rig.ask("GET", "/reads", ann);
     for _ in 0..10 {
         let again = rig.ask("GET", "/reads", ann);
-        assert_eq!((again.status(), &again.headers), (200, &first.headers));
+        assert_eq!((again.status(), undated(&again)), (200, undated(&first)));
     }
     // One of the two units is left.
     assert_eq!(rig.ask("GET", "/reads", "X-Customer: ann\r\nX-Plan: small\r\n").status(), 200);
