What time-outs taught of a server's pace fades; a zone that was cut off is used again

Cause: learn() let a time-out raise server.pace up to ten times, and pick() sends nothing to such a server while others are free, so no answer could ever correct it. Ruled out: ejection (blocked_until had passed, trials were allowed) and the zone's part of failures, which fades in three aims.

What time-outs add is now kept apart and fades in four shortest aims; what answers taught stays. The test was seen to fail without the mend (0 of a hundred).

--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -38,6 +38,9 @@
 const WORK_WEIGHT: f64 = 0.04;
 /// Weight of one answer in a server's learned pace; a slow server shows within some twenty answers.
 const PACE_WEIGHT: f64 = 0.05;
+/// Time in which what time-outs taught of a server's pace loses most of its say, in shortest aims. They come with
+/// faults, and a server that is not asked for them shows nothing better: it would be left for ever.
+const SLOWED_LIFE: f64 = 4.0;
 /// Weight of one report in what other gateways keep on a server; reports are noisy.
 const REPORT_WEIGHT: f64 = 0.5;
 /// Weight of one answer in the waiting seen at a server: some answers.
@@ -492,7 +495,7 @@
             }
             let tried = request.attempts.iter().any(|a| a.server == *id);
             let crowd = self.crowd(server, unreported);
-            let pace = server.pace.max(0.7 / self.warmth(server));
+            let pace = server.pace_at(self.now, SLOWED_LIFE * aim).max(0.7 / self.warmth(server));
             // A silent server is at least as slow as its silence is long.
             let silence = server.out.front().map_or(0.0, |o| self.now - o.2.max(server.answered_at));
             let wait = work * pace;
@@ -533,18 +536,19 @@
         let view = &mut self.classes[class];
         let alone = done.elapsed / (1.0 + CROWDING * attempt.crowd);
         let pace = alone / work;
+        let thought = server.pace_at(now, SLOWED_LIFE * self.shortest_aim);
         // Guards against queues that neither own attempts nor reports show: work of others, and work that
         // a server goes on with after its attempt was given up. Also holds when all servers slow at once.
         // May hurt after a run of unusually long requests, for as long as it fades.
         if matches!(done.outcome, Outcome::Ok | Outcome::Timeout) {
-            let waited = done.elapsed - work * server.pace;
+            let waited = done.elapsed - work * thought;
             server.waited = (server.waited + WAITED_WEIGHT * (waited - server.waited)).max(0.0);
         }
         // The more a server held, the more of the time was waiting, and the less it tells: without this a
         // busy server, its waiting explained away, would look quick and draw more. Time-outs show slow ones.
         let weight = match done.outcome {
             Outcome::Ok => 1.0 / (1.0 + attempt.crowd),
-            Outcome::Timeout if pace > server.pace => 1.0,
+            Outcome::Timeout if pace > thought => 1.0,
             _ => 0.0,
         };
         if done.outcome == Outcome::Ok {
@@ -554,7 +558,14 @@
         }
         server.answers += weight;
         let part = (weight / (FIRST_ANSWERS + server.answers)).max(PACE_WEIGHT * weight);
-        server.pace = (server.pace + part * (pace - server.pace)).clamp(0.3, 10.0);
+        let slowed = thought - server.pace;
+        if done.outcome == Outcome::Ok {
+            server.pace = (server.pace + part * (pace - server.pace)).clamp(0.3, 10.0);
+            server.slowed = slowed * (1.0 - part);
+        } else {
+            server.slowed = (thought + part * (pace - thought)).min(10.0) - server.pace;
+        }
+        server.slowed_at = now;
         let failed = f64::from(u8::from(done.outcome != Outcome::Ok));
         if matches!(done.outcome, Outcome::Ok | Outcome::ConnectFailed | Outcome::Reset) {
             let (failing, at) = self.zones.entry(server.zone.clone()).or_insert((0.0, now));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -77,6 +77,9 @@
     pub reported_at: Millis,
     /// Its service time against the fleet's.
     pub pace: f64,
+    /// What time-outs have added to it, and when that was last changed.
+    pub slowed: f64,
+    pub slowed_at: Millis,
     /// How many answers that rests on.
     pub answers: f64,
     /// Waiting seen in its answers.
@@ -109,6 +112,8 @@
             others: 0.0,
             reported_at: f64::NEG_INFINITY,
             pace: 1.0,
+            slowed: 0.0,
+            slowed_at: now,
             answers: 0.0,
             waited: 0.0,
             answered_at: now,
@@ -120,6 +125,11 @@
             cold_at: now,
         }
     }
+
+    /// Its service time against the fleet's; what time-outs have added fades in a time.
+    pub fn pace_at(&self, now: Millis, life: Millis) -> f64 {
+        self.pace + self.slowed * (-(now - self.slowed_at) / life).exp()
+    }
 }
 
 /// An exact record of a customer that is flagged or has a ceiling.
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -425,6 +425,44 @@
     assert!(sent >= 4, "a full store always admits a request: {sent} of 30");
 }
 
+#[test]
+fn a_server_that_only_timed_out_while_it_was_cut_off_gets_its_part_again() {
+    let mut settings = settings();
+    (settings.plans[0].rate, settings.plans[0].burst) = (1_000.0, 1_000.0);
+    settings.classes[0].first_work = Some(50.0);
+    let mut rig = Rig::new(settings, servers(2));
+    let mut to_second = |from: u32, until: u32, cut: bool| {
+        let mut count = 0;
+        for now in (from..until).step_by(20).map(f64::from) {
+            let (request, mut actions) = rig.arrive(now, "read", "a");
+            for attempt in 0.. {
+                let Some(server) = sent_to(&actions) else { break };
+                count += u32::from(server == 2);
+                let late = cut && server == 2;
+                let (outcome, elapsed) = if late { (Outcome::Timeout, 600.0) } else { (Outcome::Ok, 50.0) };
+                let done = Done {
+                    request: Arc::clone(&request),
+                    attempt,
+                    server,
+                    outcome,
+                    elapsed,
+                    closed: !late,
+                    use_percent: None,
+                    load: Load::default(),
+                };
+                actions = rig.handle(now + 10.0, Event::Done(done));
+            }
+        }
+        count
+    };
+    let before = to_second(0, 2_000, false);
+    assert!(before > 15, "{before} of a hundred while all is well");
+    to_second(2_000, 8_000, true);
+    to_second(8_000, 18_000, false);
+    let again = to_second(18_000, 20_000, false);
+    assert!(again > 15, "{again} of a hundred ten seconds after it was back");
+}
+
 #[test]
 fn unknown_things_are_answered_or_ignored() {
     let mut rig = Rig::new(settings(), servers(2));
