--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -157,6 +157,7 @@
         200 if answer.body == format!("made for {id}").as_bytes() => Answer::Served,
         200 => Answer::Wrong,
         429 | 503 => Answer::Refused,
+        401 | 403 => Answer::Denied,
         _ => Answer::Failed,
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod accept;
 mod client;
+mod datagrams;
 mod discovery;
 mod http;
 mod measure;
@@ -19,8 +20,10 @@
 mod report;
 mod scenario;
 mod server;
+mod sign_in;
 mod trace;
 
+pub use datagrams::{DatagramLink, Flow};
 pub use measure::{measure, Measured};
 pub use node::{guard, Program};
 pub use oracle::{judge, Figures, Finding, Rules, Verdict};
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -30,6 +30,16 @@
 enum Command {
     /// Play a scenario: 0 if all rules were kept, 1 if one was broken, 3 if the machine was too slow to tell
     Run(Run),
+    /// Play a scenario and write one page with pictures: `run` with `--report`
+    Report {
+        /// One of `ivygate-fleet list`, or a file
+        scenario: String,
+        /// The page
+        file: PathBuf,
+        /// The program under test; by default the ivygate beside this one
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// List the scenarios that come with the program
     List,
     /// Print one of them, to change it
@@ -45,6 +55,9 @@
         old: PathBuf,
         /// The other
         new: PathBuf,
+        /// Another scenario that the new one plays: two settings against each other, also of one program
+        #[arg(long)]
+        against: Option<String>,
         /// How often each is played
         #[arg(long, default_value_t = 5)]
         turns: u64,
@@ -83,7 +96,7 @@
     Guard,
 }
 
-#[derive(Args)]
+#[derive(Args, Default)]
 struct Run {
     /// One of `ivygate-fleet list`, or a file
     scenario: String,
@@ -126,6 +139,10 @@
 fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Run(asked) => with(&asked.scenario, |scenario| run(scenario, &asked)),
+        Command::Report { scenario, file, program } => {
+            let asked = Run { report: Some(file), program, scenario, ..Run::default() };
+            with(&asked.scenario, |scenario| run(scenario, &asked))
+        }
         Command::List => {
             for (name, text) in shipped() {
                 match Scenario::parse(text) {
@@ -142,8 +159,11 @@
             }
             Err(error) => misused(&error),
         },
-        Command::Compare { scenario, old, new, turns } => {
-            with(&scenario, |scenario| compare(&scenario, [old, new], turns))
+        Command::Compare { scenario, old, new, against, turns } => {
+            with(&scenario, |scenario| match against {
+                Some(other) => with(&other, |other| compare(&[scenario, other], [old, new], turns)),
+                None => compare(&[scenario.clone(), scenario], [old, new], turns),
+            })
         }
         Command::Noise { scenario, times, program } => {
             with(&scenario, |scenario| noise(&scenario, times, program))
@@ -420,14 +440,16 @@
 }
 
 /// Plays both in turns, the one first that was second before, and tells whether the difference is more than noise.
-fn compare(scenario: &Scenario, programs: [PathBuf; 2], turns: u64) -> ExitCode {
+fn compare(scenarios: &[Scenario; 2], programs: [PathBuf; 2], turns: u64) -> ExitCode {
     let mut differences = Vec::new();
     let mut broken = [0; 2];
+    let mut processor = [Vec::new(), Vec::new()];
     for turn in 0..turns.max(1) {
-        let seed = scenario.seed.wrapping_add(turn);
+        let seed = scenarios[0].seed.wrapping_add(turn);
         let mut served = [0.0; 2];
         for which in if turn % 2 == 0 { [0, 1] } else { [1, 0] } {
-            let played = started(Some(programs[which].clone())).and_then(|p| once(scenario, p, seed, None));
+            let played =
+                started(Some(programs[which].clone())).and_then(|p| once(&scenarios[which], p, seed, None));
             let played = match played {
                 Ok(played) => played,
                 Err(error) => return failed(&error),
@@ -438,14 +460,22 @@
             }
             broken[which] += usize::from(played.verdict == Verdict::Broken);
             served[which] = played.figures.served;
+            processor[which].extend(played.figures.cpu);
         }
         say!("seed {seed}: old {:.3}, new {:.3}", served[0], served[1]);
         differences.push(served[1] - served[0]);
     }
-    let (mean, spread) = spread(&differences);
+    let (mean, differing) = spread(&differences);
     // Twice the standard error: about 95 % for the few turns that are usual.
-    let error =
-        if differences.len() > 1 { 2.0 * spread / (differences.len() as f64).sqrt() } else { f64::INFINITY };
+    let error = if differences.len() > 1 {
+        2.0 * differing / (differences.len() as f64).sqrt()
+    } else {
+        f64::INFINITY
+    };
+    if processor.iter().all(|values| !values.is_empty()) {
+        let [(old, old_spread), (new, new_spread)] = processor.map(|values| spread(&values));
+        say!("processor time of nodes a request: old {old:.0} us (spread {old_spread:.0}), new {new:.0} ({new_spread:.0})");
+    }
     let verdict = match mean {
         mean if mean > error => "new serves more",
         mean if -mean > error => "old serves more",
--- a/crates/fleet/src/measure.rs
+++ b/crates/fleet/src/measure.rs
@@ -111,9 +111,14 @@
     Ok(([at(0.5), at(0.99)], cpu))
 }
 
-/// Processor time of this process so far, in seconds; nothing where the system does not tell.
+/// Processor time of this process so far, in seconds.
 fn processor() -> f64 {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    processor_of("self")
+}
+
+/// Processor time of a process so far, in seconds; nothing where the system does not tell.
+pub fn processor_of(process: &str) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
     let fields = stat.rsplit(") ").next().unwrap_or_default().split(' ').skip(11).take(2);
     // The system's unit in that file is a hundredth.
     fields.filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,6 +1,7 @@
 //! One process of the program, as it is shipped, in the platform's form; and the guard that ends all of them when the
 //! rig itself is killed.
 
+use crate::measure::processor_of;
 use crate::scenario::{Form, Select};
 use crate::trace::{lock, Recorder};
 use rustix::process::{getrlimit, kill_process, prlimit, Pid, Resource, Rlimit, Signal};
@@ -236,6 +237,11 @@
         Ok(())
     }
 
+    /// Processor time of its process so far, in seconds.
+    pub fn processor(&self) -> f64 {
+        self.id().map_or(0.0, |pid| processor_of(&pid.as_raw_nonzero().to_string()))
+    }
+
     /// What it says, and when.
     pub fn said(&self) -> Said {
         self.said.clone()
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -95,6 +95,7 @@
         ("offered".to_owned(), rate(&|_| true)),
         ("served".to_owned(), rate(&|r| r.answer == Answer::Served)),
         ("refused".to_owned(), rate(&|r| r.answer == Answer::Refused)),
+        ("denied".to_owned(), rate(&|r| r.answer == Answer::Denied)),
         ("failed".to_owned(), rate(&|r| matches!(r.answer, Answer::Failed | Answer::Wrong))),
         ("unanswered".to_owned(), rate(&|r| r.answer == Answer::Nothing)),
     ];
--- /dev/null
+++ b/crates/fleet/src/sign_in.rs
@@ -0,0 +1,53 @@
+//! A stand-in sign-in service: it says yes to each customer but for one in ten, whatever it is asked about.
+
+use crate::accept::accept;
+use crate::http;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// One customer in so many may not go on.
+const DENIED: u32 = 10;
+/// How long it thinks.
+const WORK: Duration = Duration::from_millis(3);
+
+/// Whether a customer may not go on.
+pub fn denied(customer: u32) -> bool {
+    customer % DENIED == DENIED - 1
+}
+
+/// The service; it runs until it is dropped.
+pub struct SignIn {
+    pub address: SocketAddr,
+    _open: watch::Sender<()>,
+}
+
+impl SignIn {
+    pub async fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (open, seen) = watch::channel(());
+        accept(listener, seen, |stream, _| drop(tokio::spawn(serve(stream))));
+        Ok(Self { address, _open: open })
+    }
+}
+
+async fn serve(stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let mut stream = BufReader::new(stream);
+    while let Ok(Some(question)) = http::read(&mut stream).await {
+        let customer = question.header("cookie").and_then(|cookie| cookie.strip_prefix("customer="));
+        let customer = customer.and_then(|customer| u32::from_str_radix(customer, 16).ok());
+        tokio::time::sleep(WORK).await;
+        let answer: &[u8] = match customer {
+            Some(customer) if !denied(customer) => b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            _ => b"HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\n\r\n",
+        };
+        if stream.get_mut().write_all(answer).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -44,6 +44,8 @@
     Wrong,
     /// 429 or 503.
     Refused,
+    /// 401 or 403: the sign-in service's no.
+    Denied,
     /// Any other status.
     Failed,
     /// The connection ended, or nothing came in time.
--- a/crates/fleet/tests/oracles.rs
+++ b/crates/fleet/tests/oracles.rs
@@ -26,6 +26,7 @@
         zones: 2,
         at_odds_most: Some(4.0),
         steady: true,
+        denied: None,
     }
 }
 
@@ -113,6 +114,21 @@
     assert_eq!(broken(&trace), Vec::<&str>::new());
 }
 
+#[test]
+fn what_goes_on_without_a_yes_and_a_no_to_one_who_may_are_found() {
+    let judged = |trace: &Trace| {
+        let rules = Rules { denied: Some(|customer| customer == 9), ..rules() };
+        judge(&rules, trace).2.iter().map(|f| f.rule).collect::<Vec<_>>()
+    };
+    let mut trace = sound();
+    assert_eq!(judged(&trace).len(), 20, "one in ten came to a server");
+    trace.runs.retain(|run| run.id % 10 != 9);
+    trace.requests.iter_mut().filter(|r| r.customer == 9).for_each(|r| r.answer = Answer::Denied);
+    assert_eq!(judged(&trace), Vec::<&str>::new());
+    trace.requests[3].answer = Answer::Denied;
+    assert_eq!(judged(&trace), ["asks first"]);
+}
+
 /// Twenty runs in each half second, sent by a rule from node and time to a server.
 fn runs(to: impl Fn(usize, f64) -> usize) -> Trace {
     let mut trace = sound();
