--- a/crates/fleet/src/play.rs
+++ b/crates/fleet/src/play.rs
@@ -36,6 +36,8 @@
 /// After a fault of its link to discovery a node has heard what it missed within this, in milliseconds: it asks anew a
 /// second after a connection broke.
 const HEARD_AGAIN: f64 = 1200.0;
+/// Threads that send the load.
+const GENERATORS: usize = 2;
 /// What a fault of a link broke is seen this much later, in milliseconds.
 const BREAKS_SEEN: f64 = 100.0;
 /// How long a sidecar may take to read its configuration anew.
@@ -748,6 +750,20 @@
     link.reset(reset);
 }
 
+/// Sends the load from threads of its own: starting a dozen processes must not make the generator late.
+async fn load_apart(world: Arc<World>) -> io::Result<()> {
+    let (done, loaded) = tokio::sync::oneshot::channel();
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(GENERATORS).enable_all().build()?;
+    std::thread::Builder::new().spawn(move || {
+        runtime.block_on(world.load());
+        // Nobody listens where the play has been given up.
+        let _ = done.send(());
+        runtime.shutdown_background();
+    })?;
+    loaded.await.map_err(io::Error::other)
+}
+
 fn uid(server: usize) -> String {
     format!("s-{server}")
 }
@@ -777,7 +793,8 @@
     world.begin(Instant::now() + LEAD);
     let world = Arc::new(world);
     let faults = tokio::spawn(world.clone().faults());
-    world.clone().load().await;
+    let loaded = load_apart(world.clone()).await;
+    loaded.map_err(because("the generator"))?;
     faults.await.map_err(io::Error::other).and_then(|made| made).map_err(because("a fault"))?;
     let mut trace = world.recorder.take();
     trace.runs.sort_by(|a, b| a.at.total_cmp(&b.at));
