A process that stood still hears what it missed before it sends

Cause: what had become readable first was handled first, and may_write() in the driver looks at the list as last read. Ruled out: attempts that hung in a connect (the request had not been sent at all before the pause).

The longest pause that is not noticed is 0.8 s, under the grace.

--- a/crates/ivygate/tests/fleet.rs
+++ b/crates/ivygate/tests/fleet.rs
@@ -88,6 +88,19 @@
     );
 }
 
+/// What waits at a node that stood still is sent on by the list of now, not by the one it fell asleep with.
+#[test]
+fn a_node_that_wakes_hears_of_drains_before_it_sends() {
+    let steps = [
+        // Requests that came before the news wait before it, and their clients still listen.
+        step("500ms", "1600ms", "do = \"pause\"\nnodes = \"all\""),
+        step("900ms", "3s", "do = \"drain\"\nservers = \"1\""),
+    ];
+    let played = played_by(2, 2, "", &steps.concat());
+    assert_eq!(broken(&played), Vec::<&str>::new(), "{:?}", played.findings);
+    assert!(played.trace.drains.len() >= 2);
+}
+
 /// Nodes start while discovery says nothing, some of them with a list of servers that are gone.
 #[test]
 fn rules_hold_for_nodes_that_start_with_no_discovery() {
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -35,6 +35,11 @@
 const GUARD: Millis = 5.0;
 /// Period in which idle connections are looked through, in milliseconds.
 const SWEEP: Millis = 500.0;
+/// A process whose sweep is overdue by this has stood still; the longest that is not noticed, with a period before it,
+/// stays under the grace of a drain. In milliseconds.
+const STILL: Millis = 300.0;
+/// Then it sends nothing for this long: what waits to be read may say that a server drains. In milliseconds.
+const HEAR: Millis = 20.0;
 /// A header whose value this node alone sets.
 const DEADLINE: &str = "req-deadline";
 
@@ -219,6 +224,10 @@
     clock: Clock,
     /// A timer became the first.
     sooner: Notify,
+    /// When the next sweep is due.
+    sweep_due: Cell<Millis>,
+    /// Until then nothing is sent: the process has stood still.
+    hears_until: Cell<Millis>,
     retired: Cell<bool>,
     /// Where attempts of requests that must not run twice are recorded first.
     ledger: RefCell<Option<Rc<dyn Ledger>>>,
@@ -243,6 +252,8 @@
             upstream,
             clock,
             sooner: Notify::new(),
+            sweep_due: Cell::new(clock.now() + SWEEP),
+            hears_until: Cell::new(f64::NEG_INFINITY),
             retired: Cell::new(false),
             ledger: RefCell::default(),
         });
@@ -441,8 +452,25 @@
         }
     }
 
+    /// Looks whether the process has stood still, and if so lets it hear before it sends.
+    fn wake(&self, now: Millis) {
+        if now > self.sweep_due.get() + STILL {
+            self.sweep_due.set(now + SWEEP);
+            self.hears_until.set(now + HEAR);
+        }
+    }
+
+    /// Waits while a process that has stood still hears what it missed.
+    async fn awake(&self) {
+        self.wake(self.clock.now());
+        if self.clock.now() < self.hears_until.get() {
+            sleep_until(self.clock.instant(self.hears_until.get())).await;
+        }
+    }
+
     fn fire(self: &Rc<Self>) {
         let mut state = self.state.borrow_mut();
+        self.wake(self.clock.now());
         let now = micros(self.clock.now());
         // Only what is due now: a timer set meanwhile for a time that has passed fires in the next round.
         let later = state.timers.split_off(&(now + 1, 0));
@@ -464,7 +492,9 @@
                         let (outcome, load) = (Outcome::Reset, Load::default());
                         state.events.push_back(Event::Probed { server, outcome, load });
                     }
-                    self.set_timer(&mut state, self.clock.now() + SWEEP, Timer::Sweep);
+                    let due = self.clock.now() + SWEEP;
+                    self.sweep_due.set(due);
+                    self.set_timer(&mut state, due, Timer::Sweep);
                 }
             }
             self.work(&mut state);
@@ -593,6 +623,7 @@
                 let request = |sent: &Rc<Sent>| {
                     driver.may_write(server, give_up_at).map(|left| message.request(left, sent))
                 };
+                driver.awake().await;
                 let end = match address {
                     Some(address) => driver.upstream.attempt(server, address, &progress, once, request).await,
                     None => End::bare(Outcome::Moot),
@@ -611,13 +642,16 @@
     }
 
     /// The time left for an attempt whose first byte is about to be written, unless it must not be: the
-    /// server drains or is gone by now, or its time is up. Where the client has left the attempt has been
+    /// server drains or is gone by now, or may be for all that this process has slept through, or its time is up. Where the client has left the attempt has been
     /// given up, and never comes here.
     fn may_write(&self, server: ServerId, give_up_at: Millis) -> Option<Millis> {
-        let left = give_up_at - self.clock.now();
+        let now = self.clock.now();
+        self.wake(now);
+        let left = give_up_at - now;
         let state = self.state.borrow();
+        let hears = now < self.hears_until.get();
         let serving = state.servers.get(&server).is_some_and(|s| s.state == TargetState::Serving);
-        (serving && left > 0.0).then_some(left)
+        (serving && !hears && left > 0.0).then_some(left)
     }
 
     /// Stops waiting for an attempt and closes its connection.
