--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //! package of this workspace: a fault of theirs would hide itself.
 //!
 //! `scenario` and `oracle` do no I/O; `relay`, `server`, `discovery`, `client`, `node` each stand in for one part of the
-//! world; `play` puts them together.
+//! world; `world` puts them together, `play` makes things happen in it.
 
 mod accept;
 mod client;
@@ -22,6 +22,7 @@
 mod server;
 mod sign_in;
 mod trace;
+mod world;
 
 pub use datagrams::{DatagramLink, Flow};
 pub use measure::{measure, Measured};
--- a/crates/fleet/src/play.rs
+++ b/crates/fleet/src/play.rs
@@ -1,38 +1,23 @@
-//! Plays a scenario: puts the parts of the world together, starts the processes, sends the load, makes the faults.
+//! Plays a scenario: makes its faults one moment after the other, sends the load, has the trace judged.
 
 use crate::client::{ask, Door, Planned};
-use crate::discovery::{Discovery, Listed};
-use crate::node::{Guard, Node, Program};
-use crate::oracle::{judge, Figures, Finding, Rules, Verdict};
-use crate::relay::{Link, Way};
-use crate::scenario::{Fault, Form, Kind, Plant, Scenario, Step, Trouble, ZONES};
-use crate::server::{Backend, Make, Server};
-use crate::sign_in::{denied, SignIn};
-use crate::trace::{lock, Class, Drain, Effect, Excuse, Leave, Recorder, Span, Trace};
+use crate::node::Program;
+use crate::oracle::{judge, Figures, Finding, Verdict};
+use crate::relay::Link;
+use crate::scenario::{Fault, Form, Kind, Scenario, Step, Trouble};
+use crate::trace::{lock, Leave, Span, Trace};
+use crate::world::{World, LEAD, LEAVE, MIX};
 use rustix::process::{Resource, Signal};
-use serde_json::json;
-use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::sync::atomic::Ordering;
-use std::sync::{Arc, OnceLock};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::Mutex;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, Instant};
 
-/// Servers of a zone drop repeats of a key for this long, in milliseconds.
-const KEY_WINDOW: f64 = 15_000.0;
-/// Time before the first request.
-const LEAD: Duration = Duration::from_millis(300);
 /// The list tells this much later that a process runs or runs no more, in milliseconds.
 const NOTICE: f64 = 800.0;
-/// Longest time from SIGTERM to the end beyond the longest deadline, in milliseconds.
-const LEAVE: f64 = 700.0;
-/// What the rig's own machine may add to that.
-const LEAVE_SLACK: f64 = 500.0;
 /// After a fault of its link to discovery a node has heard what it missed within this, in milliseconds: it asks anew a
 /// second after a connection broke.
 const HEARD_AGAIN: f64 = 1200.0;
@@ -40,12 +25,8 @@
 const GENERATORS: usize = 2;
 /// What a fault of a link broke is seen this much later, in milliseconds.
 const BREAKS_SEEN: f64 = 100.0;
-/// How long a sidecar may take to read its configuration anew.
-const RELOAD: Duration = Duration::from_secs(3);
 /// How long a node that does not end by itself is waited for beyond that.
 const LEAVE_PATIENCE: Duration = Duration::from_secs(5);
-/// A generator that is later than this in one request of a hundred has had too little of the machine.
-const LATE_MOST: f64 = 25.0;
 
 /// What came of a play.
 #[derive(Debug)]
@@ -81,422 +62,7 @@
     move |error| RigError { what, error }
 }
 
-fn classes() -> Vec<Class> {
-    let class = |name, effect, work, aim, deadline, units| Class { name, effect, work, aim, deadline, units };
-    vec![
-        class("read", Effect::Safe, 20.0, 400.0, 1500.0, 1.0),
-        class("edit", Effect::Keyed, 30.0, 600.0, 2000.0, 2.0),
-        class("order", Effect::Unsafe, 40.0, 800.0, 2500.0, 3.0),
-    ]
-}
-
-/// Parts of the classes in the load, in hundredths.
-const MIX: [u32; 3] = [60, 20, 20];
-
-fn rules(scenario: &Scenario) -> Rules {
-    let longest = classes().iter().map(|c| c.deadline).fold(0.0, f64::max);
-    Rules {
-        classes: classes(),
-        answer_slack: 50.0,
-        // 1 s by the protocol, and its slack on sockets.
-        drain_grace: 1050.0,
-        capacity: scenario.workers as f64,
-        cold_from: 0.25,
-        warm_after: 6000.0,
-        fall_multiple: 2.5,
-        fall_window: 2000.0,
-        ceiling_rate: scenario.ceiling,
-        ceiling_burst: 4.0 * scenario.ceiling,
-        // What nodes are told, and what the rate gives in 150 ms.
-        ceiling_slack: tolerance(scenario) + 0.15 * scenario.ceiling,
-        settle: scenario.settle,
-        late_most: LATE_MOST,
-        leave_most: longest + LEAVE + LEAVE_SLACK,
-        zones: ZONES.len(),
-        at_odds_most: scenario.at_odds.map(|most| most / 1000.0),
-        denied: scenario.sign_in.then_some(denied),
-        steady: !scenario.steps.iter().any(|step| step.fault.moves_load()),
-    }
-}
-
-/// Units by which nodes are told that a ceiling's store may fall below nothing: a tenth of it, or one of the largest
-/// requests.
-fn tolerance(scenario: &Scenario) -> f64 {
-    (0.4 * scenario.ceiling).max(3.0)
-}
-
-/// Units a second that each customer's quota gives: four times what it asks for, or half of its ceiling.
-fn quota(scenario: &Scenario) -> f64 {
-    let units: f64 =
-        classes().iter().zip(MIX).map(|(class, part)| class.units * f64::from(part) / 100.0).sum();
-    let asked = scenario.rate * units / f64::from(scenario.customers);
-    if scenario.ceiling > 0.0 {
-        scenario.ceiling / 2.0
-    } else {
-        (4.0 * asked).max(1.0)
-    }
-}
-
-struct World {
-    scenario: Scenario,
-    rules: Rules,
-    recorder: Recorder,
-    /// Unix time at the play's beginning, in milliseconds.
-    epoch: f64,
-    servers: Vec<Server>,
-    agents: Vec<Discovery>,
-    /// From each node to each server.
-    links: Vec<Vec<Link>>,
-    /// From each node to its agent; another one once discovery has moved.
-    lists: Vec<std::sync::Mutex<Link>>,
-    /// From each node to the sign-in service.
-    sign_ins: Vec<Link>,
-    _sign_in: SignIn,
-    nodes: Vec<Mutex<Node>>,
-    /// Set once all nodes have started; they keep their addresses.
-    doors: OnceLock<Vec<Door>>,
-    guard: Option<Guard>,
-    seed: u64,
-    /// Servers as sidecars are told of them: those that drain, and those that are gone.
-    told: std::sync::Mutex<BTreeMap<usize, &'static str>>,
-    /// Where the journals are.
-    folder: PathBuf,
-}
-
 impl World {
-    async fn new(scenario: &Scenario, program: &Program, folder: &Path, seed: u64) -> io::Result<Self> {
-        let rules = rules(scenario);
-        let recorder = Recorder::new(Instant::now() + LEAD);
-        let make = Make {
-            workers: scenario.workers,
-            cold_from: rules.cold_from,
-            warm_after: rules.warm_after,
-            key_window: KEY_WINDOW,
-            quota: quota(scenario),
-        };
-        let backend = Backend::new(classes(), make, recorder.clone(), seed);
-        let (sign_in, mut sign_ins) = (SignIn::start().await?, Vec::new());
-        let mut servers = Vec::new();
-        for number in 0..scenario.servers {
-            servers.push(Server::start(number, backend.clone()).await?);
-        }
-        let (mut agents, mut links, mut lists, mut nodes) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-        for number in 0..scenario.nodes {
-            let mut own = Vec::new();
-            let agent = Discovery::start(number, recorder.clone()).await?;
-            for server in &servers {
-                let backend = backend.clone();
-                let opened = move |from| backend.comes_from(from, number);
-                let link = Link::open(server.address, opened).await?;
-                let listed =
-                    Listed { server: server.number, address: link.address, state: "SERVING", boot_ms: 0 };
-                agent.set(&uid(server.number), listed);
-                own.push(link);
-            }
-            sign_ins.push(Link::open(sign_in.address, |_| {}).await?);
-            lists.push(std::sync::Mutex::new(Link::open(agent.address, |_| {}).await?));
-            agents.push(agent);
-            links.push(own);
-            nodes.push(Mutex::new(Node::new(program, folder, number, scenario.form, recorder.clone())));
-        }
-        let guard = program.guard.as_deref().map(Guard::start).transpose()?;
-        let (epoch, scenario) = (0.0, scenario.clone());
-        let (doors, told, folder) = (OnceLock::new(), Default::default(), folder.to_owned());
-        Ok(Self {
-            scenario,
-            rules,
-            recorder,
-            epoch,
-            servers,
-            agents,
-            links,
-            lists,
-            sign_ins,
-            _sign_in: sign_in,
-            nodes,
-            doors,
-            guard,
-            seed,
-            told,
-            folder,
-        })
-    }
-
-    /// The play begins at a moment.
-    fn begin(&mut self, at: Instant) {
-        self.recorder.begin(at);
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        self.epoch = (unix + at.saturating_duration_since(Instant::now())).as_secs_f64() * 1000.0;
-    }
-
-    /// Starts a node, or starts it again with the list as it now is.
-    async fn start(&self, number: usize) -> io::Result<()> {
-        let mut node = self.nodes[number].lock().await;
-        let (listed, known) = (lock(&self.lists[number]).address, self.agents[number].known());
-        let seed = self.seed_of(number);
-        let config = |address| match self.scenario.form {
-            Form::EdgeNode => self.config(number, address, listed, &known, seed),
-            Form::Sidecar => self.statements(number, address),
-        };
-        node.start(self.guard.as_ref(), config).await
-    }
-
-    /// Moves discovery for a node: opens the new address, tells the node, and closes the old one.
-    async fn move_list(&self, number: usize) -> io::Result<()> {
-        let agent = &self.agents[number];
-        let moved = Link::open(agent.address, |_| {}).await?;
-        let (listed, known) = (moved.address, agent.known());
-        drop(std::mem::replace(&mut *lock(&self.lists[number]), moved));
-        let node = self.nodes[number].lock().await;
-        node.reload(&self.config(number, node.address, listed, &known, self.seed_of(number)))
-    }
-
-    fn seed_of(&self, number: usize) -> u64 {
-        self.seed ^ (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
-    }
-
-    /// The configuration of a sidecar, with the servers as it is to know them now.
-    fn statements(&self, number: usize, listen: SocketAddr) -> String {
-        let (rules, scenario) = (&self.rules, &self.scenario);
-        let quota = quota(scenario);
-        let (ceiling, burst, slack) = (rules.ceiling_rate, rules.ceiling_burst, tolerance(scenario));
-        let ceiling = match ceiling > 0.0 {
-            true => format!(
-                "ceiling {ceiling}/s; ceiling-burst {burst}; ceiling-slack {slack}; excess-worth 0.3; excess-cost 0;"
-            ),
-            false => String::new(),
-        };
-        let mut text = format!(
-            "limits {{ descriptors 1024; }}\nlisten {listen} {{ trusted 127.0.0.1; connections 400; }}\n\
-             identity {{ customer header X-Customer; default-plan plain; }}\n\
-             plan plain {{ quota {quota:.3}/s; burst {:.3}; {ceiling} }}\n",
-            (4.0 * quota).max(12.0)
-        );
-        if scenario.journal {
-            let folder = self.folder.join(format!("journal-{number}"));
-            text += &format!("journal {{ folder {}; level written; }}\n", folder.display());
-        }
-        let scope = if self.plants(Plant::KeyedEverywhere) { "all" } else { "zone" };
-        for (number, class) in rules.classes.iter().enumerate() {
-            let effect = match self.told(number).effect {
-                Effect::Safe => "safe;".to_owned(),
-                Effect::Keyed => format!("keyed; scope {scope}; window {KEY_WINDOW}ms;"),
-                Effect::Unsafe => "unsafe;".to_owned(),
-            };
-            let Class { name, aim, deadline, units, .. } = class;
-            let sign_in = if scenario.sign_in { "sign-in door; " } else { "" };
-            let methods = if class.effect == Effect::Safe { "GET" } else { "POST" };
-            text += &format!(
-                "class {name} {{ effect {effect} aim {aim}ms; deadline {deadline}ms; worth {units}; units {units}; }}\n\
-                 route {name} {{ path exact /{name}; methods {methods}; {sign_in}class {name}; pool app; }}\n"
-            );
-        }
-        if scenario.sign_in {
-            let (address, count) = (self.sign_ins[number].address, self.width());
-            text += &format!(
-                "pool accounts {{ sidecars {count}; connect 250ms; server a {address}; }}\n\
-                 sign-in door {{ pool accounts; path /check; }}\n"
-            );
-        }
-        let (from, warm) = (rules.cold_from, rules.warm_after);
-        let (fall, window) = (rules.fall_multiple, rules.fall_window);
-        text += &format!(
-            "pool app {{\n    zone {}; sidecars {}; cross-zone 0.02; connect 250ms; errors 500 502 503 504;\n    \
-             declined Srv-Declined 1; cold {{ from {from}; warm {warm}ms; fall {fall}; for {window}ms; }}\n",
-            ZONES[number % ZONES.len()],
-            self.width()
-        );
-        let told = lock(&self.told);
-        for (server, link) in self.links[number].iter().enumerate() {
-            let state = match told.get(&server) {
-                Some(&"DELETED") => continue,
-                Some(&"DRAINING") => "draining",
-                _ => "serving",
-            };
-            let (zone, cell) = (ZONES[server % ZONES.len()], server % ZONES.len());
-            text += &format!(
-                "    server s{server} {} {{ zone {zone}; cell {cell}; state {state}; }}\n",
-                link.address
-            );
-        }
-        text + "}\n"
-    }
-
-    /// Has a sidecar read its configuration anew, and notes which servers it was told to leave.
-    async fn reload(&self, number: usize, left: &[usize]) -> io::Result<()> {
-        let said = {
-            let node = self.nodes[number].lock().await;
-            node.reload(&self.statements(number, node.address))?;
-            node.said()
-        };
-        let read = || lock(&said).iter().filter(|(_, line)| line.ends_with("read anew")).count();
-        let (before, begun) = (read(), Instant::now());
-        while read() == before {
-            // One that is killed or stands still meanwhile is told at its next start, or whenever it reads.
-            if begun.elapsed() > RELOAD {
-                return Ok(());
-            }
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
-        let at = self.recorder.now();
-        // What has come back meanwhile, while this one was down, was never told to leave.
-        let told = lock(&self.told).clone();
-        let left = left.iter().filter(|server| told.get(server).is_some_and(|state| *state != "SERVING"));
-        self.recorder.note(|trace| {
-            let until = f64::INFINITY;
-            trace.drains.extend(left.map(|server| Drain { node: number, server: *server, at, until }));
-        });
-        Ok(())
-    }
-
-    /// Tells all nodes of a new state of some servers.
-    async fn list(self: &Arc<Self>, servers: &[usize], state: &'static str, boot_ms: u64) -> io::Result<()> {
-        if self.scenario.form == Form::EdgeNode {
-            for (server, (agent, links)) in servers
-                .iter()
-                .flat_map(|server| self.agents.iter().zip(&self.links).map(move |each| (*server, each)))
-            {
-                agent.set(&uid(server), Listed { server, address: links[server].address, state, boot_ms });
-            }
-            return Ok(());
-        }
-        lock(&self.told).extend(servers.iter().map(|server| (*server, state)));
-        let left = if state == "SERVING" { Vec::new() } else { servers.to_vec() };
-        let now = self.recorder.now();
-        let deaf = |number: usize| {
-            let holds = |step: &&Step| step.at <= now && now < step.at + step.lasts;
-            let mut holding = self.scenario.steps.iter().filter(holds);
-            holding.any(|step| matches!(&step.fault, Fault::Unlisted(nodes) if nodes.has(number)))
-        };
-        let mut each = JoinSet::new();
-        for number in (0..self.scenario.nodes).filter(|number| !deaf(*number)) {
-            let (world, left) = (self.clone(), left.clone());
-            each.spawn(async move { world.reload(number, &left).await });
-        }
-        while let Some(told) = each.join_next().await {
-            told.map_err(io::Error::other)??;
-        }
-        Ok(())
-    }
-
-    fn config(&self, number: usize, listen: SocketAddr, agent: SocketAddr, known: &str, seed: u64) -> String {
-        let (rules, scenario) = (&self.rules, &self.scenario);
-        let scope = if self.plants(Plant::KeyedEverywhere) { "all" } else { "zone" };
-        let (count, rank) = (self.width(), number % self.width());
-        let classes: Vec<_> = rules
-            .classes
-            .iter()
-            .enumerate()
-            .map(|(number, c)| {
-                let effect = match self.told(number).effect {
-                    Effect::Safe => "safe",
-                    Effect::Keyed => "keyed",
-                    Effect::Unsafe => "unsafe",
-                };
-                json!({"name": c.name, "aimMs": c.aim, "deadlineMs": c.deadline, "worth": c.units, "lateWorth": 0.2,
-                       "effect": effect, "keyScope": scope, "windowMs": KEY_WINDOW})
-            })
-            .collect();
-        let quota = quota(scenario);
-        let (extra, cost) = if scenario.ceiling > 0.0 { (0.3, 0.0) } else { (0.0, 1.0) };
-        let config = json!({
-            "name": format!("n{number}"), "listen": listen.to_string(), "discovery": agent.to_string(),
-            "seed": format!("{seed:016x}"), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": serde_json::from_str::<serde_json::Value>(known).unwrap_or_default(),
-            "settings": {
-                "allowed": {"cancel": true, "connectTimeoutMs": 250, "keepaliveMs": 15000, "maxRetryAfterMs": 2000,
-                            "mayProbe": false, "mostTries": 5, "retryAfter": true, "secondCopies": true},
-                "az": ZONES[number % ZONES.len()], "balancers": count, "rank": rank,
-                "discovery": "automatic", "prices": {"crossZone": 0.02}, "classes": classes,
-                "contracts": [{"name": "plain", "refill": quota, "mostAtOnce": (4.0 * quota).max(12.0),
-                               "worthFactor": 1.0, "extraWorth": extra, "excessCost": cost,
-                               "capRate": rules.ceiling_rate, "capDepth": rules.ceiling_burst,
-                               "tolerance": tolerance(scenario)}],
-                "domain": {"unitsTop": 3, "usePeriodMs": 1000},
-                "rules": {"coldFrom": rules.cold_from, "warmAfterMs": rules.warm_after,
-                          "fallMultiple": rules.fall_multiple, "overloadForMs": rules.fall_window}}
-        });
-        config.to_string()
-    }
-
-    /// Puts on links and servers what holds now.
-    fn apply(&self, holding: &[&Fault]) {
-        let none = usize::MAX;
-        for (number, links) in self.links.iter().enumerate() {
-            for (server, link) in links.iter().enumerate() {
-                put(link, holding, Kind::Servers, number, server);
-            }
-            put(&self.sign_ins[number], holding, Kind::SignIn, number, none);
-            put(&lock(&self.lists[number]), holding, Kind::Lists, number, none);
-            self.agents[number]
-                .silence(holding.iter().any(|f| matches!(f, Fault::Unlisted(n) if n.has(number))));
-            if let Some(door) = self.doors().get(number) {
-                let faulty = holding.iter().any(|fault| at_clients(fault, number));
-                // Before the first break and after the last one.
-                if faulty {
-                    door.at_fault(true, self.recorder.now());
-                }
-                put(&door.link, holding, Kind::Clients, number, none);
-                door.at_fault(faulty, self.recorder.now());
-            }
-        }
-        for server in &self.servers {
-            let number = server.number;
-            let (mut slow, mut wrong, mut swallows, mut up) = (Vec::new(), Vec::new(), Vec::new(), true);
-            for fault in holding {
-                match fault {
-                    Fault::Slow(servers, whom, times) if servers.has(number) => {
-                        slow.push((whom.clone(), *times))
-                    }
-                    Fault::Wrong(servers, whom, part) if servers.has(number) => {
-                        wrong.push((whom.clone(), *part))
-                    }
-                    Fault::Swallow(servers, whom) if servers.has(number) => swallows.push(whom.clone()),
-                    Fault::Crash(servers) => up &= !servers.has(number),
-                    _ => {}
-                }
-            }
-            server.change(|c| (c.slow, c.wrong, c.swallows, c.up) = (slow, wrong, swallows, up));
-        }
-    }
-
-    fn plants(&self, plant: Plant) -> bool {
-        self.scenario.plants.contains(&plant)
-    }
-
-    /// A class as nodes and clients are told of it; a node refuses a request that does not fit what it was told.
-    fn told(&self, class: usize) -> Class {
-        let mut class = self.rules.classes[class].clone();
-        if class.effect == Effect::Unsafe && self.plants(Plant::UnsafeAsSafe) {
-            class.effect = Effect::Safe;
-        }
-        class
-    }
-
-    /// Nodes of a customer's set, as nodes and clients are told; one that takes itself for the only one takes the
-    /// whole of what is shared.
-    fn width(&self) -> usize {
-        if self.plants(Plant::Alone) {
-            1
-        } else {
-            self.scenario.nodes
-        }
-    }
-
-    fn doors(&self) -> &[Door] {
-        self.doors.get().map_or(&[], Vec::as_slice)
-    }
-
-    fn mark_killed(&self, node: usize, killed: bool) {
-        if let Some(door) = self.doors().get(node) {
-            door.killed.store(killed, Ordering::SeqCst);
-        }
-    }
-
-    fn excuse(&self, node: usize, from: f64, to: f64) {
-        self.recorder.note(|trace| trace.excuses.push(Excuse { node, span: Span { from, to } }));
-    }
-
     /// What a step does to processes, from its beginning to its end; links and servers are set by `apply`.
     async fn processes(self: Arc<Self>, step: Step) -> io::Result<()> {
         let end = step.at + step.lasts;
@@ -711,45 +277,6 @@
     }
 }
 
-/// Whether a fault is on a node's link to its clients.
-fn at_clients(fault: &Fault, node: usize) -> bool {
-    matches!(fault, Fault::Link(place, _) if place.kind == Kind::Clients && place.nodes.has(node))
-}
-
-/// Puts on a link what holds now.
-fn put(link: &Link, holding: &[&Fault], kind: Kind, node: usize, server: usize) {
-    let (mut there, mut back, mut reset) = (Way::default(), Way::default(), false);
-    for fault in holding {
-        let Fault::Link(place, trouble) = fault else { continue };
-        if place.kind != kind || !place.nodes.has(node) || !place.servers.has(server) {
-            continue;
-        }
-        let mut each = |ways: crate::scenario::Ways, change: &dyn Fn(&mut Way)| {
-            if ways.there() {
-                change(&mut there);
-            }
-            if ways.back() {
-                change(&mut back);
-            }
-        };
-        match *trouble {
-            Trouble::Cut(ways) => each(ways, &|way| way.cut = true),
-            Trouble::Delay(ways, by, jitter) => each(ways, &|way| {
-                way.delay += Duration::from_secs_f64(by / 1000.0);
-                way.jitter += Duration::from_secs_f64(jitter / 1000.0);
-            }),
-            Trouble::Rate(ways, rate) => {
-                each(ways, &|way| way.rate = Some(way.rate.map_or(rate, |now| now.min(rate))));
-            }
-            Trouble::Change(part) => back.changed = back.changed.max(part),
-            Trouble::After(ways, bytes, then) => each(ways, &|way| way.after = Some((bytes, then))),
-            Trouble::Reset => reset = true,
-        }
-    }
-    link.set(there, back);
-    link.reset(reset);
-}
-
 /// Sends the load from threads of its own: starting a dozen processes must not make the generator late.
 async fn load_apart(world: Arc<World>) -> io::Result<()> {
     let (done, loaded) = tokio::sync::oneshot::channel();
@@ -764,10 +291,6 @@
     loaded.await.map_err(io::Error::other)
 }
 
-fn uid(server: usize) -> String {
-    format!("s-{server}")
-}
-
 /// Plays a scenario. What the processes write goes into a folder, which must exist.
 ///
 /// # Errors
