--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -38,8 +38,8 @@
 const WORK_WEIGHT: f64 = 0.04;
 /// Weight of one answer in a server's learned pace; a slow server shows within some twenty answers.
 const PACE_WEIGHT: f64 = 0.05;
-/// Time in which what time-outs taught of a server's pace loses most of its say, in shortest aims. They come with
-/// faults, and a server that is not asked for them shows nothing better: it would be left for ever.
+/// Time in which what time-outs taught of a server's pace loses most of its say, in shortest aims. They come
+/// with faults, and a server that is not asked for them shows nothing better: it would be left for ever.
 const SLOWED_LIFE: f64 = 4.0;
 /// Weight of one report in what other gateways keep on a server; reports are noisy.
 const REPORT_WEIGHT: f64 = 0.5;
@@ -67,8 +67,8 @@
 /// Bounds on the factor that worth for work puts on QUEUE_ROOM: cheap requests are refused first, and with
 /// them those beyond a quota that still pay.
 const QUEUE_FACTOR: (f64, f64) = (0.4, 2.0);
-/// One over the own attempts out for each server from which on QUEUE_FACTOR has its full say: with fewer a gateway
-/// mostly knows nothing of the queue at the server that it chooses.
+/// One over the own attempts out for each server from which on QUEUE_FACTOR has its full say: with fewer a
+/// gateway mostly knows nothing of the queue at the server that it chooses.
 const SIGHT: f64 = 4.0;
 /// Queue that every request may join, in works of a mean request. Where work is long against
 /// the shortest aim, QUEUE_ROOM comes to less than one request's: one that is only guessed to be at each
@@ -632,8 +632,8 @@
         }
         self.mean_work += VALUE_WEIGHT * (work - self.mean_work);
         self.mean_value += VALUE_WEIGHT * (value - self.mean_value);
-        // Guards cheap classes against many gateways that see little: each guesses the same queue at all servers,
-        // and would refuse all cheap work on it, also where there is room.
+        // Guards cheap classes against many gateways that see little: each guesses the same queue at all
+        // servers, and would refuse all cheap work on it, also where there is room.
         let sight = (SIGHT * self.usual_out / self.ready()).min(1.0);
         let factor = (value / self.mean_value).clamp(QUEUE_FACTOR.0, QUEUE_FACTOR.1).powf(sight);
         let factor = if standing == Standing::Beyond { QUEUE_FACTOR.0 } else { factor };
