Rig: one place to play, to read /proc and to judge excuses; sign-in only where asked

Found in reading the whole change once more; what the rig does stays as it was. - The scratch folder, the runtime and the retry of void plays stood in the command and in two tests: play_once and play_until_told. A play that fails is now an error at once in both tests. - /proc was read by two pieces: stat.rs. Excuses, the longest deadline, a step's end and whether it holds: one each. - The judge made the table of requests twice and the nodes' differences and the swing twice for each play: once now. - The sign-in service and a link to it for each node were opened in every play: only where a scenario has one. - Plainer: limits and signals to some nodes, the list told to agents, a defect's bytes, two lines of a measurement.

--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -3,12 +3,13 @@
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use ivygate_fleet::{
-    guard, measure, play, report, shipped, Figures, Played, Program, Scenario, Select, Verdict,
+    guard, measure, play_once, report, shipped, Figures, Played, Program, Scenario, Select, Verdict,
 };
 use serde_json::json;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::mpsc;
 use std::time::Duration;
 
 /// Prints a line. A reader that has seen enough, as `head`, is no failure.
@@ -166,9 +167,9 @@
             })
         }
         Command::Noise { scenario, times, program } => {
-            with(&scenario, |scenario| noise(&scenario, times, program))
+            with(&scenario, |scenario| noise(&scenario, times, program.as_deref()))
         }
-        Command::Limits { nodes, program } => limits(&nodes, program),
+        Command::Limits { nodes, program } => limits(&nodes, program.as_deref()),
         Command::Links { connections, messages } => match measure(connections, messages) {
             Ok(measured) => {
                 say!("{measured}");
@@ -211,45 +212,34 @@
     }
 }
 
-/// Plays once; the processes' files go into a folder of its own, which ends with the play unless it is kept.
-fn once(scenario: &Scenario, program: Program, seed: u64, keep: Option<&Path>) -> Result<Played, String> {
-    let own = std::env::temp_dir().join(format!("ivygate-fleet-{}-{seed:x}", std::process::id()));
-    let folder = keep.unwrap_or(&own);
-    std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let playing = async {
-        // Drawn on a terminal alone.
-        let bar = ProgressBar::new((scenario.length / 1000.0) as u64);
-        if let Ok(style) = ProgressStyle::with_template("{wide_bar} {pos} of {len} s") {
-            bar.set_style(style);
-        }
-        let ticking = tokio::spawn({
-            let bar = bar.clone();
-            async move {
-                loop {
-                    tokio::time::sleep(Duration::from_secs(1)).await;
-                    bar.inc(1);
-                }
+/// Plays once, with a bar of its progress; one is drawn on a terminal alone.
+fn once(scenario: &Scenario, program: &Program, seed: u64, keep: Option<&Path>) -> Result<Played, String> {
+    let bar = ProgressBar::new((scenario.length / 1000.0) as u64);
+    if let Ok(style) = ProgressStyle::with_template("{wide_bar} {pos} of {len} s") {
+        bar.set_style(style);
+    }
+    let (over, played) = mpsc::channel::<()>();
+    std::thread::scope(|scope| {
+        scope.spawn(move || {
+            while played.recv_timeout(Duration::from_secs(1)) == Err(mpsc::RecvTimeoutError::Timeout) {
+                bar.inc(1);
             }
+            bar.finish_and_clear();
         });
-        let played = play(scenario, &program, folder, seed).await;
-        ticking.abort();
-        bar.finish_and_clear();
+        let played = play_once(scenario, program, seed, keep).map_err(|error| error.to_string());
+        drop(over);
         played
-    };
-    let played = runtime.block_on(playing).map_err(|error| error.to_string());
-    runtime.shutdown_background();
-    if keep.is_none() {
-        // What can't be removed stays in the system's folder for such things.
-        let _ = std::fs::remove_dir_all(&own);
-    }
-    played
+    })
+}
+
+/// Plays once with a program, by default the one beside this.
+fn once_by(scenario: &Scenario, program: Option<&Path>, seed: u64) -> Result<Played, String> {
+    once(scenario, &started(program)?, seed, None)
 }
 
-fn started(program: Option<PathBuf>) -> Result<Program, String> {
+fn started(program: Option<&Path>) -> Result<Program, String> {
     let own = std::env::current_exe().map_err(|error| error.to_string())?;
-    let program = program.unwrap_or_else(|| own.with_file_name("ivygate"));
+    let program = program.map_or_else(|| own.with_file_name("ivygate"), Path::to_owned);
     if !program.is_file() {
         return Err(format!("{}: no such program; build it with cargo build --release", program.display()));
     }
@@ -261,7 +251,7 @@
         Ok(scenario) => scenario,
         Err(error) => return misused(&error),
     };
-    let program = started(asked.program.clone()).and_then(|program| {
+    let program = started(asked.program.as_deref()).and_then(|program| {
         let others =
             asked.others.as_deref().map(|others| Select::parse(others, scenario.nodes)).transpose()?;
         Ok(Program { other: asked.other.clone().zip(others), defect: asked.defect.clone(), ..program })
@@ -274,7 +264,7 @@
     if !asked.json {
         say!("{}: {} (seed {seed})", scenario.name, scenario.about);
     }
-    let played = match once(&scenario, program, seed, asked.keep.as_deref()) {
+    let played = match once(&scenario, &program, seed, asked.keep.as_deref()) {
         Ok(played) => played,
         Err(error) => return failed(&error),
     };
@@ -342,13 +332,11 @@
 }
 
 /// Plays on one seed again and again: what differs is the machine's doing, and the noise of each figure.
-fn noise(scenario: &Scenario, times: u64, program: Option<PathBuf>) -> ExitCode {
+fn noise(scenario: &Scenario, times: u64, program: Option<&Path>) -> ExitCode {
     let mut plays = Vec::new();
     let mut broken = 0;
     for _ in 0..times.max(2) {
-        let played =
-            started(program.clone()).and_then(|program| once(scenario, program, scenario.seed, None));
-        match played {
+        match once_by(scenario, program, scenario.seed) {
             Ok(played) if played.verdict == Verdict::Void => say!("a void play is left out"),
             Ok(played) => {
                 broken += usize::from(played.verdict == Verdict::Broken);
@@ -381,7 +369,7 @@
 }
 
 /// For each size of a fleet, raises the rate until a play is void.
-fn limits(sizes: &[usize], program: Option<PathBuf>) -> ExitCode {
+fn limits(sizes: &[usize], program: Option<&Path>) -> ExitCode {
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
     say!("{cores} processors; 5 s each, nothing fails; 16 servers of 16 workers");
     for nodes in sizes {
@@ -395,8 +383,7 @@
                 Ok(scenario) => scenario,
                 Err(error) => return misused(&error.to_string()),
             };
-            let played = started(program.clone()).and_then(|program| once(&scenario, program, 1, None));
-            match played {
+            match once_by(&scenario, program, 1) {
                 Ok(played) if played.verdict == Verdict::Void => break,
                 Ok(played) => best = Some((rate, played.figures)),
                 Err(error) => return failed(&error),
@@ -448,9 +435,7 @@
         let seed = scenarios[0].seed.wrapping_add(turn);
         let mut served = [0.0; 2];
         for which in if turn % 2 == 0 { [0, 1] } else { [1, 0] } {
-            let played =
-                started(Some(programs[which].clone())).and_then(|p| once(&scenarios[which], p, seed, None));
-            let played = match played {
+            let played = match once_by(&scenarios[which], Some(&programs[which]), seed) {
                 Ok(played) => played,
                 Err(error) => return failed(&error),
             };
--- a/crates/fleet/src/measure.rs
+++ b/crates/fleet/src/measure.rs
@@ -2,7 +2,7 @@
 
 use crate::accept::accept;
 use crate::relay::Link;
-use crate::scenario::ZONES;
+use crate::stat::processor;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -33,14 +33,13 @@
 
 impl fmt::Display for Measured {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let ([half, most], [half_linked, most_linked]) = (self.direct, self.linked);
         writeln!(f, "{} messages of {MESSAGE} bytes there and back, one after the other:", self.messages)?;
-        writeln!(
-            f,
-            "  direct   half within {half:.0} us, 99 in 100 within {most:.0} us, {:.1} us of processor each",
-            self.cpu[0]
-        )?;
-        writeln!(f, "  linked   half within {half_linked:.0} us, 99 in 100 within {most_linked:.0} us, {:.1} us of processor each", self.cpu[1])?;
+        for (name, [half, most], cpu) in
+            [("direct", self.direct, self.cpu[0]), ("linked", self.linked, self.cpu[1])]
+        {
+            write!(f, "  {name}   half within {half:.0} us, 99 in 100 within {most:.0} us, ")?;
+            writeln!(f, "{cpu:.1} us of processor each")?;
+        }
         write!(
             f,
             "{} connections open at once through one link, a message there and back on each: {:.2} s",
@@ -59,7 +58,7 @@
     runtime.block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let target = listener.local_addr()?;
-        let (_open, state) = watch::channel(ZONES.len());
+        let (_open, state) = watch::channel(());
         accept(listener, state, |stream, _| drop(tokio::spawn(echo(stream))));
         let link = Link::open(target, |_| {}).await?;
         let (direct, direct_cpu) = asked(target, messages).await?;
@@ -98,28 +97,15 @@
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     once(&mut stream).await?;
-    let before = processor();
+    let before = processor("self");
     let mut times = Vec::with_capacity(messages);
     for _ in 0..messages.max(1) {
         let begun = Instant::now();
         once(&mut stream).await?;
         times.push(begun.elapsed().as_secs_f64() * 1e6);
     }
-    let cpu = (processor() - before) * 1e6 / times.len() as f64;
+    let cpu = (processor("self") - before) * 1e6 / times.len() as f64;
     times.sort_by(f64::total_cmp);
     let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize];
     Ok(([at(0.5), at(0.99)], cpu))
 }
-
-/// Processor time of this process so far, in seconds.
-fn processor() -> f64 {
-    processor_of("self")
-}
-
-/// Processor time of a process so far, in seconds; nothing where the system does not tell.
-pub fn processor_of(process: &str) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
-    let fields = stat.rsplit(") ").next().unwrap_or_default().split(' ').skip(11).take(2);
-    // The system's unit in that file is a hundredth.
-    fields.filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0
-}
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,8 +1,8 @@
 //! One process of the program, as it is shipped, in the platform's form; and the guard that ends all of them when the
 //! rig itself is killed.
 
-use crate::measure::processor_of;
 use crate::scenario::{Form, Select};
+use crate::stat;
 use crate::trace::{lock, Recorder};
 use rustix::process::{getrlimit, kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use std::io;
@@ -83,26 +83,22 @@
             }
         };
         match line.split_at_checked(1).map(|(sign, id)| (sign, id.parse::<i32>())) {
-            Some(("+", Ok(id))) => drop(watched.insert(id, started(id))),
+            Some(("+", Ok(id))) => drop(watched.insert(id, stat::started(&id.to_string()))),
             Some(("-", Ok(id))) => drop(watched.remove(&id)),
             _ => {}
         }
     }
     for (id, when) in watched {
         // Guards a stranger that has the number of one that ended meanwhile.
-        if let Some(pid) = Pid::from_raw(id).filter(|_| when.is_some() && started(id) == when) {
+        if let Some(pid) =
+            Pid::from_raw(id).filter(|_| when.is_some() && stat::started(&id.to_string()) == when)
+        {
             let _ = kill_process(pid, Signal::KILL);
         }
     }
     read
 }
 
-/// When a process started, in the system's words.
-fn started(id: i32) -> Option<String> {
-    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
-    stat.rsplit(") ").next()?.split(' ').nth(19).map(str::to_owned)
-}
-
 /// What a node has said, and when.
 pub type Said = Arc<std::sync::Mutex<Vec<(f64, String)>>>;
 
@@ -239,7 +235,7 @@
 
     /// Processor time of its process so far, in seconds.
     pub fn processor(&self) -> f64 {
-        self.id().map_or(0.0, |pid| processor_of(&pid.as_raw_nonzero().to_string()))
+        self.id().map_or(0.0, |pid| stat::processor(&pid.as_raw_nonzero().to_string()))
     }
 
     /// What it says, and when.
--- a/crates/fleet/src/oracle.rs
+++ b/crates/fleet/src/oracle.rs
@@ -157,18 +157,20 @@
 
 /// Judges what happened.
 pub fn judge(rules: &Rules, trace: &Trace) -> (Verdict, Figures, Vec<Finding>) {
-    let figures = figures(rules, trace);
+    let (turns, apart) = (turns(rules, trace), apart(rules, trace));
+    let figures = figures(rules, trace, &turns, &apart);
+    let requests = trace.requests.iter().map(|request| (request.id, request)).collect();
     let mut findings = answers(rules, trace);
     findings.extend(effects(rules, trace));
     findings.extend(drains(rules, trace));
     findings.extend(cold_servers(rules, trace));
-    findings.extend(ceilings(rules, trace));
+    findings.extend(ceilings(rules, trace, &requests));
     findings.extend(accounts(trace));
-    findings.extend(sign_in(rules, trace));
+    findings.extend(sign_in(rules, trace, &requests));
     findings.extend(leaves(rules, trace));
     findings.extend(settling(rules, &figures));
-    findings.extend(swinging(rules, trace));
-    findings.extend(at_odds(rules, trace));
+    findings.extend(swinging(&turns));
+    findings.extend(at_odds(rules, &apart));
     let verdict = match (figures.late > rules.late_most, findings.is_empty()) {
         (true, _) => Verdict::Void,
         (false, true) => Verdict::Kept,
@@ -189,7 +191,7 @@
     for request in &trace.requests {
         let end = request.meant + rules.classes[request.class].deadline + rules.answer_slack;
         let open = Span { from: request.written, to: request.ended.min(end) };
-        if trace.excuses.iter().any(|excuse| excuse.node == request.node && excuse.span.meets(&open)) {
+        if trace.excuses(request.node, &open) {
             continue;
         }
         let (id, node) = (request.id, request.node);
@@ -217,7 +219,7 @@
     }
     for stray in &trace.strays {
         let seen = Span { from: stray.at, to: stray.at };
-        if !trace.excuses.iter().any(|excuse| excuse.node == stray.node && excuse.span.meets(&seen)) {
+        if !trace.excuses(stray.node, &seen) {
             found.push(finding(ONE_ANSWER, format!("node {} sent bytes that nobody asked for", stray.node)));
         }
     }
@@ -298,11 +300,10 @@
 }
 
 /// Rule five: for each customer, what all nodes together send on first stays under the ceiling.
-fn ceilings(rules: &Rules, trace: &Trace) -> Vec<Finding> {
+fn ceilings(rules: &Rules, trace: &Trace, requests: &HashMap<u32, &Request>) -> Vec<Finding> {
     if rules.ceiling_rate <= 0.0 {
         return Vec::new();
     }
-    let requests: HashMap<u32, &Request> = trace.requests.iter().map(|r| (r.id, r)).collect();
     let mut stores: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
     let mut seen = HashSet::new();
     let mut found = Vec::new();
@@ -336,9 +337,8 @@
 }
 
 /// Nothing of a customer to whom the sign-in service says no comes to a server, and nobody else is told a no.
-fn sign_in(rules: &Rules, trace: &Trace) -> Vec<Finding> {
+fn sign_in(rules: &Rules, trace: &Trace, requests: &HashMap<u32, &Request>) -> Vec<Finding> {
     let rule = "asks first";
-    let requests: HashMap<u32, &Request> = trace.requests.iter().map(|r| (r.id, r)).collect();
     let denied = |customer| rules.denied.is_some_and(|denied| denied(customer));
     let of = |run: &Run| requests.get(&run.id).copied().filter(|request| denied(request.customer));
     let let_on = trace.runs.iter().filter_map(|run| of(run).map(|request| (run, request)));
@@ -401,8 +401,7 @@
     found
 }
 
-fn swinging(rules: &Rules, trace: &Trace) -> Option<Finding> {
-    let turns = turns(rules, trace);
+fn swinging(turns: &[f64]) -> Option<Finding> {
     (turns.len() > SWING_MOST).then(|| {
         let (first, last) = (turns[0], turns[turns.len() - 1]);
         finding(
@@ -468,8 +467,8 @@
 }
 
 /// Nodes that stand alike and see alike come to decide alike.
-fn at_odds(rules: &Rules, trace: &Trace) -> Option<Finding> {
-    let (from, lasts) = at_odds_for(&apart(rules, trace));
+fn at_odds(rules: &Rules, apart: &[f64]) -> Option<Finding> {
+    let (from, lasts) = at_odds_for(apart);
     rules.at_odds_most.is_some_and(|most| lasts as f64 > most).then(|| {
         finding(
             "decides alike",
@@ -478,7 +477,7 @@
     })
 }
 
-fn figures(rules: &Rules, trace: &Trace) -> Figures {
+fn figures(rules: &Rules, trace: &Trace, turns: &[f64], apart: &[f64]) -> Figures {
     let served = |r: &Request| r.answer == Answer::Served && r.ended <= r.meant + rules.classes[r.class].aim;
     let part = |of: &mut dyn Iterator<Item = &Request>| {
         let (mut all, mut good) = (0, 0);
@@ -517,7 +516,6 @@
         }
     }
     let quicker = |part: f64| times.as_ref().map_or(0.0, |t| t.value_at_quantile(part) as f64 / 1000.0);
-    let apart = apart(rules, trace);
     let length = trace.runs.last().map_or(0.0, |run| run.at).max(1.0);
     let mut late = trace.late.clone();
     late.sort_by(f64::total_cmp);
@@ -534,8 +532,8 @@
         times: [quicker(0.5), quicker(0.99), quicker(0.999)],
         load: [part_of_load(&|at| at < first), part_of_load(&|at| at >= settled)],
         apart: apart.iter().copied().fold(0.0, f64::max),
-        at_odds: at_odds_for(&apart).1 as f64,
+        at_odds: at_odds_for(apart).1 as f64,
         cpu: None,
-        swing: turns(rules, trace).len() as f64 * 60_000.0 / length,
+        swing: turns.len() as f64 * 60_000.0 / length,
     }
 }
--- a/crates/fleet/src/play.rs
+++ b/crates/fleet/src/play.rs
@@ -4,13 +4,14 @@
 use crate::node::Program;
 use crate::oracle::{judge, Figures, Finding, Verdict};
 use crate::relay::Link;
-use crate::scenario::{Fault, Form, Kind, Scenario, Step, Trouble};
+use crate::scenario::{Fault, Form, Kind, Scenario, Select, Step, Trouble};
 use crate::trace::{lock, Leave, Span, Trace};
-use crate::world::{World, LEAD, LEAVE, MIX};
+use crate::world::{longest, World, LEAD, LEAVE, MIX};
 use rustix::process::{Resource, Signal};
 use std::fmt;
 use std::io;
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -63,9 +64,25 @@
 }
 
 impl World {
+    async fn signal(&self, nodes: &Select, signal: Signal) {
+        for number in nodes.of(self.scenario.nodes) {
+            self.nodes[number].lock().await.signal(signal);
+        }
+    }
+
+    async fn limit(&self, nodes: &Select, what: Resource, count: Option<u64>) {
+        for number in nodes.of(self.scenario.nodes) {
+            self.nodes[number].lock().await.limit(what, count);
+        }
+    }
+
+    fn excuse_all(&self, nodes: &Select, from: f64, to: f64) {
+        nodes.of(self.scenario.nodes).iter().for_each(|number| self.excuse(*number, from, to));
+    }
+
     /// What a step does to processes, from its beginning to its end; links and servers are set by `apply`.
     async fn processes(self: Arc<Self>, step: Step) -> io::Result<()> {
-        let end = step.at + step.lasts;
+        let end = step.end();
         let ends = self.recorder.instant(end);
         match &step.fault {
             Fault::Kill(nodes) | Fault::Term(nodes) => {
@@ -75,8 +92,7 @@
                     let world = self.clone();
                     each.spawn(async move {
                         let begun = world.recorder.now();
-                        let longest = world.rules.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-                        let patience = if killed { 0.0 } else { longest + LEAVE };
+                        let patience = if killed { 0.0 } else { longest(&world.rules.classes) + LEAVE };
                         {
                             world.mark_killed(number, killed);
                             let mut node = world.nodes[number].lock().await;
@@ -102,52 +118,33 @@
                 }
             }
             Fault::Pause(nodes) => {
-                let paused = nodes.of(self.scenario.nodes);
-                for number in &paused {
-                    self.nodes[*number].lock().await.signal(Signal::STOP);
-                }
+                self.signal(nodes, Signal::STOP).await;
                 sleep_until(ends).await;
-                for number in &paused {
-                    self.nodes[*number].lock().await.signal(Signal::CONT);
-                    self.excuse(*number, step.at, self.recorder.now());
-                }
+                self.signal(nodes, Signal::CONT).await;
+                self.excuse_all(nodes, step.at, self.recorder.now());
             }
             Fault::Duty(nodes, part, period) => {
-                let slowed = nodes.of(self.scenario.nodes);
                 let still = Duration::from_secs_f64(part * period / 1000.0);
                 let runs = Duration::from_secs_f64((1.0 - part) * period / 1000.0);
                 while Instant::now() < ends {
                     for (signal, holds) in [(Signal::STOP, still), (Signal::CONT, runs)] {
-                        for number in &slowed {
-                            self.nodes[*number].lock().await.signal(signal);
-                        }
+                        self.signal(nodes, signal).await;
                         tokio::time::sleep(holds).await;
                     }
                 }
-                let now = self.recorder.now();
-                slowed.iter().for_each(|number| self.excuse(*number, step.at, now));
+                self.excuse_all(nodes, step.at, self.recorder.now());
             }
             Fault::Descriptors(nodes, count) => {
-                let chosen = nodes.of(self.scenario.nodes);
-                for number in &chosen {
-                    self.nodes[*number].lock().await.limit(Resource::Nofile, Some(*count));
-                }
+                self.limit(nodes, Resource::Nofile, Some(*count)).await;
                 sleep_until(ends).await;
-                for number in &chosen {
-                    self.nodes[*number].lock().await.limit(Resource::Nofile, None);
-                    // What waits in the system's queue has been taken by nobody, and no client can tell.
-                    self.excuse(*number, step.at, end);
-                }
+                self.limit(nodes, Resource::Nofile, None).await;
+                // What waits in the system's queue has been taken by nobody, and no client can tell.
+                self.excuse_all(nodes, step.at, end);
             }
             Fault::FullDisk(nodes) => {
-                for (holds, limit) in [(true, Some(0)), (false, None)] {
-                    for number in nodes.of(self.scenario.nodes) {
-                        self.nodes[number].lock().await.limit(Resource::Fsize, limit);
-                    }
-                    if holds {
-                        sleep_until(ends).await;
-                    }
-                }
+                self.limit(nodes, Resource::Fsize, Some(0)).await;
+                sleep_until(ends).await;
+                self.limit(nodes, Resource::Fsize, None).await;
             }
             Fault::Move(nodes) => {
                 for number in nodes.of(self.scenario.nodes) {
@@ -173,8 +170,7 @@
                 }
             }
             Fault::Link(place, _) if place.kind == Kind::Clients => {
-                let over = end + BREAKS_SEEN;
-                place.nodes.of(self.scenario.nodes).iter().for_each(|node| self.excuse(*node, step.at, over));
+                self.excuse_all(&place.nodes, step.at, end + BREAKS_SEEN);
             }
             Fault::Link(place, _) if place.kind == Kind::Lists => {
                 sleep_until(ends).await;
@@ -219,7 +215,7 @@
     /// Makes the faults, one moment after the other.
     async fn faults(self: Arc<Self>) -> io::Result<()> {
         let steps = &self.scenario.steps;
-        let mut moments: Vec<f64> = steps.iter().flat_map(|s| [s.at, s.at + s.lasts]).collect();
+        let mut moments: Vec<f64> = steps.iter().flat_map(|s| [s.at, s.end()]).collect();
         moments.sort_by(f64::total_cmp);
         moments.dedup();
         let mut processes = JoinSet::new();
@@ -227,11 +223,12 @@
             sleep_until(self.recorder.instant(moment)).await;
             for step in steps.iter().filter(|step| step.at == moment) {
                 processes.spawn(self.clone().processes(step.clone()));
-                let span = Span { from: step.at, to: step.at + step.lasts };
+                let span = Span { from: step.at, to: step.end() };
                 self.recorder.note(|trace| trace.faults.push((step.fault.to_string(), span)));
             }
-            let holds = |step: &&Step| step.at <= moment && moment < step.at + step.lasts;
-            self.apply(&steps.iter().filter(holds).map(|step| &step.fault).collect::<Vec<_>>());
+            self.apply(
+                &steps.iter().filter(|step| step.holds(moment)).map(|step| &step.fault).collect::<Vec<_>>(),
+            );
         }
         while let Some(done) = processes.join_next().await {
             done.map_err(io::Error::other)??;
@@ -291,6 +288,51 @@
     loaded.await.map_err(io::Error::other)
 }
 
+/// Plays a scenario in a runtime of its own. What the processes write goes into a folder, or into one that ends with the
+/// play.
+///
+/// # Errors
+/// As for [`play`], and if there is no folder.
+pub fn play_once(
+    scenario: &Scenario,
+    program: &Program,
+    seed: u64,
+    keep: Option<&Path>,
+) -> Result<Played, RigError> {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let own = std::env::temp_dir().join(format!("ivygate-fleet-{}-{number}", std::process::id()));
+    let folder = keep.unwrap_or(&own);
+    let named = |error: io::Error| io::Error::new(error.kind(), format!("{}: {error}", folder.display()));
+    std::fs::create_dir_all(folder).map_err(named).map_err(because("a folder"))?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(because("the rig"))?;
+    let played = runtime.block_on(play(scenario, program, folder, seed));
+    runtime.shutdown_background();
+    if keep.is_none() {
+        // What can't be removed stays in the system's folder for such things.
+        let _ = std::fs::remove_dir_all(&own);
+    }
+    played
+}
+
+/// Plays a scenario on its own seed until the machine has had enough to spare for a verdict, five times at most; the
+/// last play is void if it never had.
+///
+/// # Errors
+/// As for [`play_once`].
+pub fn play_until_told(scenario: &Scenario, program: &Program) -> Result<Played, RigError> {
+    const TRIES: usize = 5;
+    let mut played = play_once(scenario, program, scenario.seed, None)?;
+    for _ in 1..TRIES {
+        if played.verdict != Verdict::Void {
+            break;
+        }
+        played = play_once(scenario, program, scenario.seed, None)?;
+    }
+    Ok(played)
+}
+
 /// Plays a scenario. What the processes write goes into a folder, which must exist.
 ///
 /// # Errors
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -88,6 +88,18 @@
     pub fault: Fault,
 }
 
+impl Step {
+    /// When it is over.
+    pub fn end(&self) -> f64 {
+        self.at + self.lasts
+    }
+
+    /// Whether it holds at a time.
+    pub fn holds(&self, at: f64) -> bool {
+        self.at <= at && at < self.end()
+    }
+}
+
 /// What may happen.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -177,6 +177,13 @@
     pub late: Vec<f64>,
 }
 
+impl Trace {
+    /// Whether a node answers for nothing at some moment of a time.
+    pub fn excuses(&self, node: usize, during: &Span) -> bool {
+        self.excuses.iter().any(|excuse| excuse.node == node && excuse.span.meets(during))
+    }
+}
+
 /// A trace under way, shared by all parts of the world.
 #[derive(Clone)]
 pub struct Recorder {
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -5,7 +5,7 @@
 use crate::node::{Guard, Node, Program};
 use crate::oracle::Rules;
 use crate::relay::{Link, Way};
-use crate::scenario::{Fault, Form, Kind, Plant, Scenario, Step, Trouble, ZONES};
+use crate::scenario::{Fault, Form, Kind, Plant, Scenario, Trouble, ZONES};
 use crate::server::{Backend, Make, Server};
 use crate::sign_in::{denied, SignIn};
 use crate::trace::{lock, Class, Drain, Effect, Excuse, Recorder, Span};
@@ -46,10 +46,16 @@
 /// Parts of the classes in the load, in hundredths.
 pub const MIX: [u32; 3] = [60, 20, 20];
 
+/// The longest that a client waits, in milliseconds.
+pub fn longest(classes: &[Class]) -> f64 {
+    classes.iter().map(|class| class.deadline).fold(0.0, f64::max)
+}
+
 fn rules(scenario: &Scenario) -> Rules {
-    let longest = classes().iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let classes = classes();
     Rules {
-        classes: classes(),
+        leave_most: longest(&classes) + LEAVE + LEAVE_SLACK,
+        classes,
         answer_slack: 50.0,
         // 1 s by the protocol, and its slack on sockets.
         drain_grace: 1050.0,
@@ -64,7 +70,6 @@
         ceiling_slack: tolerance(scenario) + 0.15 * scenario.ceiling,
         settle: scenario.settle,
         late_most: LATE_MOST,
-        leave_most: longest + LEAVE + LEAVE_SLACK,
         zones: ZONES.len(),
         at_odds_most: scenario.at_odds.map(|most| most / 1000.0),
         denied: scenario.sign_in.then_some(denied),
@@ -102,9 +107,8 @@
     pub links: Vec<Vec<Link>>,
     /// From each node to its agent; another one once discovery has moved.
     pub lists: Vec<std::sync::Mutex<Link>>,
-    /// From each node to the sign-in service.
-    pub sign_ins: Vec<Link>,
-    pub _sign_in: SignIn,
+    /// The sign-in service, and from each node to it; where the scenario has one.
+    pub sign_in: Option<(SignIn, Vec<Link>)>,
     pub nodes: Vec<Mutex<Node>>,
     /// Set once all nodes have started; they keep their addresses.
     pub doors: OnceLock<Vec<Door>>,
@@ -128,7 +132,14 @@
             quota: quota(scenario),
         };
         let backend = Backend::new(classes(), make, recorder.clone(), seed);
-        let (sign_in, mut sign_ins) = (SignIn::start().await?, Vec::new());
+        let mut sign_in = None;
+        if scenario.sign_in {
+            let (service, mut links) = (SignIn::start().await?, Vec::new());
+            for _ in 0..scenario.nodes {
+                links.push(Link::open(service.address, |_| {}).await?);
+            }
+            sign_in = Some((service, links));
+        }
         let mut servers = Vec::new();
         for number in 0..scenario.servers {
             servers.push(Server::start(number, backend.clone()).await?);
@@ -146,7 +157,6 @@
                 agent.set(&uid(server.number), listed);
                 own.push(link);
             }
-            sign_ins.push(Link::open(sign_in.address, |_| {}).await?);
             lists.push(std::sync::Mutex::new(Link::open(agent.address, |_| {}).await?));
             agents.push(agent);
             links.push(own);
@@ -164,8 +174,7 @@
             agents,
             links,
             lists,
-            sign_ins,
-            _sign_in: sign_in,
+            sign_in,
             nodes,
             doors,
             guard,
@@ -213,11 +222,12 @@
         let (rules, scenario) = (&self.rules, &self.scenario);
         let quota = quota(scenario);
         let (ceiling, burst, slack) = (rules.ceiling_rate, rules.ceiling_burst, tolerance(scenario));
-        let ceiling = match ceiling > 0.0 {
-            true => format!(
+        let ceiling = if ceiling > 0.0 {
+            format!(
                 "ceiling {ceiling}/s; ceiling-burst {burst}; ceiling-slack {slack}; excess-worth 0.3; excess-cost 0;"
-            ),
-            false => String::new(),
+            )
+        } else {
+            String::new()
         };
         let mut text = format!(
             "limits {{ descriptors 1024; }}\nlisten {listen} {{ trusted 127.0.0.1; connections 400; }}\n\
@@ -244,8 +254,8 @@
                  route {name} {{ path exact /{name}; methods {methods}; {sign_in}class {name}; pool app; }}\n"
             );
         }
-        if scenario.sign_in {
-            let (address, count) = (self.sign_ins[number].address, self.width());
+        if let Some((_, links)) = &self.sign_in {
+            let (address, count) = (links[number].address, self.width());
             text += &format!(
                 "pool accounts {{ sidecars {count}; connect 250ms; server a {address}; }}\n\
                  sign-in door {{ pool accounts; path /check; }}\n"
@@ -310,11 +320,11 @@
         boot_ms: u64,
     ) -> io::Result<()> {
         if self.scenario.form == Form::EdgeNode {
-            for (server, (agent, links)) in servers
-                .iter()
-                .flat_map(|server| self.agents.iter().zip(&self.links).map(move |each| (*server, each)))
-            {
-                agent.set(&uid(server), Listed { server, address: links[server].address, state, boot_ms });
+            for (agent, links) in self.agents.iter().zip(&self.links) {
+                for server in servers.iter().copied() {
+                    let address = links[server].address;
+                    agent.set(&uid(server), Listed { server, address, state, boot_ms });
+                }
             }
             return Ok(());
         }
@@ -322,8 +332,7 @@
         let left = if state == "SERVING" { Vec::new() } else { servers.to_vec() };
         let now = self.recorder.now();
         let deaf = |number: usize| {
-            let holds = |step: &&Step| step.at <= now && now < step.at + step.lasts;
-            let mut holding = self.scenario.steps.iter().filter(holds);
+            let mut holding = self.scenario.steps.iter().filter(|step| step.holds(now));
             holding.any(|step| matches!(&step.fault, Fault::Unlisted(nodes) if nodes.has(number)))
         };
         let mut each = JoinSet::new();
@@ -384,7 +393,9 @@
             for (server, link) in links.iter().enumerate() {
                 put(link, holding, Kind::Servers, number, server);
             }
-            put(&self.sign_ins[number], holding, Kind::SignIn, number, none);
+            if let Some((_, links)) = &self.sign_in {
+                put(&links[number], holding, Kind::SignIn, number, none);
+            }
             put(&lock(&self.lists[number]), holding, Kind::Lists, number, none);
             self.agents[number]
                 .silence(holding.iter().any(|f| matches!(f, Fault::Unlisted(n) if n.has(number))));
--- a/crates/ivygate/tests/fleet.rs
+++ b/crates/ivygate/tests/fleet.rs
@@ -1,8 +1,7 @@
 //! Several processes of the program with faults between them, judged by what servers ran and clients got. The same plays
 //! with nodes that are told something wrong show that the judge sees it.
 
-use ivygate_fleet::{play, Played, Program, Scenario, Verdict};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use ivygate_fleet::{play_until_told, Played, Program, Scenario, Verdict};
 
 /// Plays until the machine has had enough to spare for a verdict.
 fn played(extra: &str, steps: &str) -> Played {
@@ -16,21 +15,9 @@
     );
     let scenario = Scenario::parse(&text).unwrap_or_else(|error| panic!("{error}\n{text}"));
     let program = Program { program: env!("CARGO_BIN_EXE_ivygate").into(), ..Program::default() };
-    static NUMBER: AtomicUsize = AtomicUsize::new(0);
-    let (process, number) = (std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
-    let folder = std::env::temp_dir().join(format!("ivygate-fleet-test-{process}-{number}"));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
-    let mut last = None;
-    for _ in 0..5 {
-        let played = runtime.block_on(play(&scenario, &program, &folder, scenario.seed)).expect("a play");
-        if played.verdict != Verdict::Void {
-            last = Some(played);
-            break;
-        }
-    }
-    let _ = std::fs::remove_dir_all(&folder);
-    last.expect("five plays in turn had too little of the machine")
+    let played = play_until_told(&scenario, &program).expect("a play");
+    assert_ne!(played.verdict, Verdict::Void, "five plays in turn had too little of the machine");
+    played
 }
 
 /// Rules that were broken, without the figure of service, which a busy machine may lower.
--- a/crates/planted/src/relay.rs
+++ b/crates/planted/src/relay.rs
@@ -81,13 +81,11 @@
             Tampering::Lost if chosen => continue,
             Tampering::Ready => {
                 for (state, ready) in STATES {
-                    let places: Vec<_> = buffer[..read]
-                        .windows(state.len())
-                        .enumerate()
-                        .filter(|(_, w)| *w == state)
-                        .collect();
-                    let places: Vec<usize> = places.into_iter().map(|(at, _)| at).collect();
-                    places.iter().for_each(|at| buffer[*at..at + ready.len()].copy_from_slice(ready));
+                    for at in 0..read {
+                        if buffer[at..read].starts_with(state) {
+                            buffer[at..at + ready.len()].copy_from_slice(ready);
+                        }
+                    }
                 }
             }
             Tampering::Twice if chosen => client.write_all(&buffer[..read])?,
--- a/crates/planted/tests/found.rs
+++ b/crates/planted/tests/found.rs
@@ -1,8 +1,7 @@
 //! Each defect that is put in on purpose is found by a scenario that comes with the rig, by the rule that it breaks; the
 //! same program without a defect keeps all rules there.
 
-use ivygate_fleet::{play, shipped, Played, Program, Scenario, Verdict};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use ivygate_fleet::{play_until_told, shipped, Played, Program, Scenario, Verdict};
 
 /// Plays a shipped scenario until the machine has had enough to spare for a verdict.
 fn played(name: &str, defect: Option<&str>) -> Played {
@@ -13,16 +12,9 @@
         defect: defect.map(str::to_owned),
         ..Program::default()
     };
-    let label = defect.unwrap_or("none");
-    static NUMBER: AtomicUsize = AtomicUsize::new(0);
-    let (process, number) = (std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
-    let folder = std::env::temp_dir().join(format!("ivygate-planted-{process}-{label}-{number}"));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
-    let mut plays = (0..5).map(|_| runtime.block_on(play(&scenario, &program, &folder, scenario.seed)));
-    let told = plays.find(|played| played.as_ref().is_ok_and(|played| played.verdict != Verdict::Void));
-    let _ = std::fs::remove_dir_all(&folder);
-    told.expect("five plays in turn failed or had too little of the machine").expect("a play")
+    let played = play_until_told(&scenario, &program).expect("a play");
+    assert_ne!(played.verdict, Verdict::Void, "five plays in turn had too little of the machine");
+    played
 }
 
 /// Both at once: a play waits most of its time.
