Gateway counts ready servers when the list changes; driver reads its clock once

Found in reading the change once more: ready() walked all servers up to three times a request, and a wake-up check read the clock two or three times. What is decided stays the same.

--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -136,6 +136,8 @@
     born: Option<Millis>,
     zone: Arc<str>,
     servers: BTreeMap<ServerId, Server>,
+    /// Servers that take requests, one at the least; counted when the list changes, for it is asked often.
+    ready: f64,
     /// Part of the attempts to each zone that got no connection of late, and when the last one ended.
     zones: BTreeMap<Arc<str>, (f64, Millis)>,
     requests: BTreeMap<RequestId, Request>,
@@ -194,6 +196,7 @@
             now: f64::NEG_INFINITY,
             born: None,
             servers: BTreeMap::new(),
+            ready: 1.0,
             zones: BTreeMap::new(),
             requests: BTreeMap::new(),
             customers: BTreeMap::new(),
@@ -416,6 +419,8 @@
                 *server = Server { out, ..Server::new(member, now) };
             }
         }
+        let ready = self.servers.values().filter(|s| s.state == ServerState::Ready).count();
+        self.ready = f64::max(ready as f64, 1.0);
     }
 
     /// Present part of a server's capacity, at the least.
@@ -456,12 +461,7 @@
 
     /// Requests that other gateways are taken to keep on each server: as many as this one.
     fn unreported(&self) -> f64 {
-        self.usual_out / self.ready() * f64::from(self.settings.gateways - 1)
-    }
-
-    /// Servers that take requests, one at the least.
-    fn ready(&self) -> f64 {
-        f64::max(self.servers.values().filter(|s| s.state == ServerState::Ready).count() as f64, 1.0)
+        self.usual_out / self.ready * f64::from(self.settings.gateways - 1)
     }
 
     /// Requests thought to be on a server.
@@ -634,7 +634,7 @@
         self.mean_value += VALUE_WEIGHT * (value - self.mean_value);
         // Guards cheap classes against many gateways that see little: each guesses the same queue at all
         // servers, and would refuse all cheap work on it, also where there is room.
-        let sight = (SIGHT * self.usual_out / self.ready()).min(1.0);
+        let sight = (SIGHT * self.usual_out / self.ready).min(1.0);
         let factor = (value / self.mean_value).clamp(QUEUE_FACTOR.0, QUEUE_FACTOR.1).powf(sight);
         let factor = if standing == Standing::Beyond { QUEUE_FACTOR.0 } else { factor };
         let queue_room = (QUEUE_ROOM * self.shortest_aim * factor).max(QUEUE_LEAST * self.mean_work);
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -462,16 +462,18 @@
 
     /// Waits while a process that has stood still hears what it missed.
     async fn awake(&self) {
-        self.wake(self.clock.now());
-        if self.clock.now() < self.hears_until.get() {
+        let now = self.clock.now();
+        self.wake(now);
+        if now < self.hears_until.get() {
             sleep_until(self.clock.instant(self.hears_until.get())).await;
         }
     }
 
     fn fire(self: &Rc<Self>) {
         let mut state = self.state.borrow_mut();
-        self.wake(self.clock.now());
-        let now = micros(self.clock.now());
+        let now = self.clock.now();
+        self.wake(now);
+        let now = micros(now);
         // Only what is due now: a timer set meanwhile for a time that has passed fires in the next round.
         let later = state.timers.split_off(&(now + 1, 0));
         for (_, timer) in std::mem::replace(&mut state.timers, later) {
