--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -167,6 +167,7 @@
                 deadline: m.number("deadlineMs")?,
                 units: m.number_or("priceUnits", 1.0)?,
                 width: m.small_or("width", 1)?,
+                zones: None,
             }),
             "done" => Event::Done(Done {
                 request: m.text("requestId")?.into(),
@@ -204,6 +205,8 @@
         },
         weight: m.number_or("units", 1.0)?,
         started: Some(m.number_or("lastStartMs", 0.0)?).filter(|t| *t != 0.0),
+        detour: 0.0,
+        fence: None,
     })
 }
 
--- /dev/null
+++ b/crates/cairn/src/lib.rs
@@ -0,0 +1,13 @@
+//! The store of configuration, a replicated register of items: rounds over more than half of the core machines, in
+//! which any of them takes a write; and the store's own state on disk.
+//!
+//! Called by the program `cairn` and by tests of a fleet in memory. [`Store`] must never do I/O or read a clock; only
+//! [`Disk`] touches files.
+
+mod disk;
+mod messages;
+mod store;
+
+pub use disk::Disk;
+pub use messages::{Ask, Ballot, Change, Copied, Kept, Pending, Reply};
+pub use store::{CallId, Output, Standing, Store};
--- /dev/null
+++ b/crates/cairn/src/main.rs
@@ -0,0 +1,258 @@
+//! The program of the store. It reads settings and arguments, and carries calls between the network, the disk and the
+//! [`Store`]; it never decides.
+
+use argh::FromArgs;
+use cairn::{Ask, CallId, Change, Disk, Kept, Output, Reply, Store};
+use footbridge::{answer_of, serve, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
+use ropeteam::{News, Pull};
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::oneshot;
+use tokio::time::{interval, Instant, MissedTickBehavior};
+use trailmap::{listing, Amended, Tables};
+
+/// Keeps the configuration together with the other stores.
+#[derive(FromArgs)]
+struct Arguments {
+    /// log details too
+    #[argh(switch)]
+    verbose: bool,
+}
+
+/// How long another store's answer is waited for.
+const ANSWER: Duration = Duration::from_millis(1_000);
+/// Period of the store's clock.
+const TICK: Duration = Duration::from_millis(50);
+
+#[derive(Clone, Copy)]
+enum Call {
+    Round,
+    News,
+    Amend,
+    Read,
+    Begin,
+    Finish,
+    Status,
+}
+
+fn calls() -> Vec<Matcher<Call>> {
+    use Matcher::{Any, At, End};
+    vec![
+        At("round", vec![End("POST", Call::Round)]),
+        At("news", vec![End("POST", Call::News)]),
+        At(
+            "config",
+            vec![At("amend", vec![End("POST", Call::Amend)]), At("read", vec![End("GET", Call::Read)])],
+        ),
+        At(
+            "drain",
+            vec![Any(vec![
+                At("begin", vec![End("POST", Call::Begin)]),
+                At("finish", vec![End("POST", Call::Finish)]),
+            ])],
+        ),
+        At("status", vec![End("GET", Call::Status)]),
+    ]
+}
+
+/// A question on its way.
+#[derive(Serialize, Deserialize)]
+struct Asking {
+    from: Ipv4Addr,
+    ask: Ask,
+}
+
+struct Cairn {
+    boot: Boot,
+    start: Instant,
+    calls: Calls,
+    tree: Vec<Matcher<Call>>,
+    store: RefCell<Store>,
+    disk: RefCell<Disk>,
+    news: Rc<News>,
+    /// The last change of what stands that is told on.
+    told: Cell<u64>,
+    waiting: RefCell<HashMap<CallId, oneshot::Sender<Result<(), Fault>>>>,
+    next: Cell<CallId>,
+}
+
+impl Cairn {
+    fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// Lets the store act, and carries out what it wants, in order. A disk that fails ends the process: nothing may be
+    /// said any more that rests on it.
+    fn with<T>(self: &Rc<Self>, act: impl FnOnce(&mut Store, f64) -> T) -> T {
+        let (value, outputs) = {
+            let mut store = self.store.borrow_mut();
+            let value = act(&mut store, self.now());
+            let outputs = store.take_outputs();
+            if outputs.iter().any(|output| matches!(output, Output::Save)) {
+                if let Err(fault) = self.disk.borrow_mut().save(store.kept()) {
+                    tracing::error!("the disk failed: {fault}");
+                    std::process::exit(1);
+                }
+            }
+            (value, outputs)
+        };
+        for output in outputs {
+            match output {
+                Output::Save => {}
+                Output::Send { to, number, ask } => self.send(to, number, ask),
+                Output::Answer { call, result } => {
+                    if let Some(waiting) = self.waiting.borrow_mut().remove(&call) {
+                        // Whoever called may have left.
+                        let _ = waiting.send(result);
+                    }
+                }
+            }
+        }
+        self.tell();
+        value
+    }
+
+    /// Passes on what stands.
+    fn tell(&self) {
+        let store = self.store.borrow();
+        let items = &store.kept().items;
+        if items.changes() > self.told.get() {
+            let news = items.since(self.told.get(), Tables::KEPT);
+            self.told.set(items.changes());
+            self.news.merge(news);
+        }
+        if let Some(age) = store.touch(self.now()) {
+            self.news.freshen(age);
+        }
+    }
+
+    fn send(self: &Rc<Self>, to: Ipv4Addr, number: u64, ask: Ask) {
+        let cairn = self.clone();
+        tokio::task::spawn_local(async move {
+            let address = SocketAddr::from((to, cairn.boot.ports().store));
+            let asking = Asking { from: cairn.boot.ip, ask };
+            let reply: Result<Reply, Fault> = cairn.calls.post(address, "/round", &asking, ANSWER).await;
+            if let Err(fault) = &reply {
+                tracing::debug!("{to} did not answer: {fault}");
+            }
+            cairn.with(|store, now| store.replied(now, number, reply.ok()));
+        });
+    }
+
+    /// Has a call carried out by the group.
+    async fn call(self: &Rc<Self>, change: Change) -> Result<(), Fault> {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        let (answer, answered) = oneshot::channel();
+        self.waiting.borrow_mut().insert(id, answer);
+        self.with(|store, now| store.call(now, id, change));
+        answered.await.unwrap_or_else(|_| Err(Fault::new(Kind::Late, "the call was dropped")))
+    }
+
+    async fn answer(self: Rc<Self>, incoming: Incoming) -> Outgoing {
+        let Incoming { method, path, body, .. } = incoming;
+        let found = match Matcher::find(&self.tree, &method, &path) {
+            Ok(found) => found,
+            Err(fault) => return answer_of::<()>(Err(fault)),
+        };
+        let malformed = |e: serde_json::Error| Fault::new(Kind::Malformed, e.to_string());
+        match found.call {
+            Call::Round => answer_of(
+                serde_json::from_slice(&body)
+                    .map_err(malformed)
+                    .map(|asking: Asking| self.with(|store, now| store.asked(now, asking.from, asking.ask))),
+            ),
+            Call::News => match serde_json::from_slice::<Pull>(&body) {
+                Ok(pull) => answer_of(Ok(self.news.pulled(pull).await)),
+                Err(error) => answer_of::<()>(Err(malformed(error))),
+            },
+            Call::Amend => match Amended::read(&body) {
+                Ok(amended) => answer_of(self.call(Change::Amend(amended)).await),
+                Err(fault) => answer_of::<()>(Err(fault)),
+            },
+            Call::Read => match self.call(Change::Read).await {
+                Ok(()) => answer_of(Ok(listing(&self.store.borrow().kept().items))),
+                Err(fault) => answer_of::<()>(Err(fault)),
+            },
+            Call::Begin | Call::Finish => {
+                let zone = found.kept.first().copied().unwrap_or_default().to_owned();
+                let on = matches!(found.call, Call::Begin);
+                answer_of(self.call(Change::Drain { zone, on }).await)
+            }
+            Call::Status => {
+                let store = self.store.borrow();
+                answer_of(Ok(serde_json::json!({
+                    "standing": format!("{:?}", store.standing()),
+                    "members": store.members(),
+                    "items": store.kept().items.len(),
+                    "digest": format!("{:016x}", store.kept().items.digest(Tables::KEPT)),
+                    "inTouchMs": store.touch(self.now()),
+                })))
+            }
+        }
+    }
+}
+
+fn main() -> miette::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    footbridge::start_logs("cairn", arguments.verbose);
+    let boot = Boot::load()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| Fault::new(Kind::Setting, e.to_string()))?;
+    tokio::task::LocalSet::new().block_on(&runtime, run(boot))?;
+    Ok(())
+}
+
+async fn run(boot: Boot) -> Result<(), Fault> {
+    let folder =
+        boot.datadir.clone().ok_or_else(|| Fault::new(Kind::Setting, "datadir: a store needs a disk"))?;
+    let mut terminate =
+        signal(SignalKind::terminate()).map_err(|e| Fault::new(Kind::Setting, e.to_string()))?;
+    let _hangup = signal(SignalKind::hangup()).map_err(|e| Fault::new(Kind::Setting, e.to_string()))?;
+    let (disk, kept): (Disk, Kept) = Disk::open(&folder, fastrand::u64(1..))?;
+    let mut disk = disk;
+    // The life of a new disk must be safe before anything rests on it.
+    disk.save(&kept)?;
+    let store = Store::new(boot.ip, boot.seed_machines(), boot.bootstrap, kept, fastrand::u64(..));
+    tracing::info!("standing is {:?}, {} items are on disk", store.standing(), store.kept().items.len());
+    let address = SocketAddr::from((boot.ip, boot.ports().store));
+    let cairn = Rc::new(Cairn {
+        boot,
+        start: Instant::now(),
+        calls: Calls::default(),
+        tree: calls(),
+        store: RefCell::new(store),
+        disk: RefCell::new(disk),
+        news: News::new(fastrand::u64(1..)),
+        told: Cell::new(0),
+        waiting: RefCell::default(),
+        next: Cell::new(1),
+    });
+    let answering = cairn.clone();
+    let server = serve(address, Rc::new(move |incoming| Box::pin(answering.clone().answer(incoming))))?;
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut standing = cairn.store.borrow().standing();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                cairn.with(|store, now| store.tick(now));
+                let next = cairn.store.borrow().standing();
+                if next != standing {
+                    tracing::info!("standing is {next:?} now, with {:?}", cairn.store.borrow().members());
+                    standing = next;
+                }
+            }
+            _ = terminate.recv() => break,
+        }
+    }
+    server.wind_up().await;
+    Ok(())
+}
--- a/crates/domains/tests/judgement.rs
+++ b/crates/domains/tests/judgement.rs
@@ -2,7 +2,8 @@
 
 use ivygate_domains::{Degree, Domains, Guarded, Happening, Kind, Policy, Sign, Tally};
 use ivygate_gateway::{
-    Action, Arrival, Class, Effect, Event, Gateway, ListKind, Member, Plan, ServerId, ServerState, Settings,
+    Action, Arrival, Class, Effect, Event, Gateway, ListKind, Member, Plan, Retries, ServerId, ServerState,
+    Settings,
 };
 
 struct Rig {
@@ -22,6 +23,8 @@
             state: ServerState::Ready,
             weight: 1.0,
             started: None,
+            detour: 0.0,
+            fence: None,
         };
         domains.handle_time(0.0);
         domains.handle_members(true, &(0..3 * zones.len()).map(member).collect::<Vec<_>>());
@@ -220,6 +223,8 @@
                 state: ServerState::Ready,
                 weight: 1.0,
                 started: None,
+                detour: 0.0,
+                fence: None,
             })
             .collect();
         guarded.handle(0.0, Event::List { kind: ListKind::Full, members: members.into() }, &mut actions);
@@ -232,6 +237,7 @@
                 deadline: 9_000.0,
                 units: 1.0,
                 width: 1,
+                zones: None,
             };
             guarded.handle(1.0 + f64::from(n), Event::Arrival(arrival), &mut actions);
         }
@@ -282,6 +288,7 @@
         hedging: false,
         probing: false,
         trial: false,
+        retries: Retries::USUAL,
         cancelling: true,
         list_on_request: false,
         max_retry_after: None,
--- a/crates/emulator/src/scene.rs
+++ b/crates/emulator/src/scene.rs
@@ -1,7 +1,7 @@
 //! What is played.
 
 use ivygate_domains::Policy;
-use ivygate_gateway::{Class, Effect, KeyScope, Millis, Plan, Settings};
+use ivygate_gateway::{Class, Effect, KeyScope, Millis, Plan, Retries, Settings};
 
 /// What a zone's servers, or the way to them, do wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -181,6 +181,7 @@
             hedging: false,
             probing: true,
             trial: true,
+            retries: Retries::USUAL,
             cancelling: true,
             list_on_request: false,
             max_retry_after: Some(2_000.0),
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -175,6 +175,8 @@
                 state: ServerState::Ready,
                 weight: 1.0,
                 started: None,
+                detour: 0.0,
+                fence: None,
             })
             .collect();
         for node in 0..self.nodes.len() {
@@ -300,6 +302,7 @@
             deadline: deadline - 12.0,
             units: 1.0,
             width: self.scene.nodes as u32,
+            zones: None,
         };
         self.tell(node, Event::Arrival(arrival));
     }
--- a/crates/forward-auth/tests/orders.rs
+++ b/crates/forward-auth/tests/orders.rs
@@ -7,7 +7,7 @@
 use ivygate_forward_auth::{share, Gate, Input, OnFailure, Said, Step};
 use ivygate_gateway::{
     Action, Arrival, Class, Done, Effect, Event, Gateway, ListKind, Load, Member, Outcome, Plan, RequestId,
-    ServerState, Settings,
+    Retries, ServerState, Settings,
 };
 use std::collections::{BTreeMap, HashMap};
 
@@ -109,6 +109,7 @@
         hedging: false,
         probing: false,
         trial: true,
+        retries: Retries::USUAL,
         cancelling: true,
         list_on_request: false,
         max_retry_after: Some(1000.0),
@@ -242,6 +243,7 @@
             deadline,
             units: 1.0,
             width: 1,
+            zones: None,
         };
         self.feed(side, Event::Arrival(arrival));
     }
@@ -253,7 +255,16 @@
         for server in 1..=2 {
             let state = self.rng.choice(states).expect("there are states");
             let started = (self.rng.u32(0..3) == 0).then_some(self.now);
-            members.push(Member { server, zone: "north".into(), cell: 0, state, weight: 1.0, started });
+            members.push(Member {
+                server,
+                zone: "north".into(),
+                cell: 0,
+                state,
+                weight: 1.0,
+                started,
+                detour: 0.0,
+                fence: None,
+            });
         }
         self.feed(side, Event::List { kind: ListKind::Full, members: members.into() });
     }
--- a/crates/gateway/examples/one_gateway.rs
+++ b/crates/gateway/examples/one_gateway.rs
@@ -34,6 +34,7 @@
         hedging: false,
         probing: false,
         trial: false,
+        retries: Retries::USUAL,
         cancelling: true,
         list_on_request: false,
         max_retry_after: Some(1_000.0),
@@ -53,6 +54,8 @@
         state: ServerState::Ready,
         weight: 1.0,
         started: None,
+        detour: 0.0,
+        fence: None,
     };
     gateway.handle(
         0.0,
@@ -71,6 +74,7 @@
             deadline: now + 2_000.0,
             units: 1.0,
             width: 1,
+            zones: None,
         };
         actions.clear();
         gateway.handle(now, Event::Arrival(arrival), &mut actions);
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -39,6 +39,8 @@
     pub list_on_request: bool,
     /// Longest retry-after that clients heed; `None` where they are not told.
     pub max_retry_after: Option<Millis>,
+    /// How much may be sent again.
+    pub retries: Retries,
     /// Period over which the meter adds up use; `None` without a meter.
     pub meter_period: Option<Millis>,
     /// Price of each attempt that crosses zones, as a share of a request's worth.
@@ -53,6 +55,31 @@
     pub fall_window: Millis,
 }
 
+/// How much a gateway may send again, for each pool of servers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Retries {
+    /// Further attempts earned by each first one.
+    pub part: f64,
+    /// Most further attempts saved up.
+    pub store: f64,
+    /// Whether one counts also where the attempts before it are proven never to have run.
+    pub all: bool,
+}
+
+impl Retries {
+    /// What suits a deployment that sets no budget: failing servers do not double the load.
+    pub const USUAL: Self = Self { part: 0.15, store: 15.0, all: false };
+}
+
+/// How many requests may go to a server that has not warmed up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fence {
+    /// Requests a second from this gateway.
+    pub per_s: f64,
+    /// Until then.
+    pub until: Millis,
+}
+
 /// Whether a request may be run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -147,6 +174,10 @@
     pub weight: f64,
     /// When it last started; `None` for long ago.
     pub started: Option<Millis>,
+    /// What an attempt there is taken to cost for the way, as time.
+    pub detour: Millis,
+    /// Bounds what is sent to it while it is cold, where that is told as a rate of requests.
+    pub fence: Option<Fence>,
 }
 
 /// What became of an attempt, a probe or a call.
@@ -209,8 +240,13 @@
     pub units: f64,
     /// Number of gateways through which the customer's requests may come.
     pub width: u32,
+    /// The only zones whose servers may have it; `None` for all.
+    pub zones: Option<Zones>,
 }
 
+/// Zones by their names.
+pub type Zones = Arc<[Arc<str>]>;
+
 /// How an attempt ended.
 #[derive(Clone, Debug)]
 pub struct Done {
@@ -263,6 +299,10 @@
         /// The zones.
         zones: Arc<[ZoneAdvice]>,
     },
+    /// A class that is new, or means something else from now on.
+    Class(Class),
+    /// How much may be sent again from now on.
+    Retries(Retries),
     /// News of the server list.
     List {
         /// What the entries are.
--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -84,10 +84,6 @@
 const OVERDUE: f64 = 5.0;
 /// ... but not before this part of what is left of the aim.
 const OVERDUE_LEAST: f64 = 0.6;
-/// Further attempts allowed for each first one, so that failing servers do not double the load.
-const RETRY_PART: f64 = 0.15;
-/// Most further attempts saved up.
-const RETRY_STORE: f64 = 15.0;
 /// Weight of one attempt in the part of those to a zone that fail: a lost or cut zone shows long before each
 /// of its servers has failed here. It fades in the longest time of an ejection.
 const ZONE_WEIGHT: f64 = 0.3;
@@ -188,6 +184,7 @@
             .iter()
             .map(|_| PlanView { sent: [sketch(), sketch()], rotate_at: f64::NEG_INFINITY, out: sketch() })
             .collect();
+        let retries = if settings.retries.all { 0.0 } else { settings.retries.store };
         let shortest_aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         Ok(Self {
             zone: settings.zone.as_str().into(),
@@ -204,7 +201,7 @@
             requests: BTreeMap::new(),
             customers: BTreeMap::new(),
             hedges: BTreeSet::new(),
-            retries: RETRY_STORE,
+            retries,
             mean_value: 0.0,
             usual_out: 0.0,
             mean_work: 0.0,
@@ -231,6 +228,11 @@
                 self.advice = zones;
                 self.count_ready();
             }
+            Event::Class(class) => self.learn_of(class),
+            Event::Retries(retries) => {
+                self.settings.retries = retries;
+                self.retries = self.retries.min(retries.store);
+            }
             Event::List { kind, members } => self.list(kind, &members, actions),
             Event::Arrival(arrival) => self.arrive(arrival, actions),
             Event::Done(done) => self.done(&done, actions),
@@ -248,6 +250,19 @@
         self.ask_for_tick(actions);
     }
 
+    /// Takes in a class; what was learned of one that it replaces still holds.
+    fn learn_of(&mut self, class: Class) {
+        match self.settings.classes.iter_mut().find(|c| c.name == class.name) {
+            Some(known) => *known = class,
+            None => {
+                self.settings.classes.push(class);
+                self.classes.push(ClassView::default());
+            }
+        }
+        let aims = self.settings.classes.iter().map(|c| c.aim);
+        self.shortest_aim = aims.fold(f64::INFINITY, f64::min);
+    }
+
     // The ordinary path: sketch, even slice, share.
 
     /// Units of a customer sent on by this gateway within about a window, and perhaps some of others.
@@ -420,6 +435,8 @@
             server.state = member.state;
             server.weight = member.weight;
             server.cell = member.cell;
+            server.detour = member.detour;
+            server.fence = member.fence;
             if member.started != server.started {
                 // A restarted process is a new server: nothing learned of the old one holds.
                 let out = std::mem::take(&mut server.out);
@@ -503,7 +520,15 @@
         let mut best: Option<(f64, ServerId, Millis, Millis)> = None;
         let mut last_resort: Option<(Millis, ServerId, Millis, Millis, bool)> = None;
         let mut healthy = false;
+        let now = self.now;
+        let fenced = |s: &mut Server| !s.passes_fence(now);
+        let fenced: BTreeSet<ServerId> =
+            self.servers.iter_mut().filter_map(|(id, s)| fenced(s).then_some(*id)).collect();
         for (id, server) in &self.servers {
+            let barred = request.zones.as_ref().is_some_and(|zones| !zones.contains(&server.zone));
+            if barred || fenced.contains(id) {
+                continue;
+            }
             if server.state != ServerState::Ready || !self.may_send(request, server) {
                 continue;
             }
@@ -534,7 +559,7 @@
             if server.on_trial && class.effect == Effect::Unsafe {
                 continue;
             }
-            let zone = if server.zone == self.zone { 0.0 } else { zone_time };
+            let zone = server.detour + if server.zone == self.zone { 0.0 } else { zone_time };
             let (failing, at) = self.zones.get(&server.zone).copied().unwrap_or((0.0, self.now));
             let zone = zone + class.aim * failing * (-(self.now - at) / (BLOCK_LAST * aim)).exp();
             let cost = (wait + zone) * (1.0 + SCATTER * self.rng.f64());
@@ -639,6 +664,7 @@
             deadline: arrival.deadline,
             aim_at,
             units: arrival.units,
+            zones: arrival.zones.clone(),
             attempts: Vec::new(),
             closed: false,
             streaming: false,
@@ -662,7 +688,8 @@
         match self.pick(&request) {
             Some((server, wait, queue)) if trial || (wait <= ROOM * left && queue <= queue_room) => {
                 self.count(plan, &arrival.customer, arrival.units, standing == Standing::Within);
-                self.retries = (self.retries + RETRY_PART).min(RETRY_STORE);
+                let Retries { part, store, .. } = self.settings.retries;
+                self.retries = (self.retries + part).min(store);
                 self.requests.insert(id.clone(), request);
                 self.send(&id, server, wait, actions);
             }
@@ -721,6 +748,7 @@
         let Some(server) = self.servers.get_mut(&server_id) else { return };
         server.out.push_back((id.clone(), number, now));
         server.cold_store = server.cold_store.map(|store| store - work);
+        server.fenced -= 1.0;
         self.plans[plan].out.add(&customer, 1.0);
         if let Some(request) = self.requests.get_mut(id) {
             let state = AttemptState::Out;
@@ -767,7 +795,7 @@
         }
         let request = request.clone();
         let end = self.useful_until(&request);
-        let free = request.never_ran();
+        let free = request.never_ran() && !self.settings.retries.all;
         if (request.attempts.len() as u32) < self.settings.max_attempts
             && !request.streaming
             && self.now + MARGIN < end
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -1,6 +1,6 @@
 //! The settings object, as the simulator's wire and a node's configuration both give it.
 
-use crate::interface::{Class, Effect, KeyScope, Millis, Plan, Settings};
+use crate::interface::{Class, Effect, KeyScope, Millis, Plan, Retries, Settings};
 use serde::Deserialize;
 
 /// The settings object as it is written; [`Setup::settings`] gives what a gateway acts on.
@@ -160,6 +160,7 @@
             hedging: self.allowed.second_copies,
             probing: self.allowed.may_probe,
             trial: false,
+            retries: Retries::USUAL,
             cancelling: self.allowed.cancel,
             list_on_request: match self.discovery.as_str() {
                 "automatic" => false,
--- a/crates/gateway/src/sketch.rs
+++ b/crates/gateway/src/sketch.rs
@@ -57,30 +57,3 @@
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn never_counts_too_low_and_clears() {
-        let mut sketch = CountMinSketch::new(vec![1, 2, 3], 8);
-        for i in 0..100 {
-            sketch.add(&format!("k{i}"), f64::from(i));
-        }
-        for i in 0..100 {
-            assert!(sketch.estimate(&format!("k{i}")) >= f64::from(i));
-        }
-        sketch.clear();
-        assert_eq!(sketch.estimate("k7"), 0.0);
-    }
-
-    #[test]
-    fn is_exact_without_collisions_and_takes_back() {
-        let mut sketch = CountMinSketch::new(vec![9, 8, 7, 6], 4096);
-        assert_eq!(sketch.add("a", 2.0), 2.0);
-        sketch.add("b", 5.0);
-        assert_eq!(sketch.add("a", -1.0), 1.0);
-        assert_eq!(sketch.estimate("b"), 5.0);
-    }
-}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,6 @@
 //! Records of what a gateway knows, without any policy.
 
-use crate::interface::{Member, Millis, Plan, RequestId, ServerId, ServerState};
+use crate::interface::{Fence, Member, Millis, Plan, RequestId, ServerId, ServerState, Zones};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -37,6 +37,8 @@
     /// When an answer stops earning the full worth.
     pub aim_at: Millis,
     pub units: f64,
+    /// The only zones whose servers may have it.
+    pub zones: Option<Zones>,
     pub attempts: Vec<Attempt>,
     /// Has its final answer; only kept for the attempts still out.
     pub closed: bool,
@@ -97,6 +99,12 @@
     /// Work that may still be sent to it while it is cold; `None` before the first look.
     pub cold_store: Option<Millis>,
     pub cold_at: Millis,
+    /// What the way there is taken to cost.
+    pub detour: Millis,
+    /// Bound on requests while it is cold, those that may go now, and since when.
+    pub fence: Option<Fence>,
+    pub fenced: f64,
+    pub fenced_at: Millis,
 }
 
 impl Server {
@@ -123,9 +131,21 @@
             probing: false,
             cold_store: None,
             cold_at: now,
+            detour: member.detour,
+            fence: member.fence,
+            fenced: 0.0,
+            fenced_at: now,
         }
     }
 
+    /// Whether its fence lets one more request through; stores at most one.
+    pub fn passes_fence(&mut self, now: Millis) -> bool {
+        let Some(fence) = self.fence.filter(|fence| now < fence.until) else { return true };
+        self.fenced = (self.fenced + fence.per_s * (now - self.fenced_at) / 1000.0).min(1.0);
+        self.fenced_at = now;
+        self.fenced >= 1.0
+    }
+
     /// Its service time against the fleet's; what time-outs have added fades in a time.
     pub fn pace_at(&self, now: Millis, life: Millis) -> f64 {
         self.pace + self.slowed * (-(now - self.slowed_at) / life).exp()
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -29,6 +29,7 @@
         hedging: false,
         probing: false,
         trial: false,
+        retries: Retries::USUAL,
         cancelling: true,
         list_on_request: false,
         max_retry_after: Some(1000.0),
@@ -55,7 +56,7 @@
 }
 
 fn member(server: ServerId, cell: u32, state: ServerState) -> Member {
-    Member { server, zone: "east".into(), cell, state, weight: 1.0, started: None }
+    Member { server, zone: "east".into(), cell, state, weight: 1.0, started: None, detour: 0.0, fence: None }
 }
 
 struct Rig {
@@ -93,6 +94,7 @@
             deadline: now + 3000.0,
             units: 1.0,
             width: 2,
+            zones: None,
         };
         (request, self.handle(now, Event::Arrival(arrival)))
     }
@@ -414,6 +416,7 @@
         deadline: f64::from(n) * 1000.0 + 3000.0,
         units: 4.0,
         width: 11,
+        zones: None,
     };
     let sent = (0..30)
         .filter(|n| {
@@ -474,6 +477,7 @@
         deadline: 3_000.0,
         units: 1.0,
         width: 2,
+        zones: None,
     };
     assert!(refused(&rig.handle(1.0, Event::Arrival(arrival.clone()))));
     arrival.class = "read".into();
@@ -675,6 +679,7 @@
         deadline: now + 3_000.0,
         units,
         width,
+        zones: None,
     }
 }
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -5,7 +5,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use ivygate_gateway::Millis;
 use ivygate_runtime::{
     end_to_end, millis, retry_after_value, Answer, Ask, Asked, Driver, Front, Leaving, Message, Payload,
@@ -89,7 +89,9 @@
                 response
             }
             Ok(Answer::TimeUp) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-            Ok(Answer::Failed | Answer::Passed(_)) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
+            Ok(Answer::Failed | Answer::Passed(_) | Answer::Whole(_)) | Err(_) => {
+                plain(StatusCode::BAD_GATEWAY, "failed")
+            }
         })
     }
 
@@ -114,7 +116,7 @@
             uri: parts.uri,
             headers: end_to_end(parts.headers, |_| false),
             body: Rc::new(Payload::whole(body)),
-            tells_deadline: true,
+            tells: Some(tell_deadline),
         };
         Ok(Ask { deadline: now + head.wait, head, message })
     }
@@ -146,6 +148,13 @@
     }
 }
 
+/// Tells a server how long it has, by the one header whose value this node alone sets.
+fn tell_deadline(headers: &mut HeaderMap, left: Millis, _server: &str) {
+    if let Ok(left) = HeaderValue::try_from(format!("{}u", (left * 1000.0) as u64)) {
+        headers.insert("req-deadline", left);
+    }
+}
+
 fn plain(status: StatusCode, what: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(what.as_bytes())));
     *response.status_mut() = status;
--- /dev/null
+++ b/crates/ropeteam/src/node.rs
@@ -0,0 +1,76 @@
+//! What a process tells of itself.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::net::{Ipv4Addr, SocketAddr};
+use trailmap::{Item, Items, Table};
+
+/// Which program it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// The proxy.
+    Proxy,
+    /// The registry.
+    Registry,
+}
+
+/// An entry of the table of nodes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Node {
+    /// Its machine's address.
+    pub ip: Ipv4Addr,
+    /// Its program.
+    pub role: Role,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// Where it takes clients, if it does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub http: Option<SocketAddr>,
+    /// Whether it can serve.
+    #[serde(default)]
+    pub ready: bool,
+    /// Whether it has been told to end.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Whether its watchers hear nothing of it.
+    #[serde(default)]
+    pub lost: bool,
+}
+
+impl Node {
+    /// Reads an entry; one that can't be read counts as none.
+    pub fn read(body: &Value) -> Option<Self> {
+        Self::deserialize(body).ok()
+    }
+
+    /// The name of its entry: a machine runs each program once.
+    pub fn name(&self) -> String {
+        let role = match self.role {
+            Role::Proxy => "proxy",
+            Role::Registry => "registry",
+        };
+        format!("{role}@{}", self.ip)
+    }
+
+    /// Its entry.
+    pub fn item(&self, version: u64) -> Item {
+        Item::new(Table::Nodes, self.name(), version, serde_json::to_value(self).ok())
+    }
+
+    /// Whether it is there and stays.
+    pub fn is_up(&self) -> bool {
+        !self.lost && !self.leaving
+    }
+
+    /// All nodes of a role in a copy, by name.
+    pub fn all(items: &Items, role: Role) -> Vec<Node> {
+        items
+            .standing(Table::Nodes)
+            .filter_map(|(_, body)| Node::read(body))
+            .filter(|n| n.role == role)
+            .collect()
+    }
+}
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -7,14 +7,14 @@
 use crate::listing::{Listing, TargetState};
 use crate::payload::{Outgoing, Payload, Sent};
 use crate::streamed::Streamed;
-use crate::upstream::{End, Progress, Upstream};
+use crate::upstream::{End, Progress, Upstream, Words};
 use bytes::Bytes;
 use hashbrown::HashMap;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use ivygate_gateway::{
     Action, Arrival, Done, Event, Gateway, ListKind, Load, Member, Millis, Outcome, Refusal, RequestId,
-    ServerId, ServerState,
+    ServerId, ServerState, Zones,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -40,8 +40,6 @@
 const STILL: Millis = 300.0;
 /// Then it sends nothing for this long: what waits to be read may say that a server drains. In milliseconds.
 const HEAR: Millis = 20.0;
-/// A header whose value this node alone sets.
-const DEADLINE: &str = "req-deadline";
 
 /// What a head says, checked.
 #[derive(Debug, PartialEq)]
@@ -62,6 +60,8 @@
     pub wait: Millis,
     /// Whether it must never run twice.
     pub once: bool,
+    /// The only zones whose servers may have it; `None` for all.
+    pub zones: Option<Zones>,
 }
 
 /// A client's request, read and checked.
@@ -84,22 +84,21 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Rc<Payload>,
-    /// Whether a server is told how long it has.
-    pub tells_deadline: bool,
+    /// What a server is told besides, just before the first byte is written.
+    pub tells: Option<Tells>,
 }
 
+/// Adds to a request's headers what depends on the attempt: the time left for it and the server's name on the list.
+pub type Tells = fn(&mut HeaderMap, Millis, &str);
+
 impl Message {
-    fn request(&self, left: Millis, sent: &Rc<Sent>) -> Request<Outgoing> {
+    fn request(&self, left: Millis, server: &str, sent: &Rc<Sent>) -> Request<Outgoing> {
         let mut request = Request::new(self.body.outgoing(sent));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        if !self.tells_deadline {
-            return request;
-        }
-        let left = format!("{}u", (left * 1000.0) as u64);
-        if let Ok(left) = HeaderValue::try_from(left) {
-            request.headers_mut().insert(DEADLINE, left);
+        if let Some(tells) = self.tells {
+            tells(request.headers_mut(), left, server);
         }
         request
     }
@@ -112,6 +111,8 @@
     Served(Bytes, Option<HeaderValue>),
     /// Served, or failed in a server's own words: what comes is passed on.
     Passed(Box<Response<Streamed>>),
+    /// The same, read whole before.
+    Whole(Box<Response<Bytes>>),
     /// Refused; the client should stay away this long, or is told nothing if it is 0. The last part tells whether
     /// a server had been tried before.
     Refused(Millis, Refusal, bool),
@@ -121,6 +122,15 @@
     TimeUp,
 }
 
+impl From<Words> for Answer {
+    fn from(words: Words) -> Self {
+        match words {
+            Words::Streamed(answer) => Answer::Passed(answer),
+            Words::Whole(answer) => Answer::Whole(answer),
+        }
+    }
+}
+
 /// What must be told of requests that must not run twice before anything of them goes out, and what came of them.
 pub trait Ledger {
     /// Whether a request that may run again is to be recorded too.
@@ -158,7 +168,7 @@
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
     /// A server's own words for a failure, passed on if nothing better comes.
-    fallback: Option<Box<Response<Streamed>>>,
+    fallback: Option<Words>,
     /// Its last attempt ended for want of time.
     timed_out: bool,
     guard: TimerKey,
@@ -306,6 +316,7 @@
             deadline,
             units: head.units,
             width: head.width,
+            zones: head.zones,
         }));
         self.work(&mut state);
         Some(receiver)
@@ -328,6 +339,7 @@
             deadline: now + head.wait,
             units: head.units,
             width: head.width,
+            zones: head.zones,
         });
         let mut actions = Vec::new();
         state.gateway.handle(now, arrival, &mut actions);
@@ -373,6 +385,13 @@
         state.drop_if_over(id);
     }
 
+    /// Tells the gateway of something that is neither a request nor a server.
+    pub fn tell(self: &Rc<Self>, event: Event) {
+        let mut state = self.state.borrow_mut();
+        state.events.push_back(event);
+        self.work(&mut state);
+    }
+
     /// News of the list of app servers.
     pub fn list(self: &Rc<Self>, listing: Listing) {
         let mut state = self.state.borrow_mut();
@@ -412,6 +431,8 @@
                 },
                 weight: target.capacity_hint,
                 started: Some(target.boot_ms).filter(|ms| *ms > 0.0),
+                detour: target.detour,
+                fence: target.fence,
             });
             match target.endpoint {
                 Some(address) if !gone => {
@@ -605,7 +626,8 @@
         let give_up_at = if open.message.body.is_streamed() { open.deadline } else { give_up_at };
         open.fallback = None;
         let progress = Rc::new(Progress::default());
-        let address = servers.get(&server).map(|s| s.address);
+        let listed = servers.get(&server).map(|s| (s.address, s.uid.clone()));
+        let address = listed.as_ref().map(|(address, _)| *address);
         let attempt = {
             let (driver, id, progress) = (self.clone(), id.clone(), progress.clone());
             let message = open.message.clone();
@@ -622,8 +644,9 @@
                         attempt.sent_at = driver.clock.now();
                     }
                 }
+                let name = listed.map(|(_, name)| name).unwrap_or_default();
                 let request = |sent: &Rc<Sent>| {
-                    driver.may_write(server, give_up_at).map(|left| message.request(left, sent))
+                    driver.may_write(server, give_up_at).map(|left| message.request(left, &name, sent))
                 };
                 driver.awake().await;
                 let end = match address {
@@ -689,7 +712,7 @@
         state.timers.remove(&timer);
         match (end.outcome, end.answer) {
             (Outcome::Ok, Some(answer)) => {
-                state.answer(id, Answer::Passed(answer));
+                state.answer(id, answer.into());
             }
             (Outcome::Ok, None) => {
                 state.answer(id, Answer::Served(end.body, end.content_type));
@@ -732,7 +755,7 @@
         let Some(open) = self.requests.get_mut(id) else { return false };
         let Some(sender) = open.answer.take() else { return false };
         let answer = match (answer, open.fallback.take()) {
-            (Answer::Refused(..) | Answer::Failed, Some(words)) => Answer::Passed(words),
+            (Answer::Refused(..) | Answer::Failed, Some(words)) => words.into(),
             (answer, _) => answer,
         };
         let guard = open.guard;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -17,11 +17,11 @@
 
 pub use clients::{listen, Asked, ClientLimits, Clients, Front, Turn, WHOLE_REQUEST};
 pub use clock::{millis, Clock};
-pub use driver::{Admission, Answer, Ask, Decisions, Driver, Head, Leaving, Ledger, Message};
+pub use driver::{Admission, Answer, Ask, Decisions, Driver, Head, Leaving, Ledger, Message, Tells};
 pub use framing::Flaw;
 pub use headers::{end_to_end, one, retry_after_value, without_hop_by_hop};
 pub use listing::{Listing, Target, TargetState};
 pub use payload::{BodyError, Payload, Rest};
 pub use stall::{StallWatch, Stalled};
 pub use streamed::Streamed;
-pub use upstream::{Judge, Reading, Upstream, UpstreamLimits, BODY_MOST};
+pub use upstream::{Judge, Reading, Seal, Upstream, UpstreamLimits, Words, BODY_MOST};
--- a/crates/runtime/src/listing.rs
+++ b/crates/runtime/src/listing.rs
@@ -1,5 +1,6 @@
 //! The list of app servers as plain data: what tells of it fills it in, the driver takes it.
 
+use ivygate_gateway::{Fence, Millis};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -36,6 +37,12 @@
     /// When it last started, in Unix time; 0 for long ago.
     #[serde(default)]
     pub boot_ms: f64,
+    /// What the way there is taken to cost, as time.
+    #[serde(skip)]
+    pub detour: Millis,
+    /// Bounds what is sent to it while it is cold.
+    #[serde(skip)]
+    pub fence: Option<Fence>,
 }
 
 /// State of an app server on the list.
--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -65,8 +65,27 @@
     pub use_percent: Option<f64>,
     /// The app server's load.
     pub load: Load,
-    /// An answer that is passed on as it comes, good or not.
-    pub answer: Option<Box<Response<Streamed>>>,
+    /// An answer that is passed on, good or not.
+    pub answer: Option<Words>,
+}
+
+/// An answer in a server's own words.
+#[derive(Debug)]
+pub enum Words {
+    /// Passed on as it comes.
+    Streamed(Box<Response<Streamed>>),
+    /// Read whole.
+    Whole(Box<Response<Bytes>>),
+}
+
+impl Words {
+    /// Its status.
+    pub(crate) fn status(&self) -> StatusCode {
+        match self {
+            Words::Streamed(answer) => answer.status(),
+            Words::Whole(answer) => answer.status(),
+        }
+    }
 }
 
 impl End {
@@ -127,6 +146,19 @@
     Platform,
     /// As ordinary applications word them, passed on while they come in.
     Application(Judge),
+    /// Whole, and only those that bear what tells them to be the answer to the request; passed on unchanged.
+    Sealed(Seal),
+}
+
+/// How a whole answer is told to be the server's and to be the request's own.
+#[derive(Clone, Debug)]
+pub struct Seal {
+    /// The header of a request that its answer must bring back unchanged.
+    pub echo: HeaderName,
+    /// The longest body that is read.
+    pub most: usize,
+    /// Which outcome an answer stands for.
+    pub judge: fn(StatusCode, &HeaderMap) -> Outcome,
 }
 
 /// Which outcome an application's answer stands for.
@@ -262,7 +294,7 @@
 
     /// Whether servers can be tried without a request.
     pub(crate) fn probes(&self) -> bool {
-        matches!(self.reading, Reading::Application(_))
+        !matches!(self.reading, Reading::Platform)
     }
 
     /// Whether a server takes a connection.
@@ -354,6 +386,10 @@
         mut link: Box<Link>,
         request: Request<Outgoing>,
     ) -> Result<End, Broken> {
+        let echo = match &self.reading {
+            Reading::Sealed(seal) => request.headers().get(&seal.echo).cloned(),
+            _ => None,
+        };
         let Link { sender, connection, .. } = &mut *link;
         let mut sending = pin!(sender.send_request(request));
         let answer = poll_fn(|cx| {
@@ -372,7 +408,7 @@
         .await?;
         match &self.reading {
             Reading::Platform => {
-                let reading = pin!(read_whole(answer));
+                let reading = pin!(read_whole(answer, BODY_MOST));
                 let whole = drive_while(&mut link, reading).await?;
                 let end = read_answer(whole);
                 if link.stands() && link.usable().await {
@@ -380,6 +416,32 @@
                 }
                 Ok(end)
             }
+            Reading::Sealed(seal) => {
+                let reading = pin!(read_whole(answer, seal.most));
+                let whole = drive_while(&mut link, reading).await?;
+                // Guards against a surplus answer to an earlier request, and against bytes that no server's
+                // application made.
+                if whole.headers.get(&seal.echo) != echo.as_ref()
+                    && whole.status != StatusCode::MISDIRECTED_REQUEST
+                {
+                    return Err(Broken::Spoilt);
+                }
+                let outcome = (seal.judge)(whole.status, &whole.headers);
+                if outcome == Outcome::Spoilt {
+                    return Err(Broken::Spoilt);
+                }
+                if link.stands() && link.usable().await {
+                    self.put_back(server, link);
+                }
+                let mut end = End::bare(outcome);
+                if !outcome.never_ran() {
+                    let mut answer = Response::new(whole.body);
+                    *answer.status_mut() = whole.status;
+                    *answer.headers_mut() = whole.headers;
+                    end.answer = Some(Words::Whole(Box::new(answer)));
+                }
+                Ok(end)
+            }
             Reading::Application(judge) => {
                 // Guards the connection: nobody asked for another protocol.
                 if answer.status().is_informational() {
@@ -390,7 +452,8 @@
                 let mut end = End::bare(outcome);
                 end.tell(&parts.headers);
                 let body = Streamed::new(link, body, server, self.clone(), judge.stall);
-                end.answer = (outcome != Outcome::Full).then(|| Box::new(Response::from_parts(parts, body)));
+                end.answer = (outcome != Outcome::Full)
+                    .then(|| Words::Streamed(Box::new(Response::from_parts(parts, body))));
                 Ok(end)
             }
         }
@@ -502,7 +565,7 @@
     .await
 }
 
-async fn read_whole(answer: Response<Incoming>) -> Result<Whole, Broken> {
+async fn read_whole(answer: Response<Incoming>, most: usize) -> Result<Whole, Broken> {
     let (parts, body) = answer.into_parts();
     let length = parts.headers.contains_key(CONTENT_LENGTH);
     let mut coding = parts.headers.get_all(TRANSFER_ENCODING).iter();
@@ -517,10 +580,10 @@
         Some(_) => return Err(Broken::Spoilt),
     }
     // Guards the connection: nobody asked for another protocol.
-    if parts.status.is_informational() || body.size_hint().lower() > BODY_MOST as u64 {
+    if parts.status.is_informational() || body.size_hint().lower() > most as u64 {
         return Err(Broken::Spoilt);
     }
-    let body = Limited::new(body, BODY_MOST).collect().await.map_err(|error| {
+    let body = Limited::new(body, most).collect().await.map_err(|error| {
         match error.downcast::<hyper::Error>() {
             Ok(error) => Broken::from(*error),
             // Longer than any body may be.
--- a/crates/sidecar/src/answering.rs
+++ b/crates/sidecar/src/answering.rs
@@ -134,6 +134,7 @@
             width: route.pool.settings.sidecars,
             wait: left,
             once,
+            zones: None,
         });
         let server = match admission {
             Admission::Admitted(server) => server,
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -350,6 +350,7 @@
                 head: Head {
                     id: id.clone(),
                     once: class.1,
+                    zones: None,
                     class: class.0,
                     plan,
                     customer,
@@ -358,7 +359,7 @@
                     wait: deadline,
                 },
                 deadline: route.pool.driver.now() + deadline,
-                message: Message { method, uri, headers, body: Rc::new(payload), tells_deadline: false },
+                message: Message { method, uri, headers, body: Rc::new(payload), tells: None },
             };
             let driver = route.pool.driver.clone();
             let Some(answer) = driver.arrive(ask) else {
@@ -470,7 +471,7 @@
             Words::refused(StatusCode::SERVICE_UNAVAILABLE, text, *wait)
         }
         Answer::TimeUp => Words::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time; it may have run"),
-        Answer::Failed | Answer::Served(..) | Answer::Passed(_) => {
+        Answer::Failed | Answer::Served(..) | Answer::Passed(_) | Answer::Whole(_) => {
             Words::new(StatusCode::BAD_GATEWAY, "the server failed; it may have run")
         }
     }
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -4,7 +4,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::StatusCode;
 use ivygate_config as config;
-use ivygate_gateway::{Class, Effect, Gateway, KeyScope, Millis, Plan, Settings};
+use ivygate_gateway::{Class, Effect, Gateway, KeyScope, Millis, Plan, Retries, Settings};
 use ivygate_runtime::{
     millis, Clock, Driver, Judge, Listing, Reading, Target, TargetState, Upstream, UpstreamLimits,
 };
@@ -145,6 +145,8 @@
             state: if server.draining { TargetState::Draining } else { TargetState::Serving },
             capacity_hint: server.weight,
             boot_ms: if self.settings.cold.is_some() && is_new(server) { now } else { 0.0 },
+            detour: 0.0,
+            fence: None,
         };
         let targets = self.settings.servers.iter().map(target).collect();
         self.driver.list(Listing { rev: 0, all: true, targets });
@@ -266,6 +268,7 @@
         // A pool of unsafe requests only would else never learn that an ejected server is back.
         probing: true,
         trial: true,
+        retries: Retries::USUAL,
         cancelling: true,
         list_on_request: false,
         max_retry_after: Some(RETRY_AFTER_MOST),
--- a/crates/sidecar/src/sign_in.rs
+++ b/crates/sidecar/src/sign_in.rs
@@ -192,9 +192,11 @@
         }
         Answer::Refused(_, _, false) => Input::Refused,
         // It was asked, and there is nobody left to ask again.
-        Answer::Refused(_, _, true) | Answer::Served(..) | Answer::Failed | Answer::TimeUp => {
-            Input::Unanswered
-        }
+        Answer::Refused(_, _, true)
+        | Answer::Served(..)
+        | Answer::Whole(_)
+        | Answer::Failed
+        | Answer::TimeUp => Input::Unanswered,
     };
     let outcome = match (gate.handle(driver.now(), input), no) {
         (Step::GoOn { checked: true }, _) => Outcome::GoOn(headers),
@@ -229,6 +231,7 @@
             width: sign_in.pool.settings.sidecars,
             wait: time,
             once: false,
+            zones: None,
         },
         deadline: sign_in.pool.driver.now() + time,
         message: Message {
@@ -236,7 +239,7 @@
             uri,
             headers: headers(settings, question),
             body: Rc::new(Payload::whole(question.body.clone())),
-            tells_deadline: false,
+            tells: None,
         },
     };
     let driver = sign_in.pool.driver.clone();
--- /dev/null
+++ b/crates/trailmap/src/amend.rs
@@ -0,0 +1,159 @@
+//! The operator's calls: what a body says, what it makes of a copy, and how a copy is read back.
+
+use crate::config::{check, typed, Backend, Limits, Route, Tenant};
+use crate::item::{Item, Items, Table};
+use footbridge::{Fault, Kind};
+use serde::Deserialize;
+use serde_json::{Map, Value};
+
+/// The name of the one item in the table of limits.
+const LIMITS: &str = "limits";
+/// Longest name of an item.
+const NAME_MOST: usize = 255;
+
+#[derive(Deserialize)]
+struct Call {
+    #[serde(default)]
+    upsert: Upsert,
+    #[serde(default)]
+    remove: Remove,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Upsert {
+    routes: Map<String, Value>,
+    tenants: Map<String, Value>,
+    backends: Map<String, Value>,
+    limits: Option<Value>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Remove {
+    routes: Vec<Gone>,
+    tenants: Vec<Gone>,
+    backends: Vec<Gone>,
+}
+
+#[derive(Deserialize)]
+struct Gone {
+    name: String,
+    r#gen: Value,
+}
+
+/// What a call makes of a copy.
+#[derive(Clone, Debug, Default)]
+pub struct Amended {
+    /// The items that are newer than what the copy holds.
+    pub items: Vec<Item>,
+}
+
+fn malformed(what: impl Into<String>) -> Fault {
+    Fault::new(Kind::Malformed, what)
+}
+
+/// Reads `r12`, or a bare number.
+fn version(table: Table, name: &str, value: Option<&Value>) -> Result<u64, Fault> {
+    let read = match value {
+        Some(Value::String(text)) => text.strip_prefix('r').unwrap_or(text).parse().ok(),
+        Some(Value::Number(number)) => number.as_u64(),
+        _ => None,
+    };
+    // Guards against a version so high that nothing could come after it.
+    read.filter(|version| *version < u64::MAX / 2)
+        .ok_or_else(|| malformed(format!("{table:?} '{name}': gen is missing or no version")))
+}
+
+impl Amended {
+    /// Reads a call: its items, each sound by itself.
+    ///
+    /// # Errors
+    /// Names the first fault.
+    pub fn read(body: &[u8]) -> Result<Self, Fault> {
+        let call: Call = serde_json::from_slice(body).map_err(|e| malformed(e.to_string()))?;
+        let mut items = Vec::new();
+        let upsert = call.upsert;
+        let limits = upsert.limits.into_iter().map(|limits| (LIMITS.to_owned(), limits)).collect();
+        let sets = [
+            (Table::Backends, upsert.backends),
+            (Table::Routes, upsert.routes),
+            (Table::Tenants, upsert.tenants),
+            (Table::Limits, limits),
+        ];
+        for (table, set) in sets {
+            for (name, body) in set {
+                if name.is_empty() || name.len() > NAME_MOST {
+                    return Err(malformed(format!("{table:?}: a name is empty or too long")));
+                }
+                let version = version(table, &name, body.get("gen"))?;
+                match table {
+                    Table::Routes => typed::<Route>(table, &name, &body).map(drop),
+                    Table::Tenants => typed::<Tenant>(table, &name, &body).map(drop),
+                    Table::Backends => typed::<Backend>(table, &name, &body).map(drop),
+                    _ => typed::<Limits>(table, &name, &body).map(drop),
+                }?;
+                items.push(Item::new(table, name, version, Some(body)));
+            }
+        }
+        let remove = call.remove;
+        let sets = [
+            (Table::Routes, remove.routes),
+            (Table::Tenants, remove.tenants),
+            (Table::Backends, remove.backends),
+        ];
+        for (table, set) in sets {
+            for gone in set {
+                let version = version(table, &gone.name, Some(&gone.r#gen))?;
+                items.push(Item::new(table, gone.name, version, None));
+            }
+        }
+        Ok(Self { items })
+    }
+}
+
+/// Applies a call to a copy: either all of its newer items, or none.
+///
+/// # Errors
+/// If another content stands under a version that it carries, or the whole would not be sound; the copy is then as it
+/// was.
+pub fn amend(copy: &Items, call: &Amended) -> Result<(Items, Vec<Item>), Fault> {
+    let mut next = copy.clone();
+    let mut newer = Vec::new();
+    for item in &call.items {
+        let held = next.get(item.key.table, &item.key.name);
+        match held.map(|held| (held.version, held.body == item.body)) {
+            Some((version, same)) if version == item.version && !same => {
+                let (table, name) = (item.key.table, &item.key.name);
+                return Err(Fault::new(
+                    Kind::Conflict,
+                    format!("{table:?} '{name}': another content stands under version r{version}"),
+                ));
+            }
+            Some((version, _)) if version >= item.version => {}
+            _ => {
+                next.merge(item.clone());
+                newer.push(item.clone());
+            }
+        }
+    }
+    if !newer.is_empty() {
+        check(&next)?;
+    }
+    Ok((next, newer))
+}
+
+/// The items that stand in a copy, laid out as the operator sends them.
+pub fn listing(copy: &Items) -> Value {
+    let mut all = Map::new();
+    for (name, table) in
+        [("routes", Table::Routes), ("tenants", Table::Tenants), ("backends", Table::Backends)]
+    {
+        let items = copy.standing(table).map(|(name, body)| (name.to_owned(), body.clone())).collect();
+        all.insert(name.to_owned(), Value::Object(items));
+    }
+    if let Some(limits) = copy.body(Table::Limits, LIMITS) {
+        all.insert(LIMITS.to_owned(), limits.clone());
+    }
+    Value::Object(all)
+}
--- /dev/null
+++ b/crates/trailmap/src/item.rs
@@ -0,0 +1,230 @@
+//! Items, and maps of them that merge: the higher version of a name holds, whatever the order of arrival.
+
+use bitflags::bitflags;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The kinds of item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Table {
+    /// The operator's routes.
+    Routes,
+    /// The operator's tenants.
+    Tenants,
+    /// The operator's services.
+    Backends,
+    /// The operator's limits: one item.
+    Limits,
+    /// Zones that the operator has emptied.
+    Drains,
+    /// The machines that keep the configuration: one item.
+    Group,
+    /// Processes of the system.
+    Nodes,
+    /// Servers on the platform's list.
+    Servers,
+    /// Duties, and who does them under which epoch.
+    Duties,
+    /// What each proxy may pass of tenants' quotas.
+    Shares,
+}
+
+bitflags! {
+    /// Sets of tables.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub struct Tables: u16 {
+        /// What the operator has set, kept on disk by the store.
+        const CONFIG = 0b0000_0000_1111;
+        /// Emptied zones.
+        const DRAINS = 0b0000_0001_0000;
+        /// The store's own group.
+        const GROUP = 0b0000_0010_0000;
+        /// What a store keeps.
+        const KEPT = Self::CONFIG.bits() | Self::DRAINS.bits() | Self::GROUP.bits();
+        /// What is rebuilt from those who told it.
+        const TOLD = 0b0011_1100_0000;
+        /// Processes of the system.
+        const NODES = 0b0000_0100_0000;
+        /// Servers.
+        const SERVERS = 0b0000_1000_0000;
+        /// Shares of quotas.
+        const SHARES = 0b0010_0000_0000;
+    }
+}
+
+impl Table {
+    /// The set of it alone.
+    pub fn set(self) -> Tables {
+        Tables::from_bits_truncate(1 << self as u16)
+    }
+}
+
+/// What names an item.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// Its table.
+    #[serde(rename = "t")]
+    pub table: Table,
+    /// Its name in the table.
+    #[serde(rename = "k")]
+    pub name: String,
+}
+
+/// One item at one version.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Item {
+    /// What names it.
+    #[serde(flatten)]
+    pub key: Key,
+    /// Its version.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// What it says; `None` for one that was dropped, which is kept so that no late news brings it back.
+    #[serde(rename = "b", default)]
+    pub body: Option<Value>,
+}
+
+impl Item {
+    /// An item.
+    pub fn new(table: Table, name: impl Into<String>, version: u64, body: Option<Value>) -> Self {
+        Self { key: Key { table, name: name.into() }, version, body }
+    }
+
+    /// What orders two contents of one version, the same on every copy.
+    fn text(&self) -> String {
+        self.body.as_ref().map(Value::to_string).unwrap_or_default()
+    }
+
+    fn fingerprint(&self) -> u64 {
+        let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+        let mut feed = |bytes: &[u8]| {
+            for byte in bytes {
+                hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+            }
+        };
+        feed(&[self.key.table as u8]);
+        feed(self.key.name.as_bytes());
+        feed(&self.version.to_le_bytes());
+        feed(self.text().as_bytes());
+        // Spreads the last bytes over all bits, since fingerprints are added by exclusive or.
+        hash ^= hash >> 32;
+        hash.wrapping_mul(0xd6e8_feb8_6659_fd93)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    item: Arc<Item>,
+    /// The number of the change that brought it here.
+    change: u64,
+    fingerprint: u64,
+}
+
+/// One copy of control state.
+#[derive(Clone, Debug, Default)]
+pub struct Items {
+    held: BTreeMap<Key, Held>,
+    changes: u64,
+}
+
+impl Items {
+    /// Takes in an item, if it is newer than what is held of its name; tells whether it was.
+    pub fn merge(&mut self, item: Item) -> bool {
+        self.merge_shared(Arc::new(item))
+    }
+
+    /// The same for an item that others hold too.
+    pub fn merge_shared(&mut self, item: Arc<Item>) -> bool {
+        if let Some(held) = self.held.get(&item.key) {
+            let newer = item.version > held.item.version
+                || (item.version == held.item.version && item.text() > held.item.text());
+            if !newer {
+                return false;
+            }
+        }
+        self.changes += 1;
+        let held = Held { fingerprint: item.fingerprint(), change: self.changes, item: item.clone() };
+        self.held.insert(item.key.clone(), held);
+        true
+    }
+
+    /// The item of a name, also a dropped one.
+    pub fn get(&self, table: Table, name: &str) -> Option<&Arc<Item>> {
+        self.held.get(&Key { table, name: name.to_owned() }).map(|held| &held.item)
+    }
+
+    /// What an item of a name says, unless it was dropped.
+    pub fn body(&self, table: Table, name: &str) -> Option<&Value> {
+        self.get(table, name)?.body.as_ref()
+    }
+
+    /// The version held of a name; 0 for none.
+    pub fn version(&self, table: Table, name: &str) -> u64 {
+        self.get(table, name).map_or(0, |item| item.version)
+    }
+
+    /// All items of some tables, also dropped ones.
+    pub fn all(&self, tables: Tables) -> impl Iterator<Item = &Arc<Item>> {
+        self.held.values().map(|held| &held.item).filter(move |item| tables.contains(item.key.table.set()))
+    }
+
+    /// The items of a table that stand: names and what they say.
+    pub fn standing(&self, table: Table) -> impl Iterator<Item = (&str, &Value)> {
+        let from = Key { table, name: String::new() };
+        self.held
+            .range(from..)
+            .take_while(move |(key, _)| key.table == table)
+            .filter_map(|(key, held)| Some((key.name.as_str(), held.item.body.as_ref()?)))
+    }
+
+    /// The number of the last change.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// The items of some tables that changes after this one brought.
+    pub fn since(&self, change: u64, tables: Tables) -> Vec<Arc<Item>> {
+        let newer = |held: &&Held| held.change > change && tables.contains(held.item.key.table.set());
+        self.held.values().filter(newer).map(|held| held.item.clone()).collect()
+    }
+
+    /// The same for two copies that hold the same items of some tables, and different, but for one case in 2^64, for
+    /// others.
+    pub fn digest(&self, tables: Tables) -> u64 {
+        self.held
+            .values()
+            .filter(|held| tables.contains(held.item.key.table.set()))
+            .fold(0, |digest, held| digest ^ held.fingerprint)
+    }
+
+    /// The items of some tables that another copy lacks.
+    pub fn lacking_in(&self, other: &Items, tables: Tables) -> Vec<Arc<Item>> {
+        let lacks = |item: &&Arc<Item>| {
+            other
+                .held
+                .get(&item.key)
+                .is_none_or(|held| held.item.version < item.version || **item != held.item)
+        };
+        self.all(tables).filter(lacks).cloned().collect()
+    }
+
+    /// Forgets items for good, as only what is rebuilt from others may be.
+    pub fn forget(&mut self, keys: &[Key]) {
+        for key in keys {
+            self.held.remove(key);
+        }
+    }
+
+    /// How many items are held, dropped ones too.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether none is held.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/waymark/src/team.rs
@@ -0,0 +1,179 @@
+//! The proxy among the nodes: heartbeats to its watchers, whom it pulls news from, and what it passes on.
+
+use footbridge::{answer_of, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
+use hutbook::{Beat, Beaten};
+use ropeteam::{watchers, News, Node, Pull, Role, Source};
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+use trailmap::Item;
+
+/// Period of heartbeats.
+const BEAT: Duration = Duration::from_millis(500);
+/// How long the answer to one is waited for.
+const ANSWER: Duration = Duration::from_millis(800);
+/// How many registries watch a node.
+const WATCHERS: usize = 3;
+
+/// What a proxy is to others of the system.
+pub struct Team {
+    boot: Boot,
+    calls: Calls,
+    /// The copy that it keeps and others pull from.
+    pub news: Rc<News>,
+    version: Cell<u64>,
+    told: RefCell<Option<Node>>,
+    ready: Cell<bool>,
+    leaving: Cell<bool>,
+    /// Registries, by the last answer to a heartbeat.
+    registries: RefCell<Vec<Ipv4Addr>>,
+    sooner: Notify,
+    /// What is done with news.
+    came: RefCell<Option<Box<dyn Fn()>>>,
+    tree: Vec<Matcher<()>>,
+}
+
+impl Team {
+    /// A proxy that nobody knows yet.
+    pub fn new(boot: Boot, calls: Calls) -> Rc<Self> {
+        Rc::new(Self {
+            registries: RefCell::new(boot.seed_machines()),
+            boot,
+            calls,
+            news: News::new(fastrand::u64(1..)),
+            version: Cell::new(1),
+            told: RefCell::default(),
+            ready: Cell::new(false),
+            leaving: Cell::new(false),
+            sooner: Notify::new(),
+            came: RefCell::default(),
+            tree: vec![Matcher::At("news", vec![Matcher::End("POST", ())])],
+        })
+    }
+
+    /// What is done whenever news has come.
+    pub fn on_news(&self, act: impl Fn() + 'static) {
+        self.came.replace(Some(Box::new(act)));
+    }
+
+    /// From now on it can serve, or can't.
+    pub fn set_ready(&self, ready: bool) {
+        if self.ready.replace(ready) != ready {
+            self.sooner.notify_one();
+        }
+    }
+
+    /// From now on it is about to end.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        self.sooner.notify_one();
+    }
+
+    fn node(&self) -> Node {
+        Node {
+            ip: self.boot.ip,
+            role: Role::Proxy,
+            zone: self.boot.az.clone(),
+            region: self.boot.region.clone(),
+            http: self.boot.listen.http,
+            ready: self.ready.get(),
+            leaving: self.leaving.get(),
+            lost: false,
+        }
+    }
+
+    /// Beats for as long as the process runs.
+    pub async fn beats(self: Rc<Self>) {
+        loop {
+            let node = self.node();
+            if self.told.borrow().as_ref().is_some_and(|told| *told != node) {
+                self.version.set(self.version.get() + 1);
+            }
+            self.told.replace(Some(node.clone()));
+            let mut registries = self.registries.borrow().clone();
+            if registries.len() < WATCHERS {
+                registries.extend(self.boot.seed_machines());
+            }
+            for watcher in watchers(&node.name(), Ipv4Addr::UNSPECIFIED, &registries, WATCHERS) {
+                let (team, beat) = (self.clone(), Beat { entry: node.item(self.version.get()) });
+                tokio::task::spawn_local(async move { team.beat(watcher, beat).await });
+            }
+            let _ = timeout(BEAT, self.sooner.notified()).await;
+            // Several changes of one moment go out together.
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn beat(&self, watcher: Ipv4Addr, beat: Beat) {
+        let to = SocketAddr::from((watcher, self.boot.ports().registry));
+        let answer: Result<Beaten, Fault> = self.calls.post(to, "/beat", &beat, ANSWER).await;
+        match answer {
+            Ok(beaten) => {
+                if beaten.version > self.version.get() {
+                    self.version.set(beaten.version + 1);
+                    self.sooner.notify_one();
+                }
+                self.registries.replace(beaten.registries);
+            }
+            Err(fault) => tracing::debug!("the watcher {watcher} did not hear: {fault}"),
+        }
+    }
+
+    /// Answers others of the system.
+    pub async fn answer(self: Rc<Self>, incoming: Incoming) -> Outgoing {
+        if let Err(fault) = Matcher::find(&self.tree, &incoming.method, &incoming.path) {
+            return answer_of::<()>(Err(fault));
+        }
+        match serde_json::from_slice::<Pull>(&incoming.body) {
+            Ok(pull) => answer_of(Ok(self.news.pulled(pull).await)),
+            Err(error) => answer_of::<()>(Err(Fault::new(Kind::Malformed, error.to_string()))),
+        }
+    }
+}
+
+impl Source for Team {
+    /// The first proxy of the zone pulls from a registry, the others from it.
+    fn candidates(&self) -> Vec<SocketAddr> {
+        let ports = self.boot.ports();
+        let items = self.news.items();
+        let near = |node: &Node| match (node.zone == self.boot.az, node.region == self.boot.region) {
+            (true, _) => 0,
+            (false, true) => 1,
+            (false, false) => 2,
+        };
+        let mut mates: Vec<Ipv4Addr> = Node::all(&items, Role::Proxy)
+            .into_iter()
+            .filter(|node| node.is_up() && node.ready && near(node) == 0)
+            .map(|node| node.ip)
+            .collect();
+        mates.sort_unstable();
+        let mut all = Vec::new();
+        if let Some(first) = mates.first().filter(|first| **first < self.boot.ip) {
+            all.push(SocketAddr::from((*first, ports.proxy)));
+        }
+        let mut registries: Vec<(u8, u64, Ipv4Addr)> = Node::all(&items, Role::Registry)
+            .iter()
+            .filter(|node| node.is_up())
+            .map(|node| (near(node), ropeteam::place(&format!("{} {}", self.boot.ip, node.ip)), node.ip))
+            .collect();
+        registries.sort_unstable();
+        let known = registries.into_iter().map(|(.., ip)| ip);
+        for ip in known.chain(self.boot.seed_machines()) {
+            let address = SocketAddr::from((ip, ports.registry));
+            if !all.contains(&address) {
+                all.push(address);
+            }
+        }
+        all
+    }
+
+    fn came(&self, _: Vec<Arc<Item>>) {
+        if let Some(act) = &*self.came.borrow() {
+            act();
+        }
+    }
+}
