Quotas of tenants over all proxies by shares under leases

New: crates/larder, a keeper (duty of the first live registry, under its epoch) and each proxy's rations. Stores compare with all others each second, as touch was 2 to 5 s old with one at a time.

--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -28,7 +28,7 @@
 const PAUSE: (Millis, Millis) = (15.0, 150.0);
 /// Items that were written down and not heard to stand for this long are carried on by whoever has them.
 const ORPHANED: Millis = 500.0;
-/// Period in which one other store's items are compared with the own.
+/// Period in which the own items are compared with those of each other store, which also tells who is in touch.
 const COMPARE: Millis = 1_000.0;
 /// Period of questions by one that lacks its group or its items.
 const QUESTION: Millis = 150.0;
@@ -545,11 +545,7 @@
         match self.standing() {
             Standing::Member if now >= self.compare_at => {
                 self.compare_at = now + COMPARE * (0.8 + 0.4 * self.rng.f64());
-                let mut others: Vec<_> = self.members().into_iter().filter(|m| *m != self.me).collect();
-                // One that was out of touch asks all, since any may be as far behind.
-                if self.touch(now).is_some() {
-                    others = self.rng.choice(others).into_iter().collect();
-                }
+                let others: Vec<_> = self.members().into_iter().filter(|m| *m != self.me).collect();
                 for other in others {
                     let digest = self.kept.items.digest(Tables::KEPT);
                     self.ask(now, other, Ballot::NONE, Ask::Compare { digest });
--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -16,6 +16,10 @@
 /// Bounds on the even parts of its requests that a gateway is first taken to get: one over the cost of an
 /// excess, since refusing within the quota costs one. The dearer the error, the less is let through unknown.
 const BURST_PART: (f64, f64) = (0.8, 1.6);
+/// Share that a customer starts with where even slices are smaller than a request. All that passes before the first
+/// reading is then beyond every slice, at each gateway anew, and a client that is refused asks another: of two
+/// asked, seven in ten let it pass.
+const FIRST_SHARE: f64 = 0.45;
 /// Least share: with none passing no reading would come back, and an excess that other gateways send
 /// would cut this one's part to nothing.
 const SHARE_LEAST: f64 = 0.05;
@@ -302,7 +306,9 @@
         customer.seen_at = now;
         customer.fill(now, &limits);
         if limits.rate > 0.0 && (heavy || now < customer.flagged_until) {
-            if customer.reading.is_some_and(|(at, _)| now > at + reading_life(&limits, width)) {
+            let told_at = customer.reading.map_or(customer.made_at, |(at, _)| at);
+            let known = customer.reading.is_some() || customer.share < 1.0;
+            if known && now > told_at + reading_life(&limits, width) {
                 customer.reading = None;
                 customer.set_share(now, 1.0);
             }
@@ -328,13 +334,15 @@
     fn customer(&mut self, plan: usize, key: &Arc<str>, width: f64, sent: f64) -> &mut Customer {
         let (now, born) = (self.now, self.born.unwrap_or(self.now));
         let limits = &self.settings.plans[plan];
+        let small = limits.burst < width;
+        let (share, credit) = if small { (FIRST_SHARE, self.rng.f64()) } else { (1.0, 0.0) };
         let part = ((1.0 / limits.excess_cost).clamp(BURST_PART.0, BURST_PART.1) / width).min(1.0);
         self.customers.entry(key.clone()).or_insert_with(|| Customer {
             plan,
             width,
             flagged_until: f64::NEG_INFINITY,
-            share: 1.0,
-            credit: 0.0,
+            share,
+            credit,
             shares: VecDeque::new(),
             mirror: (limits.burst - sent).max(0.0),
             part,
@@ -344,6 +352,7 @@
             own_use: part * limits.rate,
             metered_use: limits.rate,
             reading: None,
+            made_at: now,
             // An earlier life of this gateway may have emptied its part just before this one began.
             ceiling: (limits.ceiling_burst / width).min((now - born) / 1000.0 * limits.ceiling_rate / width),
             ceiling_at: now,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -179,6 +179,8 @@
     pub metered_use: f64,
     /// Last meter reading taken and when.
     pub reading: Option<(Millis, f64)>,
+    /// When this record was made.
+    pub made_at: Millis,
     /// This gateway's part of the ceiling's store.
     pub ceiling: f64,
     pub ceiling_at: Millis,
--- a/crates/hutbook/src/book.rs
+++ b/crates/hutbook/src/book.rs
@@ -1,4 +1,4 @@
-//! One registry's part, as a state machine: heartbeats, what is lost, and the duty of reading the platform's list.
+//! One registry's part, as a state machine: heartbeats, what is lost, and the warden's duty.
 
 use crate::listing::{Row, Server};
 use ropeteam::{watchers, Node, Role};
@@ -12,8 +12,8 @@
 /// A point on the caller's steady clock, or a length of time, in milliseconds.
 type Millis = f64;
 
-/// The duty of reading the platform's list.
-pub const READER: &str = "reader";
+/// The duty of reading the platform's list and of giving out shares of quotas.
+pub const WARDEN: &str = "warden";
 /// How many registries watch a node.
 pub const WATCHERS: usize = 3;
 /// A node of which its watchers have heard nothing for this long is lost.
@@ -118,18 +118,18 @@
 
     /// The first registry in order does the duty, under an epoch above all before.
     fn take_duty(&self, items: &Items, registries: &[Ipv4Addr]) -> Option<Item> {
-        let held = items.get(Table::Duties, READER);
+        let held = items.get(Table::Duties, WARDEN);
         let first = registries.first() == Some(&self.me);
         if !first || self.holds(items) {
             return None;
         }
         let epoch = held.map_or(0, |item| item.version) + 1;
-        Some(Item::new(Table::Duties, READER, epoch, Some(json!({ "holder": self.me }))))
+        Some(Item::new(Table::Duties, WARDEN, epoch, Some(json!({ "holder": self.me }))))
     }
 
     /// Whether this registry has the duty.
     pub fn holds(&self, items: &Items) -> bool {
-        let holder = items.body(Table::Duties, READER).and_then(|body| body.get("holder")).cloned();
+        let holder = items.body(Table::Duties, WARDEN).and_then(|body| body.get("holder")).cloned();
         holder.and_then(|holder| serde_json::from_value::<Ipv4Addr>(holder).ok()) == Some(self.me)
     }
 
--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -3,8 +3,9 @@
 
 use argh::FromArgs;
 use footbridge::{answer_of, serve, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
-use hutbook::{addresses, Beat, Beaten, Book, Page, Row, READER};
+use hutbook::{addresses, Beat, Beaten, Book, Page, Row, WARDEN};
 use hyper::{Method, StatusCode};
+use larder::{Grant, Keeper, Report};
 use ropeteam::{follow, watchers, News, Node, Pull, Role, Source};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -42,6 +43,8 @@
 const ANSWER: Duration = Duration::from_millis(800);
 /// How long the store's answer to an operator's call is waited for; it gives up by itself before.
 const STORE: Duration = Duration::from_millis(3_000);
+/// One that was in touch with the core longer ago than this gives no shares out, in milliseconds.
+const FRESH: f64 = 3_500.0;
 /// How long a client holds an answer, in seconds, where the rules allow as much.
 const TTL: f64 = 1.5;
 
@@ -51,6 +54,7 @@
     Beat,
     Told,
     Lookup,
+    Shares,
     Stored,
     Status,
 }
@@ -62,6 +66,7 @@
         At("news", vec![End("POST", Call::News)]),
         At("beat", vec![End("POST", Call::Beat)]),
         At("told", vec![End("POST", Call::Told)]),
+        At("shares", vec![End("POST", Call::Shares)]),
         At(
             "config",
             vec![At("amend", vec![End("POST", Call::Stored)]), At("read", vec![End("GET", Call::Stored)])],
@@ -85,6 +90,13 @@
     digest: Option<u64>,
 }
 
+/// What a proxy tells the keeper of shares.
+#[derive(Deserialize)]
+struct Asking {
+    from: String,
+    report: Report,
+}
+
 struct Hutbook {
     boot: Boot,
     start: Instant,
@@ -95,7 +107,8 @@
     /// The version of its own entry.
     version: Cell<u64>,
     leaving: Cell<bool>,
-    /// When each store was last pulled from without success.
+    /// While the warden's duty is held here.
+    keeper: RefCell<Option<Keeper>>,
     seeds: Vec<Ipv4Addr>,
 }
 
@@ -235,7 +248,7 @@
             let epoch = {
                 let items = self.news.items();
                 let holds = self.book.borrow().holds(&items);
-                holds.then(|| items.version(Table::Duties, READER))
+                holds.then(|| items.version(Table::Duties, WARDEN))
             };
             let Some(epoch) = epoch else {
                 sleep(TICK).await;
@@ -335,6 +348,10 @@
                 Err(error) => answer_of::<()>(Err(malformed(error))),
             },
             Call::Lookup => answer_of(self.lookup(&query)),
+            Call::Shares => match serde_json::from_slice::<Asking>(&body) {
+                Ok(asking) => answer_of(self.grant(&asking)),
+                Err(error) => answer_of::<()>(Err(malformed(error))),
+            },
             Call::Stored => {
                 let to = SocketAddr::from((self.boot.ip, self.boot.ports().store));
                 let method = if method == "GET" { Method::GET } else { Method::POST };
@@ -352,14 +369,35 @@
                 answer_of(Ok(json!({
                     "nodes": nodes,
                     "servers": items.standing(Table::Servers).count(),
-                    "reader": items.body(Table::Duties, READER),
-                    "epoch": items.version(Table::Duties, READER),
+                    "warden": items.body(Table::Duties, WARDEN),
+                    "epoch": items.version(Table::Duties, WARDEN),
                     "ageMs": self.news.age(),
                 })))
             }
         }
     }
 
+    /// Gives shares of quotas out, while that is its duty and it is in touch with the core.
+    fn grant(&self, asking: &Asking) -> Result<Grant, Fault> {
+        let items = self.news.items();
+        if !self.book.borrow().holds(&items) || self.news.age() > FRESH {
+            self.keeper.replace(None);
+            return Err(Fault::new(Kind::Unready, "another registry gives shares out, or none can"));
+        }
+        let (now, epoch) = (self.now(), items.version(Table::Duties, WARDEN));
+        let mut keeper = self.keeper.borrow_mut();
+        let keeper = match &mut *keeper {
+            Some(keeper) if keeper.epoch() == epoch => keeper,
+            other => other.insert(Keeper::new(now, epoch)),
+        };
+        let known = Node::all(&items, Role::Proxy).iter().map(|node| (node.name(), !node.lost)).collect();
+        let rate = |tenant: &str| {
+            let rate = items.body(Table::Tenants, tenant).and_then(|body| body.get("ratePerS"));
+            rate.and_then(serde_json::Value::as_f64).unwrap_or(0.0)
+        };
+        Ok(keeper.report(now, &asking.from, &asking.report, &known, rate))
+    }
+
     fn lookup(&self, query: &str) -> Result<serde_json::Value, Fault> {
         let asked: HashMap<_, _> = form_urlencoded::parse(query.as_bytes()).collect();
         let of = |name: &str| asked.get(name).map(|v| v.as_ref()).unwrap_or_default();
@@ -400,6 +438,7 @@
         news: News::new(fastrand::u64(1..)),
         version: Cell::new(1),
         leaving: Cell::new(false),
+        keeper: RefCell::default(),
         seeds: boot.seed_machines(),
         boot,
     });
--- /dev/null
+++ b/crates/larder/src/rations.rs
@@ -0,0 +1,181 @@
+//! One proxy's side: what it may pass of each tenant's quota on its own.
+
+use crate::{Grant, Millis, Report, LAPSED, LEASE, SLACK};
+use std::collections::BTreeMap;
+
+/// What a proxy passes of a tenant before its first grant, as a part of the quota.
+const START: f64 = 0.01;
+/// Weight of a report in the demand that is told.
+const WEIGHT: f64 = 0.5;
+/// A tenant of which nothing was heard for this long is forgotten.
+const FORGET: Millis = 30_000.0;
+/// Most tenants that are kept; beyond that the ones longest silent go first.
+const MOST: usize = 60_000;
+/// Longest advice to stay away.
+const WAIT_MOST: Millis = 1_000.0;
+
+#[derive(Clone, Debug)]
+struct Ration {
+    /// The part granted; `None` for that of all others.
+    part: Option<f64>,
+    /// Requests that may pass now.
+    store: f64,
+    at: Millis,
+    asked: f64,
+    sent: f64,
+    asked_per_s: f64,
+    sent_per_s: f64,
+    percent: f64,
+    seen: Millis,
+}
+
+/// All rations of one proxy.
+#[derive(Clone, Debug)]
+pub struct Rations {
+    life: u64,
+    epoch: u64,
+    number: u64,
+    other: f64,
+    proxies: f64,
+    /// When the grant in use was asked for.
+    granted: Option<Millis>,
+    reported: Option<Millis>,
+    tenants: BTreeMap<String, Ration>,
+}
+
+impl Rations {
+    /// None was granted yet; `life` differs between lives of the proxy.
+    pub fn new(life: u64) -> Self {
+        Self {
+            life,
+            epoch: 0,
+            number: 0,
+            other: START,
+            proxies: f64::INFINITY,
+            granted: None,
+            reported: None,
+            tenants: BTreeMap::new(),
+        }
+    }
+
+    /// The part of a tenant's quota in force now.
+    pub fn part(&self, now: Millis, tenant: &str) -> f64 {
+        let part = self.tenants.get(tenant).and_then(|ration| ration.part).unwrap_or(self.other);
+        match self.granted {
+            Some(at) if now <= at + LEASE => part,
+            Some(_) => part * LAPSED,
+            None => START,
+        }
+    }
+
+    /// Whether a request may pass, which it then does; else how long to stay away.
+    ///
+    /// # Errors
+    /// The time after which one more would pass.
+    pub fn take(&mut self, now: Millis, tenant: &str, rate: f64, burst: f64) -> Result<(), Millis> {
+        let part = self.part(now, tenant);
+        if !self.tenants.contains_key(tenant) {
+            self.make_room();
+            let ration = Ration {
+                part: None,
+                // A life before this one may have used all up.
+                store: if self.granted.is_some() { 1.0 } else { 0.0 },
+                at: now,
+                asked: 0.0,
+                sent: 0.0,
+                asked_per_s: 0.0,
+                sent_per_s: 0.0,
+                percent: 0.0,
+                seen: now,
+            };
+            self.tenants.insert(tenant.to_owned(), ration);
+        }
+        let Some(ration) = self.tenants.get_mut(tenant) else { return Err(WAIT_MOST) };
+        ration.seen = now;
+        ration.asked += 1.0;
+        // A store that holds no whole request would never let one pass.
+        let most = (part * burst + SLACK / self.proxies).max(1.0);
+        let gain = part * rate * (now - ration.at).max(0.0) / 1000.0;
+        ration.store = (ration.store + gain).min(most);
+        ration.at = now;
+        if ration.store < 1.0 {
+            let wait = 1000.0 * (1.0 - ration.store) / (part * rate).max(1e-9);
+            return Err(wait.clamp(1.0, WAIT_MOST));
+        }
+        ration.store -= 1.0;
+        ration.sent += 1.0;
+        Ok(())
+    }
+
+    /// A request that was let pass went nowhere.
+    pub fn give_back(&mut self, tenant: &str) {
+        if let Some(ration) = self.tenants.get_mut(tenant) {
+            ration.store += 1.0;
+            ration.sent -= 1.0;
+        }
+    }
+
+    fn make_room(&mut self) {
+        if self.tenants.len() >= MOST {
+            let mut seen: Vec<Millis> = self.tenants.values().map(|r| r.seen).collect();
+            let middle = seen.len() / 2;
+            let (_, middle, _) = seen.select_nth_unstable_by(middle, f64::total_cmp);
+            let middle = *middle;
+            self.tenants.retain(|_, r| r.seen > middle);
+        }
+    }
+
+    /// All proxies' use of a tenant in percent of its rate, by the last grant.
+    pub fn percent(&self, tenant: &str) -> f64 {
+        self.tenants.get(tenant).map_or(0.0, |ration| ration.percent)
+    }
+
+    /// What is told to the keeper now.
+    pub fn report(&mut self, now: Millis) -> Report {
+        let passed = self.reported.replace(now).map_or(500.0, |at| (now - at).max(1.0)) / 1000.0;
+        self.tenants.retain(|_, r| now < r.seen + FORGET);
+        let mut tenants = BTreeMap::new();
+        for (name, ration) in &mut self.tenants {
+            let asked = std::mem::take(&mut ration.asked) / passed;
+            let sent = std::mem::take(&mut ration.sent).max(0.0) / passed;
+            // A rise is told at once, a fall is believed slowly.
+            let faded = ration.asked_per_s + WEIGHT * (asked - ration.asked_per_s);
+            ration.asked_per_s = faded.max(asked);
+            ration.sent_per_s += WEIGHT * (sent - ration.sent_per_s);
+            let round = |v: f64| (v * 100.0).round() / 100.0;
+            let part = ration.part.unwrap_or(self.other);
+            tenants.insert(name.clone(), (round(ration.asked_per_s), round(ration.sent_per_s), part));
+        }
+        Report { life: self.life, number: self.number, other: self.other, tenants }
+    }
+
+    /// A grant has come, which was asked for at `asked`.
+    pub fn granted(&mut self, asked: Millis, grant: Grant) {
+        let newer = grant.epoch > self.epoch || (grant.epoch == self.epoch && grant.number > self.number);
+        if !newer {
+            return;
+        }
+        (self.epoch, self.number, self.other) = (grant.epoch, grant.number, grant.other);
+        self.proxies = f64::from(grant.proxies.max(1));
+        self.granted = Some(self.granted.map_or(asked, |at| at.max(asked)));
+        for (name, ration) in &mut self.tenants {
+            match grant.tenants.get(name) {
+                Some((part, percent)) => (ration.part, ration.percent) = (Some(*part), *percent),
+                None => (ration.part, ration.percent) = (None, 0.0),
+            }
+        }
+        for (name, (part, percent)) in grant.tenants {
+            self.tenants.entry(name).or_insert(Ration {
+                part: Some(part),
+                store: 1.0,
+                at: asked,
+                asked: 0.0,
+                sent: 0.0,
+                asked_per_s: 0.0,
+                sent_per_s: 0.0,
+                percent,
+                seen: asked,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/larder/tests/shares.rs
@@ -0,0 +1,104 @@
+//! Given proxies that ask, fall silent, restart and lose messages, when grants are given out, then what all use never
+//! adds up to more than the whole.
+
+use arbtest::arbtest;
+use larder::{Keeper, Rations, LEASE, WHOLE};
+use std::collections::BTreeMap;
+
+const PROXIES: usize = 6;
+
+fn name(proxy: usize) -> String {
+    format!("proxy-{proxy}")
+}
+
+#[test]
+fn given_any_silence_and_loss_when_parts_move_then_they_never_add_up_to_more_than_the_whole() {
+    let property = |u: &mut arbtest::arbitrary::Unstructured| {
+        let known: BTreeMap<String, bool> = (0..PROXIES).map(|n| (name(n), true)).collect();
+        let mut keeper = Keeper::new(0.0, 1);
+        let mut rations: Vec<Rations> = (0..PROXIES).map(|n| Rations::new(n as u64 + 1)).collect();
+        let mut now = 0.0;
+        // What a proxy was granted and has not heard of yet may arrive late.
+        let mut late: Vec<(usize, f64, larder::Grant)> = Vec::new();
+        while !u.is_empty() {
+            now += f64::from(u.int_in_range(1..=800)?);
+            let proxy: usize = u.int_in_range(0..=PROXIES - 1)?;
+            match u.int_in_range(0..=9)? {
+                0 => {
+                    rations[proxy] = Rations::new(u.int_in_range(100..=100_000)?);
+                    // Answers to a life that has ended reach nobody.
+                    late.retain(|(to, ..)| *to != proxy);
+                }
+                1 if !late.is_empty() => {
+                    let (to, asked, grant) = late.remove(0);
+                    rations[to].granted(asked, grant);
+                }
+                act => {
+                    for _ in 0..u.int_in_range(0..=20)? {
+                        let _ = rations[proxy].take(now, "t", 100.0, 100.0);
+                    }
+                    let report = rations[proxy].report(now);
+                    let grant = keeper.report(now, &name(proxy), &report, &known, |_| 100.0);
+                    match act {
+                        2 => {}
+                        3 => late.push((proxy, now, grant)),
+                        _ => rations[proxy].granted(now, grant),
+                    }
+                }
+            }
+            let sum: f64 = rations.iter().map(|r| r.part(now, "t")).sum();
+            // Proxies that were never granted anything start from a hundredth each.
+            assert!(sum <= WHOLE + 0.01 * PROXIES as f64 + 1e-6, "{sum} at {now}");
+        }
+        Ok(())
+    };
+    // Always the same plays: a size in the low half of a seed, and what makes it another in the high one.
+    for seed in 1..=400_u64 {
+        arbtest(property).seed(seed << 32 | 3_000).run();
+    }
+}
+
+#[test]
+fn given_a_tenant_at_one_proxy_only_when_it_asks_on_then_that_proxy_has_most_of_the_quota() {
+    let known: BTreeMap<String, bool> = (0..PROXIES).map(|n| (name(n), true)).collect();
+    let mut keeper = Keeper::new(-10_000.0, 1);
+    let mut rations: Vec<Rations> = (0..PROXIES).map(|n| Rations::new(n as u64 + 1)).collect();
+    for turn in 0..20 {
+        let now = f64::from(turn) * 500.0;
+        for _ in 0..40 {
+            let _ = rations[0].take(now, "t", 100.0, 100.0);
+        }
+        for (proxy, ration) in rations.iter_mut().enumerate() {
+            let report = ration.report(now);
+            ration.granted(now, keeper.report(now, &name(proxy), &report, &known, |_| 100.0));
+        }
+    }
+    assert!(rations[0].part(9_500.0, "t") > 0.85, "{}", rations[0].part(9_500.0, "t"));
+}
+
+#[test]
+fn given_a_proxy_that_hears_nothing_when_its_lease_has_run_out_then_it_uses_half_and_others_get_the_rest() {
+    let known: BTreeMap<String, bool> = (0..2).map(|n| (name(n), true)).collect();
+    let mut keeper = Keeper::new(-10_000.0, 1);
+    let mut rations = [Rations::new(1), Rations::new(2)];
+    let mut turn = |now: f64, who: &[usize], rations: &mut [Rations; 2]| {
+        for proxy in who {
+            for _ in 0..20 {
+                let _ = rations[*proxy].take(now, "t", 100.0, 100.0);
+            }
+            let report = rations[*proxy].report(now);
+            rations[*proxy].granted(now, keeper.report(now, &name(*proxy), &report, &known, |_| 100.0));
+        }
+    };
+    for step in 0..10 {
+        turn(f64::from(step) * 500.0, &[0, 1], &mut rations);
+    }
+    let before = rations[0].part(4_500.0, "t");
+    for step in 10..30 {
+        turn(f64::from(step) * 500.0, &[1], &mut rations);
+    }
+    let now = 14_500.0;
+    assert!(now > 4_500.0 + LEASE);
+    assert!((rations[0].part(now, "t") - before / 2.0).abs() < 1e-9);
+    assert!(rations[1].part(now, "t") > before, "{} {before}", rations[1].part(now, "t"));
+}
--- a/crates/trailmap/src/item.rs
+++ b/crates/trailmap/src/item.rs
@@ -62,6 +62,9 @@
     }
 }
 
+/// How many tables there are.
+const TABLES: usize = 10;
+
 /// What names an item.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key {
@@ -128,6 +131,8 @@
 pub struct Items {
     held: BTreeMap<Key, Held>,
     changes: u64,
+    /// Of each table, the fingerprints of its items added by exclusive or.
+    digests: [u64; TABLES],
 }
 
 impl Items {
@@ -147,7 +152,11 @@
         }
         self.changes += 1;
         let held = Held { fingerprint: item.fingerprint(), change: self.changes, item: item.clone() };
-        self.held.insert(item.key.clone(), held);
+        let digest = &mut self.digests[item.key.table as usize];
+        *digest ^= held.fingerprint;
+        if let Some(before) = self.held.insert(item.key.clone(), held) {
+            *digest ^= before.fingerprint;
+        }
         true
     }
 
@@ -194,10 +203,8 @@
     /// The same for two copies that hold the same items of some tables, and different, but for one case in 2^64, for
     /// others.
     pub fn digest(&self, tables: Tables) -> u64 {
-        self.held
-            .values()
-            .filter(|held| tables.contains(held.item.key.table.set()))
-            .fold(0, |digest, held| digest ^ held.fingerprint)
+        let wanted = |table: &usize| tables.bits() & (1 << table) != 0;
+        (0..TABLES).filter(wanted).fold(0, |digest, table| digest ^ self.digests[table])
     }
 
     /// The items of some tables that another copy lacks.
@@ -214,7 +221,9 @@
     /// Forgets items for good, as only what is rebuilt from others may be.
     pub fn forget(&mut self, keys: &[Key]) {
         for key in keys {
-            self.held.remove(key);
+            if let Some(held) = self.held.remove(key) {
+                self.digests[key.table as usize] ^= held.fingerprint;
+            }
         }
     }
 
--- a/crates/waymark/src/front.rs
+++ b/crates/waymark/src/front.rs
@@ -163,9 +163,12 @@
         };
         // hyper drops this future when the client closes its connection.
         let leaving = Leaving::new(driver.clone(), id);
-        let answer = answer.await;
+        let answer = answer.await.unwrap_or(Answer::Failed);
         leaving.answered();
-        Ok(worded(answer.unwrap_or(Answer::Failed)))
+        if let (Answer::Refused(.., false), Some(holder)) = (&answer, &holder) {
+            self.proxy.give_back(holder);
+        }
+        Ok(worded(answer))
     }
 
     fn holder(
--- a/crates/waymark/src/proxy.rs
+++ b/crates/waymark/src/proxy.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use ivygate_gateway::Millis;
 use ivygate_runtime::{listen, ClientLimits, Clients, Clock, Driver};
+use larder::Rations;
 use ropeteam::{follow, Node, Role};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -32,6 +33,7 @@
     team: Rc<Team>,
     pools: RefCell<Pools>,
     sight: RefCell<Rc<Sight>>,
+    rations: Rc<RefCell<Rations>>,
     /// The digests of the tables that the sight and the lists were made of.
     made: Cell<(u64, u64)>,
     ready: Cell<bool>,
@@ -60,8 +62,21 @@
     }
 
     /// Takes one request of a tenant's quota; else tells how long to stay away.
-    pub fn take_quota(&self, _holder: &Holder) -> Result<(), Millis> {
-        Ok(())
+    pub fn take_quota(&self, holder: &Holder) -> Result<(), Millis> {
+        let tenant = &holder.tenant;
+        if tenant.rate_per_s <= 0.0 {
+            return Ok(());
+        }
+        let taken = self.rations.borrow_mut().take(self.now(), &holder.name, tenant.rate_per_s, tenant.burst);
+        if taken.is_err() {
+            self.team.want_shares();
+        }
+        taken
+    }
+
+    /// A request that was let pass was sent to no server.
+    pub fn give_back(&self, holder: &Holder) {
+        self.rations.borrow_mut().give_back(&holder.name);
     }
 
     /// News has come.
@@ -120,6 +135,7 @@
         clock,
         team: team.clone(),
         sight: RefCell::default(),
+        rations: Rc::new(RefCell::new(Rations::new(fastrand::u64(1..)))),
         made: Cell::new((0, 0)),
         ready: Cell::new(false),
         ending: Cell::new(false),
@@ -143,6 +159,7 @@
     tracing::info!("serves at {http}");
     tokio::task::spawn_local(follow(team.news.clone(), calls, team.clone(), Tables::all()));
     tokio::task::spawn_local(team.clone().beats());
+    tokio::task::spawn_local(team.clone().shares(proxy.rations.clone(), move || clock.now()));
     let mut limits = ClientLimits::new(client_sockets as usize);
     limits.strict_head = Some(UNTOLD.0);
     limits.whole_request = Duration::from_secs(30);
--- a/crates/waymark/src/sight.rs
+++ b/crates/waymark/src/sight.rs
@@ -24,7 +24,6 @@
     /// Its name.
     pub name: Arc<str>,
     /// The operator's item.
-    #[expect(dead_code, reason = "its quota is held by the next step")]
     pub tenant: Tenant,
     /// The only zones that may serve it.
     pub zones: Option<Zones>,
--- a/crates/waymark/src/team.rs
+++ b/crates/waymark/src/team.rs
@@ -1,7 +1,8 @@
 //! The proxy among the nodes: heartbeats to its watchers, whom it pulls news from, and what it passes on.
 
 use footbridge::{answer_of, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
-use hutbook::{Beat, Beaten};
+use hutbook::{Beat, Beaten, WARDEN};
+use larder::{Grant, Rations};
 use ropeteam::{watchers, News, Node, Pull, Role, Source};
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -10,12 +11,15 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
-use trailmap::Item;
+use trailmap::{Item, Table};
 
 /// Period of heartbeats.
 const BEAT: Duration = Duration::from_millis(500);
 /// How long the answer to one is waited for.
 const ANSWER: Duration = Duration::from_millis(800);
+/// Period of reports to the keeper of shares, and the shortest time between two.
+const REPORT: Duration = Duration::from_millis(500);
+const REPORT_LEAST: Duration = Duration::from_millis(100);
 /// How many registries watch a node.
 const WATCHERS: usize = 3;
 
@@ -32,6 +36,7 @@
     /// Registries, by the last answer to a heartbeat.
     registries: RefCell<Vec<Ipv4Addr>>,
     sooner: Notify,
+    wanting: Notify,
     /// What is done with news.
     came: RefCell<Option<Box<dyn Fn()>>>,
     tree: Vec<Matcher<()>>,
@@ -50,6 +55,7 @@
             ready: Cell::new(false),
             leaving: Cell::new(false),
             sooner: Notify::new(),
+            wanting: Notify::new(),
             came: RefCell::default(),
             tree: vec![Matcher::At("news", vec![Matcher::End("POST", ())])],
         })
@@ -123,6 +129,34 @@
         }
     }
 
+    /// Reports to the keeper of shares, and takes its grants, for as long as the process runs.
+    pub async fn shares(self: Rc<Self>, rations: Rc<RefCell<Rations>>, now: impl Fn() -> f64) {
+        loop {
+            let _ = timeout(REPORT, self.wanting.notified()).await;
+            let holder =
+                self.news.items().body(Table::Duties, WARDEN).and_then(|body| body.get("holder")).cloned();
+            let holder = holder.and_then(|holder| serde_json::from_value::<Ipv4Addr>(holder).ok());
+            let Some(holder) = holder else { continue };
+            let to = SocketAddr::from((holder, self.boot.ports().registry));
+            let asked = now();
+            let question = serde_json::json!({
+                "from": self.node().name(),
+                "report": rations.borrow_mut().report(asked),
+            });
+            let answer: Result<Grant, Fault> = self.calls.post(to, "/shares", &question, ANSWER).await;
+            match answer {
+                Ok(grant) => rations.borrow_mut().granted(asked, grant),
+                Err(fault) => tracing::debug!("{holder} gives no shares: {fault}"),
+            }
+            sleep(REPORT_LEAST).await;
+        }
+    }
+
+    /// A tenant was refused what another part of its quota might let pass.
+    pub fn want_shares(&self) {
+        self.wanting.notify_one();
+    }
+
     /// Answers others of the system.
     pub async fn answer(self: Rc<Self>, incoming: Incoming) -> Outgoing {
         if let Err(fault) = Matcher::find(&self.tree, &incoming.method, &incoming.path) {
