Duties are taken through the stores, so that no epoch is used twice; refusals say when to come back

Cause: after all of the core was killed a registry began again under epoch 1, and proxies that lived on refused its word on servers. A duty is now an item that a round of the stores writes down. Ruled out: quotas themselves (the same seconds, fewer refusals, without them).

--- a/crates/cairn/src/main.rs
+++ b/crates/cairn/src/main.rs
@@ -14,7 +14,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::oneshot;
 use tokio::time::{interval, Instant, MissedTickBehavior};
-use trailmap::{listing, Amended, Tables};
+use trailmap::{listing, Amended, Table, Tables};
 
 /// Keeps the configuration together with the other stores.
 #[derive(FromArgs)]
@@ -37,14 +37,23 @@
     Read,
     Begin,
     Finish,
+    Duty,
     Status,
 }
 
+/// A registry that takes a duty.
+#[derive(Deserialize)]
+struct Taking {
+    name: String,
+    holder: Ipv4Addr,
+}
+
 fn calls() -> Vec<Matcher<Call>> {
     use Matcher::{Any, At, End};
     vec![
         At("round", vec![End("POST", Call::Round)]),
         At("news", vec![End("POST", Call::News)]),
+        At("duty", vec![End("POST", Call::Duty)]),
         At(
             "config",
             vec![At("amend", vec![End("POST", Call::Amend)]), At("read", vec![End("GET", Call::Read)])],
@@ -184,6 +193,13 @@
                 let on = matches!(found.call, Call::Begin);
                 answer_of(self.call(Change::Drain { zone, on }).await)
             }
+            Call::Duty => match serde_json::from_slice::<Taking>(&body) {
+                Ok(Taking { name, holder }) => {
+                    let taken = self.call(Change::Duty { name: name.clone(), holder }).await;
+                    answer_of(taken.map(|()| self.store.borrow().kept().items.version(Table::Duties, &name)))
+                }
+                Err(error) => answer_of::<()>(Err(malformed(error))),
+            },
             Call::Status => {
                 let store = self.store.borrow();
                 answer_of(Ok(serde_json::json!({
--- a/crates/cairn/src/messages.rs
+++ b/crates/cairn/src/messages.rs
@@ -129,6 +129,13 @@
         /// Emptied.
         on: bool,
     },
+    /// A registry takes a duty, under the next epoch.
+    Duty {
+        /// The duty.
+        name: String,
+        /// The registry.
+        holder: Ipv4Addr,
+    },
     /// Nothing: what stands is to be read.
     Read,
 }
--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -468,6 +468,14 @@
                     }
                     Ok(())
                 }
+                Change::Duty { name, holder } => {
+                    let epoch = copy.version(Table::Duties, name) + 1;
+                    let item =
+                        Arc::new(Item::new(Table::Duties, name, epoch, Some(json!({ "holder": holder }))));
+                    copy.merge_shared(item.clone());
+                    items.push(item);
+                    Ok(())
+                }
             };
             calls.push((waiting, verdict));
         }
--- a/crates/footbridge/src/client.rs
+++ b/crates/footbridge/src/client.rs
@@ -19,6 +19,8 @@
 
 /// An idle connection is kept this long.
 const KEEP: Duration = Duration::from_secs(4);
+/// A connection not established by then never will be: the other machine has no power or is cut off.
+const CONNECT: Duration = Duration::from_millis(350);
 /// Most idle connections to one address.
 const IDLE_MOST: usize = 4;
 /// Most addresses with idle connections.
@@ -95,7 +97,10 @@
         let mut sender = match self.kept(to) {
             Some(sender) => sender,
             None => {
-                let stream = TcpStream::connect(to).await.map_err(|e| lost(e.to_string()))?;
+                let connected = timeout(CONNECT, TcpStream::connect(to)).await;
+                let connected =
+                    connected.map_err(|_| Fault::new(Kind::Late, format!("{to}: no connection in time")))?;
+                let stream = connected.map_err(|e| lost(e.to_string()))?;
                 // A hint: where the system refuses it, the connection serves all the same.
                 let _ = stream.set_nodelay(true);
                 let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
--- a/crates/hutbook/src/book.rs
+++ b/crates/hutbook/src/book.rs
@@ -3,7 +3,6 @@
 use crate::listing::{Row, Server};
 use ropeteam::{watchers, Node, Role};
 use serde::{Deserialize, Serialize};
-use serde_json::json;
 use std::collections::{BTreeMap, HashSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -22,6 +21,8 @@
 const STILL: Millis = 600.0;
 /// After its start a registry hears for this long before it takes a duty.
 const HEAR: Millis = 1_800.0;
+/// And between two tries to take it.
+const ASK: Millis = 400.0;
 /// What was dropped is forgotten after this time: no news is under way for longer.
 const FORGET: Millis = 60_000.0;
 /// Where an epoch stands in the version of what a duty's holder writes.
@@ -48,6 +49,9 @@
     me: Ipv4Addr,
     started: Option<Millis>,
     ticked: Option<Millis>,
+    /// When it last asked for the duty, and the epoch under which it has it.
+    asked_duty: Millis,
+    taken: Option<u64>,
     /// When each node was last heard here.
     heard: BTreeMap<String, Millis>,
     /// When each dropped entry was first seen.
@@ -57,7 +61,15 @@
 impl Book {
     /// A registry that has heard nothing.
     pub fn new(me: Ipv4Addr) -> Self {
-        Self { me, started: None, ticked: None, heard: BTreeMap::new(), dropped: BTreeMap::new() }
+        Self {
+            me,
+            started: None,
+            ticked: None,
+            asked_duty: f64::NEG_INFINITY,
+            taken: None,
+            heard: BTreeMap::new(),
+            dropped: BTreeMap::new(),
+        }
     }
 
     /// A heartbeat has come; gives the news in it, if any, and the answer.
@@ -89,7 +101,6 @@
 
     /// Time has passed: gives what is news by that.
     pub fn tick(&mut self, now: Millis, items: &Items) -> Vec<Item> {
-        let started = *self.started.get_or_insert(now);
         if self.ticked.replace(now).is_some_and(|ticked| now > ticked + STILL) {
             self.heard.values_mut().for_each(|heard| *heard = now);
         }
@@ -110,27 +121,37 @@
                 news.push(Node { lost: true, ready: false, ..node }.item(item.version + 1));
             }
         }
-        if now > started + HEAR {
-            news.extend(self.take_duty(items, &registries));
-        }
         news
     }
 
-    /// The first registry in order does the duty, under an epoch above all before.
-    fn take_duty(&self, items: &Items, registries: &[Ipv4Addr]) -> Option<Item> {
-        let held = items.get(Table::Duties, WARDEN);
-        let first = registries.first() == Some(&self.me);
-        if !first || self.holds(items) {
-            return None;
+    /// The first registry in order does the duty, under an epoch above all before, also where it is one that it had in
+    /// an earlier life: tells whether to take it now. `group` names all machines of the core.
+    pub fn wants_duty(&mut self, now: Millis, items: &Items, group: &[Ipv4Addr]) -> bool {
+        let started = *self.started.get_or_insert(now);
+        let first = self.registries(items).first() == Some(&self.me);
+        // Before it has heard who is there, only the first of all knows that it is.
+        let knows =
+            now > started + HEAR || (group.contains(&self.me) && group.iter().all(|ip| *ip >= self.me));
+        let wants = first && knows && !self.holds(items) && now > self.asked_duty + ASK;
+        if wants {
+            self.asked_duty = now;
         }
-        let epoch = held.map_or(0, |item| item.version) + 1;
-        Some(Item::new(Table::Duties, WARDEN, epoch, Some(json!({ "holder": self.me }))))
+        wants
+    }
+
+    /// This registry has taken the duty under this epoch.
+    pub fn took_duty(&mut self, epoch: u64) {
+        self.taken = Some(epoch);
+    }
+
+    /// The epoch under which it last had the duty.
+    pub fn epoch(&self) -> u64 {
+        self.taken.unwrap_or(0)
     }
 
     /// Whether this registry has the duty.
     pub fn holds(&self, items: &Items) -> bool {
-        let holder = items.body(Table::Duties, WARDEN).and_then(|body| body.get("holder")).cloned();
-        holder.and_then(|holder| serde_json::from_value::<Ipv4Addr>(holder).ok()) == Some(self.me)
+        self.taken.is_some_and(|taken| taken >= items.version(Table::Duties, WARDEN))
     }
 
     /// The platform's list was read whole under this epoch: gives what is news by it. What is written under an epoch
--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -248,7 +248,7 @@
             let epoch = {
                 let items = self.news.items();
                 let holds = self.book.borrow().holds(&items);
-                holds.then(|| items.version(Table::Duties, WARDEN))
+                holds.then(|| self.book.borrow().epoch())
             };
             let Some(epoch) = epoch else {
                 sleep(TICK).await;
@@ -295,14 +295,13 @@
                 (book.tick(now, &items), book.forgettable(now, &items))
             };
             for item in &news {
-                match item.key.table {
-                    Table::Duties => {
-                        tracing::info!("takes the duty '{}' under epoch {}", item.key.name, item.version)
-                    }
-                    _ => tracing::info!("{} is lost", item.key.name),
-                }
+                tracing::info!("{} is lost", item.key.name);
             }
             self.spread(news);
+            let wants = self.book.borrow_mut().wants_duty(now, &self.news.items(), &self.group());
+            if wants {
+                tokio::task::spawn_local(self.clone().take_duty());
+            }
             if !over.is_empty() {
                 self.news.forget(&over);
             }
@@ -311,6 +310,27 @@
         }
     }
 
+    /// The machines of the core.
+    fn group(&self) -> Vec<Ipv4Addr> {
+        let group =
+            self.news.items().body(Table::Group, "core").and_then(|body| body.get("members")).cloned();
+        group.and_then(|group| serde_json::from_value(group).ok()).unwrap_or_default()
+    }
+
+    /// Has the stores write down that it takes the duty, so that no epoch is ever used twice.
+    async fn take_duty(self: Rc<Self>) {
+        let to = SocketAddr::from((self.boot.ip, self.boot.ports().store));
+        let taking = json!({ "name": WARDEN, "holder": self.boot.ip});
+        let answer: Result<u64, Fault> = self.calls.post(to, "/duty", &taking, STORE).await;
+        match answer {
+            Ok(epoch) => {
+                tracing::info!("takes the duty '{WARDEN}' under epoch {epoch}");
+                self.book.borrow_mut().took_duty(epoch);
+            }
+            Err(fault) => tracing::debug!("can't take the duty '{WARDEN}': {fault}"),
+        }
+    }
+
     async fn answer(self: Rc<Self>, incoming: Incoming) -> Outgoing {
         let Incoming { method, path, query, body, .. } = incoming;
         let found = match Matcher::find(&self.tree, &method, &path) {
@@ -384,7 +404,7 @@
             self.keeper.replace(None);
             return Err(Fault::new(Kind::Unready, "another registry gives shares out, or none can"));
         }
-        let (now, epoch) = (self.now(), items.version(Table::Duties, WARDEN));
+        let (now, epoch) = (self.now(), self.book.borrow().epoch());
         let mut keeper = self.keeper.borrow_mut();
         let keeper = match &mut *keeper {
             Some(keeper) if keeper.epoch() == epoch => keeper,
--- a/crates/larder/src/keeper.rs
+++ b/crates/larder/src/keeper.rs
@@ -100,9 +100,8 @@
         let other = WHOLE * UNASKED / count;
         let mut tenants = BTreeMap::new();
         for tenant in self.asked.keys() {
-            let heard = || self.proxies.values().filter(|p| now <= p.heard + LEASE);
-            let all: f64 = heard().map(|p| p.part(tenant).asked).sum();
-            let sent: f64 = heard().map(|p| p.part(tenant).sent).sum();
+            let heard = self.proxies.values().filter(|p| now <= p.heard + LEASE);
+            let all: f64 = heard.map(|p| p.part(tenant).asked).sum();
             let own = self.proxies.get(from).map_or(0.0, |p| p.part(tenant).asked);
             let weighed = if all > 0.0 { own / all } else { 1.0 / count };
             let wanted = WHOLE * (EVEN / count + (1.0 - EVEN) * weighed);
@@ -116,7 +115,7 @@
             if early {
                 part = part.min(self.proxies.get(from).map_or(0.0, |p| p.part(tenant).granted));
             }
-            let percent = 100.0 * sent / rate(tenant).max(1e-9);
+            let percent = 100.0 * all / rate(tenant).max(1e-9);
             let round = |v: f64| (v * 1e4).floor() / 1e4;
             tenants.insert(tenant.clone(), (round(part), percent.round()));
         }
--- a/crates/larder/src/lib.rs
+++ b/crates/larder/src/lib.rs
@@ -55,6 +55,6 @@
     pub proxies: u32,
     /// The part of every tenant that is not named.
     pub other: f64,
-    /// By tenant: the part, and all proxies' use in percent of its rate.
+    /// By tenant: the part, and what all proxies are asked in percent of its rate.
     pub tenants: BTreeMap<String, (f64, f64)>,
 }
--- a/crates/larder/src/rations.rs
+++ b/crates/larder/src/rations.rs
@@ -12,7 +12,9 @@
 /// Most tenants that are kept; beyond that the ones longest silent go first.
 const MOST: usize = 60_000;
 /// Longest advice to stay away.
-const WAIT_MOST: Millis = 1_000.0;
+const WAIT_MOST: Millis = 6_000.0;
+/// How long a tenant's requests are told to stay away for each time over that all proxies are asked what may pass.
+const OVERRUN: Millis = 2_000.0;
 
 #[derive(Clone, Debug)]
 struct Ration {
@@ -99,8 +101,11 @@
         ration.store = (ration.store + gain).min(most);
         ration.at = now;
         if ration.store < 1.0 {
-            let wait = 1000.0 * (1.0 - ration.store) / (part * rate).max(1e-9);
-            return Err(wait.clamp(1.0, WAIT_MOST));
+            let most = (part * rate).max(1e-9);
+            let wait = 1000.0 * (1.0 - ration.store) / most;
+            // Where much more is asked than may pass, whoever comes back at once is refused once more.
+            let beyond = OVERRUN * (ration.percent / 100.0 - 1.0);
+            return Err(wait.max(beyond).clamp(1.0, WAIT_MOST));
         }
         ration.store -= 1.0;
         ration.sent += 1.0;
@@ -125,7 +130,7 @@
         }
     }
 
-    /// All proxies' use of a tenant in percent of its rate, by the last grant.
+    /// What all proxies are asked of a tenant in percent of its rate, by the last grant.
     pub fn percent(&self, tenant: &str) -> f64 {
         self.tenants.get(tenant).map_or(0.0, |ration| ration.percent)
     }
--- a/crates/ropeteam/src/follower.rs
+++ b/crates/ropeteam/src/follower.rs
@@ -4,8 +4,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// A parent that failed is left alone this long, if there is another.
+/// A parent that was silent is left alone this long, if there is another.
 const LEFT: Millis = 2_000.0;
+/// One that could be told at once to be gone, which costs little to find out again.
+const GONE: Millis = 300.0;
 /// News older than this come from one that is out of touch.
 const OLD: Millis = 3_500.0;
 /// Most parents of which failures are remembered.
@@ -42,18 +44,18 @@
     pub fn came(&mut self, now: Millis, from: SocketAddr, life: u64, change: u64, age: Millis) {
         self.parent = Some((from, life, change));
         if age > OLD {
-            self.leave(now, from);
+            self.leave(from, now + LEFT);
         }
     }
 
-    /// No answer has come.
-    pub fn failed(&mut self, now: Millis, from: SocketAddr) {
-        self.leave(now, from);
+    /// No answer has come; `gone` where that was told at once.
+    pub fn failed(&mut self, now: Millis, from: SocketAddr, gone: bool) {
+        self.leave(from, now + if gone { GONE } else { LEFT });
     }
 
-    fn leave(&mut self, now: Millis, from: SocketAddr) {
+    fn leave(&mut self, from: SocketAddr, until: Millis) {
         if self.failed.len() < FAILED_MOST {
-            self.failed.insert(from, now + LEFT);
+            self.failed.insert(from, until);
         }
     }
 }
--- a/crates/ropeteam/src/news.rs
+++ b/crates/ropeteam/src/news.rs
@@ -2,7 +2,7 @@
 
 use crate::follower::Follower;
 use crate::Millis;
-use footbridge::{Calls, Fault};
+use footbridge::{Calls, Fault, Kind};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, Ref, RefCell};
 use std::future::Future;
@@ -169,7 +169,7 @@
                 }
                 Err(fault) => {
                     tracing::debug!("no news from {to}: {fault}");
-                    follower.failed(now(), to);
+                    follower.failed(now(), to, fault.kind == Kind::Unreachable);
                     sleep(PAUSE).await;
                 }
             }
--- a/crates/trailmap/src/item.rs
+++ b/crates/trailmap/src/item.rs
@@ -26,10 +26,8 @@
     Nodes,
     /// Servers on the platform's list.
     Servers,
-    /// Duties, and who does them under which epoch.
+    /// Duties, and who does them; the version is the epoch.
     Duties,
-    /// What each proxy may pass of tenants' quotas.
-    Shares,
 }
 
 bitflags! {
@@ -42,16 +40,16 @@
         const DRAINS = 0b0000_0001_0000;
         /// The store's own group.
         const GROUP = 0b0000_0010_0000;
+        /// Duties.
+        const DUTIES = 0b0001_0000_0000;
         /// What a store keeps.
-        const KEPT = Self::CONFIG.bits() | Self::DRAINS.bits() | Self::GROUP.bits();
+        const KEPT = Self::CONFIG.bits() | Self::DRAINS.bits() | Self::GROUP.bits() | Self::DUTIES.bits();
         /// What is rebuilt from those who told it.
-        const TOLD = 0b0011_1100_0000;
+        const TOLD = 0b0000_1100_0000;
         /// Processes of the system.
         const NODES = 0b0000_0100_0000;
         /// Servers.
         const SERVERS = 0b0000_1000_0000;
-        /// Shares of quotas.
-        const SHARES = 0b0010_0000_0000;
     }
 }
 
@@ -63,7 +61,7 @@
 }
 
 /// How many tables there are.
-const TABLES: usize = 10;
+const TABLES: usize = 9;
 
 /// What names an item.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/waymark/src/front.rs
+++ b/crates/waymark/src/front.rs
@@ -15,8 +15,10 @@
     end_to_end, one, retry_after_value, without_hop_by_hop, Answer, Ask, Asked, Front, Head, Leaving,
     Message, Payload,
 };
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 use trailmap::Effect;
@@ -31,11 +33,17 @@
 const HELD_MOST: usize = 96 << 20;
 /// What a refused client is told to wait where nothing better is known.
 const COMEBACK: Millis = 100.0;
+/// And at the least, for the part of a service's requests that were refused of late.
+const CROWDED: Millis = 3_000.0;
+/// Weight of one request in that part.
+const CROWD_WEIGHT: f64 = 0.02;
 
 /// Answers clients.
 pub struct WayFront {
     proxy: Rc<Proxy>,
     held: Rc<Cell<usize>>,
+    /// The part of requests of late that were refused for want of room, by service.
+    crowd: RefCell<HashMap<Arc<str>, f64>>,
 }
 
 /// Why a request is not passed on, or its own connection broke.
@@ -85,7 +93,7 @@
 impl WayFront {
     /// A front for this proxy.
     pub fn new(proxy: Rc<Proxy>) -> Self {
-        Self { proxy, held: Rc::default() }
+        Self { proxy, held: Rc::default(), crowd: RefCell::default() }
     }
 
     async fn pass(
@@ -168,7 +176,21 @@
         if let (Answer::Refused(.., false), Some(holder)) = (&answer, &holder) {
             self.proxy.give_back(holder);
         }
-        Ok(worded(answer))
+        let refused = matches!(answer, Answer::Refused(..));
+        let crowd = service.map_or(0.0, |service| self.crowded(service, refused));
+        Ok(worded(answer, CROWDED * crowd))
+    }
+
+    /// Counts a request of a service; tells the part of those of late that were refused.
+    fn crowded(&self, service: &Arc<str>, refused: bool) -> f64 {
+        let mut crowd = self.crowd.borrow_mut();
+        // Services come and go with the configuration.
+        if crowd.len() > 4096 {
+            crowd.clear();
+        }
+        let part = crowd.entry(service.clone()).or_default();
+        *part += CROWD_WEIGHT * (f64::from(u8::from(refused)) - *part);
+        *part
     }
 
     fn holder(
@@ -239,7 +261,7 @@
     headers
 }
 
-fn worded(answer: Answer) -> Response<Full<Bytes>> {
+fn worded(answer: Answer, least: Millis) -> Response<Full<Bytes>> {
     match answer {
         Answer::Whole(answer) => {
             let (mut parts, body) = answer.into_parts();
@@ -249,7 +271,7 @@
             Response::from_parts(parts, Full::new(body))
         }
         Answer::Refused(wait, ..) => {
-            plain(StatusCode::SERVICE_UNAVAILABLE, "refused; nothing was run", wait.max(COMEBACK))
+            plain(StatusCode::SERVICE_UNAVAILABLE, "refused; nothing was run", wait.max(COMEBACK).max(least))
         }
         Answer::TimeUp => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time", 0.0),
         Answer::Failed | Answer::Passed(_) | Answer::Served(..) => {
--- a/crates/waymark/src/proxy.rs
+++ b/crates/waymark/src/proxy.rs
@@ -164,7 +164,7 @@
     limits.strict_head = Some(UNTOLD.0);
     limits.whole_request = Duration::from_secs(30);
     limits.idle = Duration::from_secs(15);
-    limits.idle_once = Duration::from_secs(15);
+    limits.idle_once = Duration::from_secs(3);
     limits.read_stall = Some(Duration::from_secs(10));
     let clients = Clients::new(Rc::new(WayFront::new(proxy.clone())), limits);
     let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
