--- a/crates/larder/src/rations.rs
+++ b/crates/larder/src/rations.rs
@@ -1,10 +1,24 @@
 //! One proxy's side: what it may pass of each tenant's quota on its own.
+//!
+//! The ordinary path keeps no record of a tenant: a count-min sketch adds up what was passed of each within about a
+//! window, and whoever stays within its even slice passes freely. A tenant whose estimate passes its slice is flagged
+//! heavy: it gets an exact record, its demand is told to the keeper, and it passes by a store that fills at its part.
 
 use crate::{Grant, Millis, Report, LAPSED, LEASE, SLACK};
+use ivygate_gateway::CountMinSketch;
 use std::collections::BTreeMap;
 
 /// What a proxy passes of a tenant before its first grant, as a part of the quota.
 const START: f64 = 0.01;
+/// Rows of the sketch: four independent hashes make a full collision of two tenants negligible.
+const ROWS: usize = 4;
+/// Counters in a row: many times the tenants that ask one proxy within a window.
+const COLUMNS: usize = 2048;
+/// Two sketches take turns every half window; together they hold between a half and a whole one.
+const HALF: Millis = 500.0;
+/// The even slice, as a part of what a tenant may have passed here in a window: a window of the sketch may hold only half
+/// of what was passed in a whole one.
+const SLICE: f64 = 0.5;
 /// Weight of a report in the demand that is told.
 const WEIGHT: f64 = 0.5;
 /// A tenant of which nothing was heard for this long is forgotten.
@@ -42,12 +56,18 @@
     /// When the grant in use was asked for.
     granted: Option<Millis>,
     reported: Option<Millis>,
+    /// What was passed of late, by tenant.
+    passed: [CountMinSketch; 2],
+    rotate_at: Millis,
+    /// Those that are flagged heavy.
     tenants: BTreeMap<String, Ration>,
 }
 
 impl Rations {
     /// None was granted yet; `life` differs between lives of the proxy.
     pub fn new(life: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(life);
+        let mut sketch = || CountMinSketch::new((0..ROWS).map(|_| rng.u64(..)).collect(), COLUMNS);
         Self {
             life,
             epoch: 0,
@@ -56,6 +76,8 @@
             proxies: f64::INFINITY,
             granted: None,
             reported: None,
+            passed: [sketch(), sketch()],
+            rotate_at: f64::NEG_INFINITY,
             tenants: BTreeMap::new(),
         }
     }
@@ -76,15 +98,22 @@
     /// The time after which one more would pass.
     pub fn take(&mut self, now: Millis, tenant: &str, rate: f64, burst: f64) -> Result<(), Millis> {
         let part = self.part(now, tenant);
+        // A store that holds no whole request would never let one pass.
+        let most = (part * burst + SLACK / self.proxies).max(1.0);
         if !self.tenants.contains_key(tenant) {
+            let passed = self.passed_of_late(now, tenant);
+            if passed + 1.0 <= SLICE * part * burst.min(rate) {
+                self.passed[0].add(tenant, 1.0);
+                return Ok(());
+            }
             self.make_room();
             let ration = Ration {
                 part: None,
                 // A life before this one may have used all up.
-                store: if self.granted.is_some() { 1.0 } else { 0.0 },
+                store: if self.granted.is_some() { (most - passed).max(0.0) } else { 0.0 },
                 at: now,
-                asked: 0.0,
-                sent: 0.0,
+                asked: passed,
+                sent: passed,
                 asked_per_s: 0.0,
                 sent_per_s: 0.0,
                 percent: 0.0,
@@ -95,14 +124,11 @@
         let Some(ration) = self.tenants.get_mut(tenant) else { return Err(WAIT_MOST) };
         ration.seen = now;
         ration.asked += 1.0;
-        // A store that holds no whole request would never let one pass.
-        let most = (part * burst + SLACK / self.proxies).max(1.0);
         let gain = part * rate * (now - ration.at).max(0.0) / 1000.0;
         ration.store = (ration.store + gain).min(most);
         ration.at = now;
         if ration.store < 1.0 {
-            let most = (part * rate).max(1e-9);
-            let wait = 1000.0 * (1.0 - ration.store) / most;
+            let wait = 1000.0 * (1.0 - ration.store) / (part * rate).max(1e-9);
             // Where much more is asked than may pass, whoever comes back at once is refused once more.
             let beyond = OVERRUN * (ration.percent / 100.0 - 1.0);
             return Err(wait.max(beyond).clamp(1.0, WAIT_MOST));
@@ -112,6 +138,19 @@
         Ok(())
     }
 
+    /// What was passed of a tenant within about a window, and perhaps some of others.
+    fn passed_of_late(&mut self, now: Millis, tenant: &str) -> f64 {
+        if now >= self.rotate_at {
+            if now >= self.rotate_at + HALF {
+                self.passed[0].clear();
+            }
+            self.passed.swap(0, 1);
+            self.passed[0].clear();
+            self.rotate_at = now + HALF;
+        }
+        self.passed[0].estimate(tenant) + self.passed[1].estimate(tenant)
+    }
+
     /// A request that was let pass went nowhere.
     pub fn give_back(&mut self, tenant: &str) {
         if let Some(ration) = self.tenants.get_mut(tenant) {
--- a/crates/larder/tests/shares.rs
+++ b/crates/larder/tests/shares.rs
@@ -102,3 +102,42 @@
     assert!((rations[0].part(now, "t") - before / 2.0).abs() < 1e-9);
     assert!(rations[1].part(now, "t") > before, "{} {before}", rations[1].part(now, "t"));
 }
+
+#[test]
+fn given_many_tenants_that_ask_little_when_they_pass_then_no_record_is_kept_and_nothing_is_told_of_them() {
+    let known: BTreeMap<String, bool> = (0..2).map(|n| (name(n), true)).collect();
+    let mut keeper = Keeper::new(-10_000.0, 1);
+    let mut rations = Rations::new(7);
+    for other in [0.0, 10.0] {
+        let report = rations.report(other);
+        rations.granted(other, keeper.report(other, &name(0), &report, &known, |_| 100.0));
+    }
+    for tenant in 0..500 {
+        let now = 20.0 + f64::from(tenant);
+        assert_eq!(rations.take(now, &format!("small-{tenant}"), 100.0, 100.0), Ok(()));
+    }
+    let heavy =
+        (0..200).filter(|n| rations.take(600.0 + f64::from(*n), "heavy", 100.0, 100.0).is_ok()).count();
+    assert!((20..=60).contains(&heavy), "{heavy}: an even part of the burst and of a fifth of a second");
+    let report = rations.report(800.0);
+    assert_eq!(report.tenants.keys().collect::<Vec<_>>(), ["heavy"]);
+}
+
+#[test]
+fn given_a_tenant_that_asks_far_more_than_it_may_when_it_is_refused_then_it_is_told_to_stay_away_for_long() {
+    let known: BTreeMap<String, bool> = [(name(0), true)].into();
+    let mut keeper = Keeper::new(-10_000.0, 1);
+    let mut rations = Rations::new(7);
+    let mut told = 0.0;
+    for step in 0..2_000 {
+        let now = f64::from(step);
+        if step % 500 == 0 {
+            let report = rations.report(now);
+            rations.granted(now, keeper.report(now, &name(0), &report, &known, |_| 100.0));
+        }
+        if let Err(wait) = rations.take(now, "t", 100.0, 100.0) {
+            told = wait;
+        }
+    }
+    assert!(told > 2_000.0, "asked ten times what may pass, it is told {told} ms");
+}
