--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -24,10 +24,14 @@
 const STEP: Millis = 900.0;
 /// A call that has waited this long is answered: operators go elsewhere after a second.
 const CALL: Millis = 2_600.0;
-/// Pause before another round after one was outbid, drawn between these.
-const PAUSE: (Millis, Millis) = (15.0, 150.0);
-/// Items that were written down and not heard to stand for this long are carried on by whoever has them.
-const ORPHANED: Millis = 500.0;
+/// Pause before another round after one was outbid, drawn between these and doubled with each that was outbid since: two
+/// ways there and back over the farthest regions have to fit between the rounds of two stores.
+const PAUSE: (Millis, Millis) = (40.0, 300.0);
+/// Most times that it is doubled.
+const DOUBLED: u32 = 3;
+/// Items that were written down and not heard to stand are carried on by whoever has them, after a time drawn between
+/// these: all that have them begin to wait at once.
+const ORPHANED: (Millis, Millis) = (350.0, 1_800.0);
 /// Period in which the own items are compared with those of each other store, which also tells who is in touch.
 const COMPARE: Millis = 1_000.0;
 /// Period of questions by one that lacks its group or its items.
@@ -118,8 +122,10 @@
     counter: u64,
     /// No round before.
     paused_until: Millis,
-    /// Since when something is written down that is not known to stand.
-    pending_since: Option<Millis>,
+    /// Rounds outbid since the last that came to an end.
+    outbid: u32,
+    /// When what is written down and not known to stand is to be carried on.
+    orphaned_at: Option<Millis>,
     number: u64,
     /// Questions that are out: to whom, and of which round.
     asked: BTreeMap<u64, (Ipv4Addr, Ballot)>,
@@ -143,7 +149,8 @@
             seeds,
             bootstrap,
             rng: fastrand::Rng::with_seed(seed),
-            pending_since: kept.pending.is_some().then_some(f64::NEG_INFINITY),
+            outbid: 0,
+            orphaned_at: None,
             kept,
             round: Round::Idle,
             calls: VecDeque::new(),
@@ -247,7 +254,7 @@
                 self.promise(ballot);
                 self.stand(missing);
                 self.kept.pending = Some(Pending { ballot, items });
-                self.pending_since = Some(now);
+                self.orphaned_at = Some(self.orphaned(now));
                 self.outputs.push(Output::Save);
                 Reply::Written
             }
@@ -255,7 +262,7 @@
                 self.stand(items);
                 if self.kept.pending.as_ref().is_some_and(|pending| pending.ballot <= ballot) {
                     self.kept.pending = None;
-                    self.pending_since = None;
+                    self.orphaned_at = None;
                 }
                 Reply::Settled
             }
@@ -294,7 +301,7 @@
         let items = &self.kept.items;
         if pending.items.iter().all(|item| items.version(item.key.table, &item.key.name) >= item.version) {
             self.kept.pending = None;
-            self.pending_since = None;
+            self.orphaned_at = None;
         }
     }
 
@@ -321,7 +328,7 @@
 
     /// Begins a round if there is something to do and none is under way.
     fn begin(&mut self, now: Millis) {
-        let orphaned = self.pending_since.is_some_and(|since| now > since + ORPHANED);
+        let orphaned = self.kept.pending.is_some() && self.orphaned_at.is_some_and(|at| now > at);
         let idle = matches!(self.round, Round::Idle);
         if !idle || now < self.paused_until || !self.kept.whole || (self.calls.is_empty() && !orphaned) {
             return;
@@ -410,7 +417,13 @@
                 self.calls.push_front(waiting);
             }
         }
-        self.paused_until = now + PAUSE.0 + self.rng.f64() * (PAUSE.1 - PAUSE.0);
+        let pause = PAUSE.0 + self.rng.f64() * (PAUSE.1 - PAUSE.0);
+        self.paused_until = now + pause * f64::from(1 << self.outbid.min(DOUBLED));
+        self.outbid += 1;
+    }
+
+    fn orphaned(&mut self, now: Millis) -> Millis {
+        now + ORPHANED.0 + self.rng.f64() * (ORPHANED.1 - ORPHANED.0)
     }
 
     fn reserved(&mut self, now: Millis, from: Ipv4Addr, of: Ballot, promise: Promise) {
@@ -483,7 +496,7 @@
             // An empty round of an earlier one may be left; nothing in it is owed.
             if self.kept.pending.as_ref().is_some_and(|pending| pending.ballot < ballot) {
                 self.kept.pending = None;
-                self.pending_since = None;
+                self.orphaned_at = None;
             }
             return self.conclude(now, calls);
         }
@@ -522,6 +535,7 @@
     }
 
     fn conclude(&mut self, now: Millis, calls: Vec<(Waiting, Result<(), Fault>)>) {
+        self.outbid = 0;
         for (waiting, verdict) in calls {
             self.answer(waiting.id, verdict);
         }
@@ -545,6 +559,9 @@
                 );
             }
         }
+        if self.kept.pending.is_some() && self.orphaned_at.is_none() {
+            self.orphaned_at = Some(self.orphaned(now));
+        }
         self.begin(now);
         // Questions that nothing came of.
         while self.asked.len() > 1024 {
@@ -621,7 +638,7 @@
         let items: Vec<_> = copies.iter().flat_map(|c| c.items.iter().cloned()).collect();
         self.promise(promised);
         self.kept.pending = pending;
-        self.pending_since = self.kept.pending.as_ref().map(|_| f64::NEG_INFINITY);
+        self.orphaned_at = None;
         self.stand(items);
         self.kept.whole = true;
         self.copies.clear();
--- a/crates/hutbook/src/book.rs
+++ b/crates/hutbook/src/book.rs
@@ -21,8 +21,10 @@
 const STILL: Millis = 600.0;
 /// After its start a registry hears for this long before it takes a duty.
 const HEAR: Millis = 1_800.0;
-/// And between two tries to take it.
-const ASK: Millis = 400.0;
+/// A try to take it that was not answered by then never will be.
+const ASK: Millis = 3_500.0;
+/// Pause after one that failed.
+const ASK_AGAIN: Millis = 300.0;
 /// What was dropped is forgotten after this time: no news is under way for longer.
 const FORGET: Millis = 60_000.0;
 /// Where an epoch stands in the version of what a duty's holder writes.
@@ -144,6 +146,11 @@
         self.taken = Some(epoch);
     }
 
+    /// It could not be taken.
+    pub fn missed_duty(&mut self, now: Millis) {
+        self.asked_duty = now + ASK_AGAIN - ASK;
+    }
+
     /// The epoch under which it last had the duty.
     pub fn epoch(&self) -> u64 {
         self.taken.unwrap_or(0)
--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -327,7 +327,10 @@
                 tracing::info!("takes the duty '{WARDEN}' under epoch {epoch}");
                 self.book.borrow_mut().took_duty(epoch);
             }
-            Err(fault) => tracing::debug!("can't take the duty '{WARDEN}': {fault}"),
+            Err(fault) => {
+                tracing::debug!("can't take the duty '{WARDEN}': {fault}");
+                self.book.borrow_mut().missed_duty(self.now());
+            }
         }
     }
 
