--- a/crates/hutbook/src/book.rs
+++ b/crates/hutbook/src/book.rs
@@ -14,9 +14,9 @@
 /// The duty of reading the platform's list and of giving out shares of quotas.
 pub const WARDEN: &str = "warden";
 /// How many registries watch a node.
-pub const WATCHERS: usize = 3;
+pub const WATCHERS: usize = 2;
 /// A node of which its watchers have heard nothing for this long is lost.
-const LOST: Millis = 1_700.0;
+const LOST: Millis = 1_900.0;
 /// A tick that comes this late tells that the process stood still: what it did not hear is no sign.
 const STILL: Millis = 600.0;
 /// After its start a registry hears for this long before it takes a duty.
--- a/crates/hutbook/src/lib.rs
+++ b/crates/hutbook/src/lib.rs
@@ -7,6 +7,6 @@
 mod directory;
 mod listing;
 
-pub use book::{Beat, Beaten, Book, WARDEN};
+pub use book::{Beat, Beaten, Book, WARDEN, WATCHERS};
 pub use directory::addresses;
 pub use listing::{Page, Row, Server};
--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -3,7 +3,7 @@
 
 use argh::FromArgs;
 use footbridge::{answer_of, serve, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
-use hutbook::{addresses, Beat, Beaten, Book, Page, Row, WARDEN};
+use hutbook::{addresses, Beat, Beaten, Book, Page, Row, WARDEN, WATCHERS};
 use hyper::{Method, StatusCode};
 use larder::{Grant, Keeper, Report};
 use ropeteam::{follow, watchers, News, Node, Pull, Role, Source};
@@ -30,7 +30,7 @@
 /// Period of the registry's clock.
 const TICK: Duration = Duration::from_millis(100);
 /// Period of its own heartbeats.
-const BEAT: Duration = Duration::from_millis(500);
+const BEAT: Duration = Duration::from_millis(600);
 /// Period in which it compares what it was told with one other registry.
 const COMPARE: Duration = Duration::from_millis(1_000);
 /// Period of readings of the platform's list, where the platform allows it.
@@ -195,7 +195,7 @@
         let node = self.entry();
         let item = node.item(self.version.get());
         self.spread(vec![item.clone()]);
-        for watcher in watchers(&node.name(), node.ip, &self.others(), 3) {
+        for watcher in watchers(&node.name(), node.ip, &self.others(), WATCHERS) {
             let (hutbook, beat) = (self.clone(), Beat { entry: item.clone() });
             tokio::task::spawn_local(async move {
                 let to = hutbook.registry(watcher);
--- a/crates/waymark/src/front.rs
+++ b/crates/waymark/src/front.rs
@@ -33,6 +33,8 @@
 const HELD_MOST: usize = 96 << 20;
 /// What a refused client is told to wait where nothing better is known.
 const COMEBACK: Millis = 100.0;
+/// And where only another configuration would help.
+const HOMELESS: Millis = 30_000.0;
 /// And at the least, for the part of a service's requests that were refused of late.
 const CROWDED: Millis = 3_000.0;
 /// Weight of one request in that part.
@@ -130,6 +132,15 @@
         let told = read(DEADLINE.as_str())?.and_then(|v| v.parse::<f64>().ok());
         let told = told.filter(|ms| ms.is_finite() && *ms >= 0.0).map(|ms| ms.min(WAIT_MOST));
         let wait = told.unwrap_or(f64::INFINITY).min(1000.0 * way.route.timeout_s);
+        let zones = both(&way.zones, &holder.as_ref().and_then(|h| h.zones.clone()));
+        if zones.as_ref().is_some_and(|zones| zones.is_empty()) {
+            // No server may have it while route and tenant stand as they do.
+            return Err(Unfit::Words(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the route's and the tenant's home regions have none in common",
+                HOMELESS,
+            ));
+        }
         if let Some(holder) = &holder {
             if let Err(wait) = self.proxy.take_quota(holder) {
                 return Err(Unfit::Words(
@@ -155,7 +166,7 @@
             width: 1,
             wait,
             once: way.route.kind != Effect::Idempotent,
-            zones: both(&way.zones, &holder.as_ref().and_then(|h| h.zones.clone())),
+            zones,
         };
         let message = Message {
             headers: onward(&parts, holder.as_deref()),
--- a/crates/waymark/src/team.rs
+++ b/crates/waymark/src/team.rs
@@ -1,7 +1,7 @@
 //! The proxy among the nodes: heartbeats to its watchers, whom it pulls news from, and what it passes on.
 
 use footbridge::{answer_of, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
-use hutbook::{Beat, Beaten, WARDEN};
+use hutbook::{Beat, Beaten, WARDEN, WATCHERS};
 use larder::{Grant, Rations};
 use ropeteam::{watchers, News, Node, Pull, Role, Source};
 use std::cell::{Cell, RefCell};
@@ -14,14 +14,12 @@
 use trailmap::{Item, Table};
 
 /// Period of heartbeats.
-const BEAT: Duration = Duration::from_millis(500);
+const BEAT: Duration = Duration::from_millis(600);
 /// How long the answer to one is waited for.
 const ANSWER: Duration = Duration::from_millis(800);
 /// Period of reports to the keeper of shares, and the shortest time between two.
-const REPORT: Duration = Duration::from_millis(500);
+const REPORT: Duration = Duration::from_millis(600);
 const REPORT_LEAST: Duration = Duration::from_millis(100);
-/// How many registries watch a node.
-const WATCHERS: usize = 3;
 
 /// What a proxy is to others of the system.
 pub struct Team {
