--- /dev/null
+++ b/crates/cairn/tests/fleet/main.rs
@@ -0,0 +1,304 @@
+//! Stories of stores that lose power, disks and each other.
+
+mod world;
+
+use cairn::{Change, Standing};
+use footbridge::Kind;
+use std::collections::BTreeMap;
+use trailmap::{check, Table, Tables};
+use world::{drop_route, routes, Defect, World};
+
+#[test]
+fn given_a_first_start_when_all_come_forward_then_one_group_is_founded_of_all() {
+    for seed in 0..20 {
+        let world = World::founded(seed, Defect::None);
+        let group = world.items(0).body(Table::Group, "core").cloned();
+        assert_eq!(group.as_ref().and_then(|g| g["members"].as_array()).map(Vec::len), Some(6));
+        assert!((1..6).all(|n| world.items(n).body(Table::Group, "core") == group.as_ref()));
+    }
+}
+
+#[test]
+fn given_a_call_when_it_is_acknowledged_then_every_copy_has_it_within_a_second() {
+    let mut world = World::founded(1, Defect::None);
+    assert_eq!(world.answer(3, routes(2, &[("a", "/a/", 1.0)])), Ok(()));
+    world.pass(1_000.0);
+    assert!((0..6).all(|n| world.timeout_of(n, "a") == Some(1.0)));
+}
+
+#[test]
+fn given_a_cut_in_halves_when_either_side_is_called_then_neither_acknowledges_until_it_heals() {
+    let mut world = World::founded(2, Defect::None);
+    world.cut_off(&[0, 1, 2]);
+    assert_eq!(world.answer(0, routes(2, &[("a", "/a/", 1.0)])), Err(Kind::NoMajority));
+    assert_eq!(world.answer(5, routes(3, &[("a", "/a/", 2.0)])), Err(Kind::NoMajority));
+    assert_eq!(world.answer(4, Change::Read), Err(Kind::NoMajority));
+    world.cut.clear();
+    assert_eq!(world.answer(0, routes(4, &[("a", "/a/", 3.0)])), Ok(()));
+}
+
+#[test]
+fn given_one_version_with_two_contents_when_both_are_sent_at_once_then_at_most_one_is_acknowledged_and_wins()
+{
+    for seed in 0..60 {
+        let mut world = World::founded(seed, Defect::None);
+        let one = world.call(0, routes(5, &[("a", "/a/", 1.0)]));
+        let two = world.call(4, routes(5, &[("a", "/a/", 2.0)]));
+        world.pass(6_000.0);
+        let acknowledged = [world.acknowledged(one), world.acknowledged(two)];
+        assert_ne!(acknowledged, [true, true], "seed {seed}");
+        let stands = world.timeout_of(2, "a");
+        assert!((0..6).all(|n| world.timeout_of(n, "a") == stands), "seed {seed}");
+        assert!(!acknowledged[0] || stands == Some(1.0), "seed {seed}");
+        assert!(!acknowledged[1] || stands == Some(2.0), "seed {seed}");
+    }
+}
+
+#[test]
+fn given_two_calls_valid_alone_and_invalid_together_when_both_are_sent_then_one_is_refused() {
+    for seed in 0..60 {
+        let mut world = World::founded(seed, Defect::None);
+        let one = world.call(1, routes(2, &[("a", "/same/", 1.0)]));
+        let two = world.call(5, routes(2, &[("b", "/same/", 2.0)]));
+        world.pass(6_000.0);
+        assert!(!(world.acknowledged(one) && world.acknowledged(two)), "seed {seed}");
+        assert!(world.acknowledged(one) || world.acknowledged(two), "seed {seed}");
+        assert!((0..6).all(|n| check(world.items(n)).is_ok()), "seed {seed}");
+    }
+}
+
+#[test]
+fn given_an_acknowledged_call_when_a_region_loses_its_disks_and_all_others_power_then_it_still_stands() {
+    for seed in 0..30 {
+        let mut world = World::founded(seed, Defect::None);
+        let id = world.call(2, routes(2, &[("a", "/a/", 1.0)]));
+        while !world.acknowledged(id) {
+            world.pass(5.0);
+        }
+        let region = seed as usize % 3 * 2;
+        (0..6).for_each(|n| world.kill(n));
+        world.pass(1_000.0);
+        world.wipe(region);
+        world.wipe(region + 1);
+        (0..6).for_each(|n| world.start(n));
+        world.pass(5_000.0);
+        assert!((0..6).all(|n| world.standing(n) == Some(Standing::Member)), "seed {seed}");
+        assert_eq!(world.answer(region, Change::Read), Ok(()));
+        assert_eq!(world.timeout_of(region, "a"), Some(1.0), "seed {seed}");
+    }
+}
+
+#[test]
+fn given_a_lost_disk_when_too_few_others_answer_then_it_counts_for_nothing() {
+    let mut world = World::founded(3, Defect::None);
+    world.kill(0);
+    world.kill(1);
+    world.kill(2);
+    world.kill(3);
+    world.wipe(4);
+    world.pass(5_000.0);
+    assert_eq!(world.standing(4), Some(Standing::Rebuilding));
+    assert_eq!(world.answer(4, Change::Read), Err(Kind::Unready));
+    world.start(0);
+    world.start(1);
+    world.pass(2_000.0);
+    assert_eq!(world.standing(4), Some(Standing::Member));
+}
+
+#[test]
+fn given_a_dropped_route_when_an_old_call_and_an_old_copy_come_back_then_it_stays_dropped() {
+    let mut world = World::founded(4, Defect::None);
+    assert_eq!(world.answer(0, routes(2, &[("a", "/a/", 1.0)])), Ok(()));
+    world.kill(5);
+    assert_eq!(world.answer(1, drop_route("a", 7)), Ok(()));
+    world.start(5);
+    assert_eq!(world.answer(5, routes(2, &[("a", "/a/", 1.0)])), Ok(()));
+    world.pass(3_000.0);
+    assert!((0..6).all(|n| world.timeout_of(n, "a").is_none()));
+}
+
+#[test]
+fn given_a_store_that_dies_once_its_items_are_written_when_others_go_on_then_they_carry_them_on() {
+    for seed in 0..40 {
+        let mut world = World::founded(seed, Defect::None);
+        let id = world.call(2, routes(2, &[("a", "/a/", 1.0)]));
+        while !world.acknowledged(id) {
+            world.pass(1.0);
+        }
+        world.kill(2);
+        world.pass(4_000.0);
+        assert!([0, 1, 3, 4, 5].iter().all(|n| world.timeout_of(*n, "a") == Some(1.0)), "seed {seed}");
+    }
+}
+
+#[test]
+fn given_a_store_that_stood_still_in_its_round_when_it_goes_on_then_the_later_round_holds() {
+    for seed in 0..40 {
+        let mut world = World::founded(seed, Defect::None);
+        let slow = world.call(0, routes(2, &[("a", "/a/", 1.0)]));
+        world.pass(20.0 + seed as f64);
+        world.freeze(0, 6_000.0);
+        let quick = world.call(3, routes(3, &[("a", "/a/", 2.0)]));
+        world.pass(4_000.0);
+        assert!(world.acknowledged(quick), "seed {seed}");
+        world.pass(6_000.0);
+        assert!(
+            (0..6).all(|n| world.timeout_of(n, "a") == Some(2.0)),
+            "seed {seed}: {:?}",
+            world.answers.get(&slow)
+        );
+    }
+}
+
+#[test]
+fn given_all_are_killed_in_the_middle_of_a_round_when_they_start_together_then_a_call_is_acknowledged_soon() {
+    // Incident 1: six stores with something pending outbid each other for four seconds.
+    let mut slowest: f64 = 0.0;
+    for seed in 0..40 {
+        let mut world = World::founded(seed, Defect::None);
+        world.call(0, routes(2, &[("a", "/a/", 1.0)]));
+        world.pass(100.0 + 4.0 * seed as f64);
+        (0..6).for_each(|n| world.kill(n));
+        world.pass(500.0);
+        (0..6).for_each(|n| world.start(n));
+        world.pass(60.0);
+        let begun = world.now;
+        let id = world.call(0, routes(9, &[("b", "/b/", 1.0)]));
+        while !world.acknowledged(id) && world.now < begun + 10_000.0 {
+            world.pass(10.0);
+        }
+        slowest = slowest.max(world.now - begun);
+    }
+    assert!(slowest < 2_000.0, "the slowest took {slowest} ms");
+}
+
+#[test]
+fn given_a_duty_that_is_taken_again_after_a_loss_of_all_power_then_its_epoch_is_higher() {
+    let mut world = World::founded(6, Defect::None);
+    let take = || Change::Duty { name: "warden".into(), holder: world::ip(0) };
+    assert_eq!(world.answer(0, take()), Ok(()));
+    let epoch = world.items(0).version(Table::Duties, "warden");
+    (0..6).for_each(|n| world.kill(n));
+    (0..6).for_each(|n| world.start(n));
+    world.pass(1_000.0);
+    assert_eq!(world.answer(0, take()), Ok(()));
+    assert!(world.items(0).version(Table::Duties, "warden") > epoch);
+}
+
+/// Plays hours of losses; gives what is wrong in the end, if anything.
+fn play(seed: u64, defect: Defect) -> Result<(), String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut world = World::founded(seed, defect);
+    let mut sent: Vec<(u64, String, u64, Option<f64>)> = Vec::new();
+    let mut content = 1.0;
+    for _ in 0..40 {
+        world.pass(20.0 + 600.0 * rng.f64());
+        let n = rng.usize(0..6);
+        let lost = (0..6).filter(|n| world.standing(*n) != Some(Standing::Member)).count();
+        match rng.u8(0..12) {
+            0 => world.kill(n),
+            1 | 2 => (0..6).for_each(|n| world.start(n)),
+            // Disks are lost while all others hold theirs, as a group of six can bear.
+            3 if lost == 0 => world.wipe(n),
+            4 => world.cut_off(&[n, (n + 1) % 6]),
+            5 => {
+                world.cut.insert((n, (n + 2) % 6));
+            }
+            6 => world.cut.clear(),
+            7 => world.freeze(n, 1_500.0),
+            8 if lost == 0 => {
+                (0..6).for_each(|n| world.kill(n));
+                world.pass(300.0);
+                (0..6).for_each(|n| world.start(n));
+            }
+            _ => {
+                content += 1.0;
+                let name = ["a", "b", "c"][rng.usize(0..3)];
+                let version = 2 + rng.u64(0..30);
+                let (change, stands) = if rng.u8(0..4) == 0 {
+                    (drop_route(name, version), None)
+                } else {
+                    (routes(version, &[(name, &format!("/{name}/"), content)]), Some(content))
+                };
+                let id = world.call(n, change);
+                sent.push((id, name.to_owned(), version, stands));
+            }
+        }
+    }
+    world.cut.clear();
+    (0..6).for_each(|n| world.start(n));
+    world.pass(15_000.0);
+    if (0..6).any(|n| world.standing(n) != Some(Standing::Member)) {
+        return Err("a store did not come back".into());
+    }
+    if world.answer(0, Change::Read) != Ok(()) {
+        return Err("what stands can't be read".into());
+    }
+    world.pass(3_000.0);
+    let digest = world.items(0).digest(Tables::KEPT);
+    if (1..6).any(|n| world.items(n).digest(Tables::KEPT) != digest) {
+        return Err("copies differ".into());
+    }
+    let mut told: BTreeMap<(String, u64), Option<f64>> = BTreeMap::new();
+    for (id, name, version, stands) in sent.iter().filter(|(id, ..)| world.acknowledged(*id)) {
+        let held = world.items(0).version(Table::Routes, name);
+        if held < *version {
+            return Err(format!("{name} r{version} was acknowledged as call {id}, and r{held} stands"));
+        }
+        // A call that changes nothing is acknowledged too, under a version below what stands.
+        let matters = held == *version;
+        if matters && world.timeout_of(0, name) != *stands {
+            return Err(format!("{name} r{version} was acknowledged with another content than stands"));
+        }
+        if matters {
+            told.insert((name.clone(), *version), *stands);
+        }
+    }
+    check(world.items(0)).map(drop).map_err(|fault| fault.to_string())
+}
+
+#[test]
+fn given_any_losses_that_a_group_can_bear_when_all_are_back_then_nothing_acknowledged_is_lost() {
+    for seed in 0..250 {
+        assert_eq!(play(seed, Defect::None), Ok(()), "seed {seed}");
+    }
+}
+
+/// Four of six have an acknowledged item; two of them lose their disks while the other two are down.
+fn lose_two_that_know(defect: Defect) -> Result<(), String> {
+    let mut world = World::founded(9, defect);
+    world.cut_off(&[4, 5]);
+    assert_eq!(world.answer(0, routes(7, &[("a", "/a/", 1.0)])), Ok(()));
+    world.kill(2);
+    world.kill(3);
+    world.wipe(0);
+    world.wipe(1);
+    world.cut.clear();
+    world.pass(3_000.0);
+    if world.answer(4, routes(7, &[("a", "/a/", 2.0)])) == Ok(()) {
+        return Err("another content of an acknowledged version was acknowledged".into());
+    }
+    world.start(2);
+    world.start(3);
+    world.pass(5_000.0);
+    assert_eq!(world.answer(4, Change::Read), Ok(()));
+    if world.timeout_of(4, "a") != Some(1.0) {
+        return Err("what was acknowledged is lost".into());
+    }
+    Ok(())
+}
+
+#[test]
+fn given_two_that_know_lose_their_disks_when_the_rest_is_called_then_nothing_contradicts_what_was_acknowledged(
+) {
+    assert_eq!(lose_two_that_know(Defect::None), Ok(()));
+}
+
+#[test]
+fn given_a_defect_put_in_on_purpose_when_the_same_plays_are_judged_then_it_is_found() {
+    for defect in [Defect::AnswersBeforeTheSync, Defect::ForgetsWhatWasDropped, Defect::ForgetsPromises] {
+        let found = (0..1_500).find(|seed| play(*seed, defect).is_err());
+        assert!(found.is_some(), "{defect:?} was not found");
+    }
+    assert!(lose_two_that_know(Defect::TakesPartAfterALostDisk).is_err());
+}
--- /dev/null
+++ b/crates/cairn/tests/fleet/world.rs
@@ -0,0 +1,288 @@
+//! A fleet of stores in memory: their clock, the links between them and their disks. Nothing sleeps.
+
+use cairn::{Ask, CallId, Change, Kept, Output, Reply, Standing, Store};
+use footbridge::{Fault, Kind};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+use trailmap::{Amended, Items, Table};
+
+/// What the fleet does wrong on purpose, for its judge to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    None,
+    /// Answers go out before the disk is synced.
+    AnswersBeforeTheSync,
+    /// A store whose disk was lost takes part at once.
+    TakesPartAfterALostDisk,
+    /// What was dropped is forgotten when a store starts again.
+    ForgetsWhatWasDropped,
+    /// Promises are forgotten when a store starts again: it takes part in rounds below.
+    ForgetsPromises,
+}
+
+enum Message {
+    Ask { from: usize, to: usize, number: u64, ask: Ask },
+    Reply { from: usize, to: usize, number: u64, reply: Reply },
+}
+
+pub struct World {
+    pub now: f64,
+    rng: fastrand::Rng,
+    stores: Vec<Option<Store>>,
+    disks: Vec<Kept>,
+    /// Until when each stands still.
+    frozen: Vec<f64>,
+    /// Directions in which nothing passes.
+    pub cut: BTreeSet<(usize, usize)>,
+    queue: BTreeMap<(u64, u64), Message>,
+    order: u64,
+    next_call: CallId,
+    pub answers: BTreeMap<CallId, Result<(), Fault>>,
+    tick_at: f64,
+    defect: Defect,
+    lives: u64,
+}
+
+pub fn ip(store: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, store as u8 + 1, 0, 5)
+}
+
+fn number_of(ip: Ipv4Addr) -> usize {
+    usize::from(ip.octets()[1]) - 1
+}
+
+fn seeds() -> Vec<Ipv4Addr> {
+    vec![ip(0), ip(2), ip(4)]
+}
+
+/// A call with one service and routes at places, each with a service of its own where named.
+pub fn routes(version: u64, list: &[(&str, &str, f64)]) -> Change {
+    let mut all = serde_json::Map::new();
+    for (name, prefix, timeout) in list {
+        let body = json!({ "vhost": "h", "pathPrefix": prefix, "kind": "idempotent", "backend": "b",
+            "timeoutS": timeout, "gen": format!("r{version}") });
+        all.insert((*name).to_owned(), body);
+    }
+    let call = json!({ "upsert": { "routes": all, "backends": { "b": { "gen": "r1" } } } });
+    Change::Amend(Amended::read(call.to_string().as_bytes()).expect("it is sound by itself"))
+}
+
+pub fn drop_route(name: &str, version: u64) -> Change {
+    let call = json!({ "remove": { "routes": [{ "name": name, "gen": format!("r{version}") }] } });
+    Change::Amend(Amended::read(call.to_string().as_bytes()).expect("it is sound by itself"))
+}
+
+impl World {
+    /// Stores that start for the first time.
+    pub fn new(count: usize, seed: u64, defect: Defect) -> Self {
+        let mut world = Self {
+            now: 0.0,
+            rng: fastrand::Rng::with_seed(seed),
+            stores: Vec::new(),
+            disks: (0..count).map(|n| Kept::new(n as u64 + 1)).collect(),
+            frozen: vec![0.0; count],
+            cut: BTreeSet::new(),
+            queue: BTreeMap::new(),
+            order: 0,
+            next_call: 1,
+            answers: BTreeMap::new(),
+            tick_at: 0.0,
+            defect,
+            lives: 100,
+        };
+        for n in 0..count {
+            let store = Store::new(ip(n), seeds(), true, world.disks[n].clone(), seed ^ n as u64);
+            world.stores.push(Some(store));
+        }
+        world
+    }
+
+    /// Stores that have founded their group.
+    pub fn founded(seed: u64, defect: Defect) -> Self {
+        let mut world = Self::new(6, seed, defect);
+        world.pass(4_000.0);
+        assert!((0..6).all(|n| world.standing(n) == Some(Standing::Member)), "all are members");
+        world
+    }
+
+    pub fn standing(&self, n: usize) -> Option<Standing> {
+        self.stores[n].as_ref().map(Store::standing)
+    }
+
+    pub fn items(&self, n: usize) -> &Items {
+        &self.stores[n].as_ref().expect("it runs").kept().items
+    }
+
+    pub fn timeout_of(&self, n: usize, route: &str) -> Option<f64> {
+        self.items(n).body(Table::Routes, route)?.get("timeoutS")?.as_f64()
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.stores[n] = None;
+    }
+
+    /// A store that was killed starts with what its disk held when it lost power.
+    pub fn start(&mut self, n: usize) {
+        if self.stores[n].is_some() {
+            return;
+        }
+        let mut kept = self.disks[n].clone();
+        if self.defect == Defect::ForgetsWhatWasDropped {
+            let dropped: Vec<_> =
+                kept.items.all(trailmap::Tables::KEPT).filter(|i| i.body.is_none()).cloned().collect();
+            kept.items.forget(&dropped.iter().map(|item| item.key.clone()).collect::<Vec<_>>());
+        }
+        if self.defect == Defect::ForgetsPromises {
+            kept.promised = cairn::Ballot::NONE;
+            kept.pending = None;
+        }
+        let seed = self.rng.u64(..);
+        self.stores[n] = Some(Store::new(ip(n), seeds(), false, kept, seed));
+        self.frozen[n] = 0.0;
+    }
+
+    /// A store loses its disk and starts again.
+    pub fn wipe(&mut self, n: usize) {
+        self.kill(n);
+        self.lives += 1;
+        let group = self.disks[n].items.get(Table::Group, "core").cloned();
+        self.disks[n] = Kept::new(self.lives);
+        if self.defect == Defect::TakesPartAfterALostDisk {
+            self.disks[n].whole = true;
+            self.disks[n].items.merge_shared(group.expect("it was founded"));
+        }
+        self.start(n);
+    }
+
+    pub fn freeze(&mut self, n: usize, time: f64) {
+        self.frozen[n] = self.now + time;
+    }
+
+    pub fn cut_off(&mut self, side: &[usize]) {
+        for a in 0..self.stores.len() {
+            for b in 0..self.stores.len() {
+                if side.contains(&a) != side.contains(&b) {
+                    self.cut.insert((a, b));
+                }
+            }
+        }
+    }
+
+    pub fn call(&mut self, n: usize, change: Change) -> CallId {
+        let id = self.next_call;
+        self.next_call += 1;
+        match &mut self.stores[n] {
+            Some(store) => store.call(self.now, id, change),
+            None => {
+                self.answers.insert(id, Err(Fault::new(Kind::Unreachable, "it does not run")));
+            }
+        }
+        self.carry_out(n);
+        id
+    }
+
+    /// Makes a call and waits for its answer.
+    pub fn answer(&mut self, n: usize, change: Change) -> Result<(), Kind> {
+        let id = self.call(n, change);
+        self.pass(4_000.0);
+        match self.answers.get(&id) {
+            Some(answer) => answer.clone().map_err(|fault| fault.kind),
+            None => Err(Kind::Late),
+        }
+    }
+
+    pub fn acknowledged(&self, id: CallId) -> bool {
+        matches!(self.answers.get(&id), Some(Ok(())))
+    }
+
+    fn carry_out(&mut self, n: usize) {
+        let Some(store) = &mut self.stores[n] else { return };
+        for output in store.take_outputs() {
+            match output {
+                Output::Save => {
+                    // With the defect a loss of power takes all but what was written some time ago.
+                    if self.defect != Defect::AnswersBeforeTheSync || self.rng.u8(..) < 20 {
+                        self.disks[n] = store.kept().clone();
+                    }
+                }
+                Output::Send { to, number, ask } => {
+                    let to = number_of(to);
+                    let at = self.now + 1.0 + 59.0 * self.rng.f64();
+                    self.order += 1;
+                    self.queue.insert(
+                        ((at * 1000.0) as u64, self.order),
+                        Message::Ask { from: n, to, number, ask },
+                    );
+                }
+                Output::Answer { call, result } => {
+                    self.answers.insert(call, result);
+                }
+            }
+        }
+    }
+
+    fn runs(&self, n: usize) -> bool {
+        self.stores[n].is_some() && self.now >= self.frozen[n]
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, time: f64) {
+        let end = self.now + time;
+        loop {
+            let next = self.queue.keys().next().map_or(f64::INFINITY, |(at, _)| *at as f64 / 1000.0);
+            if next.min(self.tick_at) > end {
+                break;
+            }
+            if self.tick_at <= next {
+                self.now = self.now.max(self.tick_at);
+                self.tick_at += 50.0;
+                for n in 0..self.stores.len() {
+                    if self.runs(n) {
+                        let now = self.now;
+                        if let Some(store) = &mut self.stores[n] {
+                            store.tick(now);
+                        }
+                        self.carry_out(n);
+                    }
+                }
+                continue;
+            }
+            self.now = self.now.max(next);
+            let Some((_, message)) = self.queue.pop_first() else { break };
+            self.deliver(message);
+        }
+        self.now = end;
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let (from, to) = match &message {
+            Message::Ask { from, to, .. } | Message::Reply { from, to, .. } => (*from, *to),
+        };
+        if self.cut.contains(&(from, to)) || self.stores[to].is_none() {
+            return;
+        }
+        if !self.runs(to) {
+            // What comes to one that stands still waits.
+            self.order += 1;
+            self.queue.insert(((self.frozen[to] * 1000.0) as u64 + 1, self.order), message);
+            return;
+        }
+        let now = self.now;
+        let Some(store) = &mut self.stores[to] else { return };
+        match message {
+            Message::Ask { number, ask, .. } => {
+                let reply = store.asked(now, ip(from), ask);
+                self.carry_out(to);
+                let at = self.now + 1.0 + 59.0 * self.rng.f64();
+                self.order += 1;
+                let reply = Message::Reply { from: to, to: from, number, reply };
+                self.queue.insert(((at * 1000.0) as u64, self.order), reply);
+            }
+            Message::Reply { number, reply, .. } => {
+                store.replied(now, number, Some(reply));
+                self.carry_out(to);
+            }
+        }
+    }
+}
