--- /dev/null
+++ b/crates/trailmap/tests/items.rs
@@ -0,0 +1,111 @@
+//! Copies merge to the same whatever the order; the operator's calls are judged as a whole.
+
+use arbtest::arbtest;
+use serde_json::json;
+use trailmap::{amend, check, listing, Amended, Item, Items, Table, Tables};
+
+fn items(u: &mut arbtest::arbitrary::Unstructured) -> arbtest::arbitrary::Result<Vec<Item>> {
+    let mut all = Vec::new();
+    for _ in 0..u.int_in_range(0..=12)? {
+        let table = [Table::Routes, Table::Drains, Table::Nodes][u.int_in_range(0..=2)?];
+        let name = ["a", "b", "c"][u.int_in_range(0..=2)?];
+        let body = [None, Some(json!(1)), Some(json!(2))][u.int_in_range(0..=2)?].clone();
+        all.push(Item::new(table, name, u.int_in_range(1..=4)?, body));
+    }
+    Ok(all)
+}
+
+fn copy(items: &[&Vec<Item>]) -> Items {
+    let mut copy = Items::default();
+    for item in items.iter().copied().flatten() {
+        copy.merge(item.clone());
+    }
+    copy
+}
+
+#[test]
+fn given_items_in_any_order_and_number_when_they_are_merged_then_the_copies_are_the_same() {
+    for seed in 1..=500_u64 {
+        arbtest(|u| {
+            let (a, b, c) = (items(u)?, items(u)?, items(u)?);
+            let first = copy(&[&a, &b, &c]);
+            let other = copy(&[&c, &a, &b, &a, &c]);
+            assert_eq!(first.digest(Tables::all()), other.digest(Tables::all()));
+            assert!(first.lacking_in(&other, Tables::all()).is_empty());
+            // What lacks brings a copy to the same, and the digest of some tables is that of their items alone.
+            let mut behind = copy(&[&b]);
+            for item in first.lacking_in(&behind, Tables::all()) {
+                behind.merge_shared(item);
+            }
+            assert_eq!(first.digest(Tables::all()), behind.digest(Tables::all()));
+            let mut only = Items::default();
+            first.all(Tables::DRAINS).for_each(|item| {
+                only.merge_shared(item.clone());
+            });
+            assert_eq!(first.digest(Tables::DRAINS), only.digest(Tables::all()));
+            Ok(())
+        })
+        .seed(seed << 32 | 400)
+        .run();
+    }
+}
+
+fn call(text: &str) -> Amended {
+    Amended::read(text.as_bytes()).expect("each item is sound")
+}
+
+fn first() -> Items {
+    let text = r#"{"upsert":{"backends":{"b":{"gen":"r1"},"c":{"gen":"r1"}},"tenants":{"t":{"apiKeys":["k"],"gen":"r1"}},
+        "routes":{"a":{"vhost":"h","pathPrefix":"/a/","kind":"mutating","backend":"b","gen":"r3"}},
+        "limits":{"hdrBytes":16384,"bodyMaxBytes":10,"hdrTimeoutS":3,"idleTimeoutS":15,"gen":"r1"}},"remove":{"routes":[]}}"#;
+    amend(&Items::default(), &call(text)).expect("it is sound").0
+}
+
+#[test]
+fn given_what_stands_when_a_call_would_break_it_then_nothing_of_the_call_is_taken() {
+    let stands = first();
+    for (text, why) in [
+        (
+            r#"{"upsert":{"routes":{"x":{"vhost":"h","pathPrefix":"/x/","kind":"upload","backend":"none","gen":"r1"}}}}"#,
+            "unknown",
+        ),
+        (
+            r#"{"upsert":{"routes":{"x":{"vhost":"H","pathPrefix":"/a/","kind":"upload","backend":"b","gen":"r1"}}}}"#,
+            "share",
+        ),
+        (
+            r#"{"upsert":{"routes":{"x":{"vhost":"h","pathPrefix":"/x/","kind":"upload","gen":"r1"}}}}"#,
+            "no service",
+        ),
+        (r#"{"upsert":{"tenants":{"u":{"apiKeys":["k"],"gen":"r1"}}}}"#, "key"),
+        (r#"{"remove":{"backends":[{"name":"b","gen":"r2"}]}}"#, "unknown"),
+        (
+            r#"{"upsert":{"routes":{"a":{"vhost":"h","pathPrefix":"/other/","kind":"mutating","backend":"b","gen":"r3"}}}}"#,
+            "another content",
+        ),
+    ] {
+        let fault = amend(&stands, &call(text)).expect_err(text);
+        assert!(fault.detail.contains(why), "{text}: {fault}");
+    }
+    for text in [
+        r#"{"upsert":{"routes":{"x":{"vhost":"h","pathPrefix":"x/","kind":"upload","backend":"b","gen":"r1"}}}}"#,
+        r#"{"upsert":{"routes":{"x":{"vhost":"h","pathPrefix":"/x/","kind":"upload","split":[{"backend":"b","weight":-1}],"gen":"r1"}}}}"#,
+        r#"{"upsert":{"routes":{"x":{"vhost":"h","pathPrefix":"/x/","kind":"upload","backend":"b"}}}}"#,
+        r#"{"upsert":{"routes":{"x":{"vhost"#,
+    ] {
+        assert!(Amended::read(text.as_bytes()).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn given_an_older_call_when_it_comes_again_then_it_changes_nothing_and_what_was_dropped_stays_dropped() {
+    let stands = first();
+    let (dropped, _) =
+        amend(&stands, &call(r#"{"remove":{"routes":[{"name":"a","gen":"r9"}]}}"#)).expect("it is sound");
+    let old = r#"{"upsert":{"routes":{"a":{"vhost":"h","pathPrefix":"/a/","kind":"mutating","backend":"c","gen":"r5"}}}}"#;
+    let (after, newer) = amend(&dropped, &call(old)).expect("an older call is no fault");
+    assert!(newer.is_empty() && after.body(Table::Routes, "a").is_none());
+    assert!(check(&after).is_ok());
+    assert_eq!(listing(&after)["routes"], json!({}));
+    assert_eq!(listing(&stands)["limits"]["gen"], json!("r1"));
+}
