--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -18,8 +18,8 @@
 const BURST_PART: (f64, f64) = (0.8, 1.6);
 /// Share that a customer starts with where even slices are smaller than a request. All that passes before the first
 /// reading is then beyond every slice, at each gateway anew, and a client that is refused asks another: of two
-/// asked, seven in ten let it pass.
-const FIRST_SHARE: f64 = 0.45;
+/// asked, six in ten let it pass.
+const FIRST_SHARE: f64 = 0.35;
 /// Least share: with none passing no reading would come back, and an excess that other gateways send
 /// would cut this one's part to nothing.
 const SHARE_LEAST: f64 = 0.05;
--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -1,5 +1,7 @@
 //! The program of the registry. It takes the calls from outside, for the store too, and carries news between the
-//! network and the [`Book`]; it never decides.
+//! network and the [`Book`]; it never decides. With a command it is the operators' side of these calls.
+
+mod operator;
 
 use argh::FromArgs;
 use footbridge::{answer_of, serve, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
@@ -19,12 +21,15 @@
 use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
 use trailmap::{Item, Table, Tables};
 
-/// Knows which nodes and servers there are, and takes the calls from outside.
+/// Knows which nodes and servers there are, and takes the calls from outside. Without a command it serves by the
+/// settings file that IVYGATE_CONFIG names.
 #[derive(FromArgs)]
 struct Arguments {
     /// log details too
     #[argh(switch)]
     verbose: bool,
+    #[argh(subcommand)]
+    command: Option<operator::Command>,
 }
 
 /// Period of the registry's clock.
@@ -387,9 +392,13 @@
                 }
             }
             Call::Status => {
+                let to = SocketAddr::from((self.boot.ip, self.boot.ports().store));
+                let store: Result<serde_json::Value, Fault> = self.calls.get(to, "/status", ANSWER).await;
+                let store = store.unwrap_or_else(|fault| json!({ "standing": fault.detail }));
                 let items = self.news.items();
                 let nodes: HashMap<&str, _> = items.standing(Table::Nodes).collect();
                 answer_of(Ok(json!({
+                    "store": store,
                     "nodes": nodes,
                     "servers": items.standing(Table::Servers).count(),
                     "warden": items.body(Table::Duties, WARDEN),
@@ -438,7 +447,16 @@
 fn main() -> miette::Result<()> {
     let arguments: Arguments = argh::from_env();
     footbridge::start_logs("hutbook", arguments.verbose);
-    let boot = Boot::load()?;
+    if let Some(command) = arguments.command {
+        return operator::run(command);
+    }
+    let boot = match Boot::load() {
+        Ok(boot) => boot,
+        Err(fault) => {
+            eprintln!("{:?}", miette::Report::new(fault));
+            std::process::exit(2);
+        }
+    };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/waymark/src/main.rs
+++ b/crates/waymark/src/main.rs
@@ -14,7 +14,13 @@
 fn main() -> miette::Result<()> {
     let arguments: Arguments = argh::from_env();
     footbridge::start_logs("waymark", arguments.verbose);
-    let boot = Boot::load()?;
+    let boot = match Boot::load() {
+        Ok(boot) => boot,
+        Err(fault) => {
+            eprintln!("{:?}", miette::Report::new(fault));
+            std::process::exit(2);
+        }
+    };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
