An empty core machine takes the place of one that is gone, in two rounds

Need: after a machine is replaced and a region lost only three of six would be left of the old group: no order would be acknowledged. One machine leaves and one comes, each by a round; any two majorities before and after share a store. A machine that lost its place starts as an empty one. Stories: gone for good, nobody gone, cut off for 5.5 s. Ruled out: a joint majority of both groups (one step at a time needs none).

--- a/crates/cairn/src/messages.rs
+++ b/crates/cairn/src/messages.rs
@@ -66,6 +66,8 @@
     Copy,
     /// For the group, at the first start of the whole system.
     Hello,
+    /// For a place in the group, of one that has none.
+    Join,
 }
 
 /// What a store answers.
@@ -136,6 +138,13 @@
         /// The registry.
         holder: Ipv4Addr,
     },
+    /// One machine leaves the group, or one comes.
+    Regroup {
+        /// One that is gone, while another waits for its place.
+        gone: Option<Ipv4Addr>,
+        /// One that takes a free place.
+        comes: Option<Ipv4Addr>,
+    },
     /// Nothing: what stands is to be read.
     Read,
 }
--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -40,6 +40,12 @@
 const FOUNDING: Millis = 1_200.0;
 /// A store that has answered within this time is in touch.
 const TOUCH: Millis = 2_500.0;
+/// A machine of the group that has answered nothing for this long is gone, if another waits for its place.
+const GONE: Millis = 7_000.0;
+/// One that waits for a place says so again and again; after this time without it has given up.
+const CANDIDATE: Millis = 1_500.0;
+/// Pause between two changes of the group: each must stand at all before the next.
+const REGROUP: Millis = 1_000.0;
 /// Most calls that wait.
 const CALLS_MOST: usize = 256;
 /// Most machines of a group.
@@ -107,6 +113,8 @@
     Rebuilding,
     /// It takes part.
     Member,
+    /// Its place in the group was given to another while it was away.
+    Outside,
 }
 
 /// One store.
@@ -135,6 +143,10 @@
     hellos: BTreeSet<Ipv4Addr>,
     hello_at: Millis,
     copies: BTreeMap<Ipv4Addr, Copied>,
+    /// Machines that wait for a place in the group, and when they last said so.
+    candidates: BTreeMap<Ipv4Addr, Millis>,
+    regroup_at: Millis,
+    started: Option<Millis>,
     compare_at: Millis,
     question_at: Millis,
     outputs: Vec<Output>,
@@ -162,6 +174,9 @@
             hellos: BTreeSet::new(),
             hello_at: f64::INFINITY,
             copies: BTreeMap::new(),
+            candidates: BTreeMap::new(),
+            regroup_at: f64::NEG_INFINITY,
+            started: None,
             compare_at: f64::NEG_INFINITY,
             question_at: f64::NEG_INFINITY,
             outputs: Vec::new(),
@@ -175,8 +190,10 @@
 
     /// How its own state stands.
     pub fn standing(&self) -> Standing {
-        if self.kept.whole {
+        if self.kept.whole && self.members().contains(&self.me) {
             Standing::Member
+        } else if self.kept.whole {
+            Standing::Outside
         } else if self.bootstrap {
             Standing::Founding
         } else {
@@ -192,7 +209,7 @@
     /// How long ago more than half of the group was surely in touch with it; nothing if not of late.
     pub fn touch(&self, now: Millis) -> Option<Millis> {
         let members = self.members();
-        if !self.kept.whole || members.is_empty() {
+        if self.standing() != Standing::Member {
             return None;
         }
         let age = |m: &Ipv4Addr| {
@@ -237,7 +254,13 @@
     pub fn asked(&mut self, now: Millis, from: Ipv4Addr, ask: Ask) -> Reply {
         match ask {
             Ask::Hello => self.hello(now, from),
-            _ if !self.kept.whole => Reply::Blank,
+            _ if self.standing() != Standing::Member => Reply::Blank,
+            Ask::Join => {
+                if self.candidates.len() < GROUP_MOST || self.candidates.contains_key(&from) {
+                    self.candidates.insert(from, now);
+                }
+                Reply::Settled
+            }
             Ask::Reserve { ballot, digest } => {
                 if ballot <= self.kept.promised {
                     return Reply::Outbid { promised: self.kept.promised };
@@ -330,7 +353,11 @@
     fn begin(&mut self, now: Millis) {
         let orphaned = self.kept.pending.is_some() && self.orphaned_at.is_some_and(|at| now > at);
         let idle = matches!(self.round, Round::Idle);
-        if !idle || now < self.paused_until || !self.kept.whole || (self.calls.is_empty() && !orphaned) {
+        if !idle
+            || now < self.paused_until
+            || self.standing() != Standing::Member
+            || (self.calls.is_empty() && !orphaned)
+        {
             return;
         }
         self.counter += 1;
@@ -452,8 +479,13 @@
         else {
             return;
         };
+        let group = self.members();
         let all: Vec<_> = promises.values().flat_map(|p| p.items.iter().flatten().cloned()).collect();
         self.stand(all);
+        if self.members() != group {
+            // More than half of another group has to promise.
+            return self.begin(now);
+        }
         // What the highest of earlier rounds has written down may have been acknowledged: it is carried on. What lower
         // ones have written down was seen by that one, or never came to stand.
         let last = promises.values().filter_map(|p| p.pending.as_ref()).max_by_key(|pending| pending.ballot);
@@ -465,7 +497,13 @@
             }
         }
         let mut calls = Vec::new();
-        for waiting in std::mem::take(&mut self.calls) {
+        // A change of the group that may stand is carried on alone: what comes after it is written down by the new one.
+        let regroups = |items: &[Arc<Item>]| items.iter().any(|item| item.key.table == Table::Group);
+        while let Some(waiting) = self.calls.pop_front() {
+            if regroups(&items) {
+                self.calls.push_front(waiting);
+                break;
+            }
             let verdict = match &waiting.change {
                 Change::Read => Ok(()),
                 Change::Amend(call) => amend(&copy, call).map(|(next, newer)| {
@@ -481,6 +519,17 @@
                     }
                     Ok(())
                 }
+                Change::Regroup { gone, comes } => {
+                    if !items.is_empty() {
+                        self.calls.push_front(waiting);
+                        break;
+                    }
+                    if let Some(item) = regrouped(&copy, *gone, *comes).map(Arc::new) {
+                        copy.merge_shared(item.clone());
+                        items.push(item);
+                    }
+                    Ok(())
+                }
                 Change::Duty { name, holder } => {
                     let epoch = copy.version(Table::Duties, name) + 1;
                     let item =
@@ -562,6 +611,8 @@
         if self.kept.pending.is_some() && self.orphaned_at.is_none() {
             self.orphaned_at = Some(self.orphaned(now));
         }
+        self.started.get_or_insert(now);
+        self.regroup(now);
         self.begin(now);
         // Questions that nothing came of.
         while self.asked.len() > 1024 {
@@ -580,6 +631,17 @@
                 self.question_at = now + QUESTION;
                 self.found(now);
             }
+            Standing::Outside => {
+                // What it promised was to a group that it is no part of: it waits for a place as a new machine does.
+                let items = std::mem::take(&mut self.kept.items);
+                self.kept = Kept::new(self.rng.u64(1..));
+                if let Some(group) = items.get(Table::Group, CORE) {
+                    self.kept.items.merge_shared(group.clone());
+                }
+                self.round = Round::Idle;
+                self.bootstrap = false;
+                self.outputs.push(Output::Save);
+            }
             Standing::Rebuilding if now >= self.question_at => {
                 self.question_at = now + 2.0 * QUESTION;
                 let known = self.copies.values().flat_map(|copied| &copied.items);
@@ -589,14 +651,52 @@
                 sources.sort_unstable();
                 sources.dedup();
                 sources.retain(|source| *source != self.me);
+                let known = self.copies.values().flat_map(|copied| &copied.items);
+                let group = known.filter(|i| i.key.table == Table::Group).max_by_key(|i| i.version);
+                let placed = group.is_none_or(|group| named(group).contains(&self.me));
                 for source in sources {
                     self.ask(now, source, Ballot::NONE, Ask::Copy);
+                    if !placed {
+                        self.ask(now, source, Ballot::NONE, Ask::Join);
+                    }
                 }
             }
             _ => {}
         }
     }
 
+    /// Gives the place of a machine that is gone to one that waits, in two rounds: with one machine more or less, any two
+    /// majorities before and after still share one. The first of those that answer does it.
+    fn regroup(&mut self, now: Millis) {
+        self.candidates.retain(|_, said| now < *said + CANDIDATE);
+        if self.candidates.is_empty() || now < self.regroup_at || self.touch(now).is_none() {
+            return;
+        }
+        let members = self.members();
+        let heard = |m: &Ipv4Addr| {
+            let at = self.heard.get(m).copied().unwrap_or(f64::NEG_INFINITY);
+            if *m == self.me {
+                now
+            } else {
+                at.max(self.started.unwrap_or(now))
+            }
+        };
+        if members.iter().filter(|m| now < heard(m) + TOUCH).min() != Some(&self.me) {
+            return;
+        }
+        let free = members.len() < size(&self.kept.items);
+        let gone =
+            members.iter().filter(|m| now > heard(m) + GONE).min_by(|a, b| heard(a).total_cmp(&heard(b)));
+        let comes = self.candidates.keys().find(|c| !members.contains(c));
+        let change = match (free, gone, comes) {
+            (true, _, Some(comes)) => Change::Regroup { gone: None, comes: Some(*comes) },
+            (false, Some(gone), Some(_)) => Change::Regroup { gone: Some(*gone), comes: None },
+            _ => return,
+        };
+        self.regroup_at = now + REGROUP;
+        self.calls.push_back(Waiting { id: 0, change, since: now });
+    }
+
     /// At the first start of the whole system.
     fn found(&mut self, now: Millis) {
         if self.is_founder() {
@@ -605,7 +705,7 @@
             }
             let seeds = self.seeds.iter().filter(|s| self.hellos.contains(s)).count();
             if seeds > self.seeds.len() / 2 && now > self.hello_at + FOUNDING {
-                let body = json!({ "members": self.hellos });
+                let body = json!({ "members": self.hellos, "size": self.hellos.len() });
                 self.kept.items.merge(Item::new(Table::Group, CORE, 1, Some(body)));
                 self.kept.whole = true;
                 self.outputs.push(Output::Save);
@@ -656,6 +756,28 @@
     own.lacking_in(&other, Tables::KEPT)
 }
 
+/// The group with one machine less or more, if that is one step from what stands.
+fn regrouped(copy: &trailmap::Items, gone: Option<Ipv4Addr>, comes: Option<Ipv4Addr>) -> Option<Item> {
+    let (mut members, size) = (members(copy), size(copy));
+    match (gone, comes) {
+        (Some(gone), None) if members.len() == size && members.contains(&gone) => {
+            members.retain(|m| *m != gone)
+        }
+        (None, Some(comes)) if members.len() < size && !members.contains(&comes) => members.push(comes),
+        _ => return None,
+    }
+    members.sort_unstable();
+    let version = copy.version(Table::Group, CORE) + 1;
+    Some(Item::new(Table::Group, CORE, version, Some(json!({ "members": members, "size": size }))))
+}
+
+/// How many machines the group was founded with.
+fn size(items: &trailmap::Items) -> usize {
+    let size =
+        items.body(Table::Group, CORE).and_then(|body| body.get("size")).and_then(serde_json::Value::as_u64);
+    size.map_or_else(|| members(items).len(), |size| size as usize)
+}
+
 fn named(group: &Item) -> Vec<Ipv4Addr> {
     let members = group.body.as_ref().and_then(|body| body.get("members")).cloned().unwrap_or_default();
     serde_json::from_value(members).unwrap_or_default()
--- a/crates/cairn/tests/fleet/main.rs
+++ b/crates/cairn/tests/fleet/main.rs
@@ -187,6 +187,49 @@
     assert!(world.items(0).version(Table::Duties, "warden") > epoch);
 }
 
+#[test]
+fn given_a_machine_gone_for_good_when_an_empty_one_comes_then_it_takes_its_place_and_the_group_bears_as_much_as_before(
+) {
+    for seed in 0..20 {
+        let mut world = World::founded(seed, Defect::None);
+        assert_eq!(world.answer(0, routes(2, &[("a", "/a/", 1.0)])), Ok(()));
+        let gone = seed as usize % 6;
+        world.kill(gone);
+        let new = world.add();
+        world.pass(12_000.0);
+        assert_eq!(world.standing(new), Some(Standing::Member), "seed {seed}");
+        assert_eq!(world.timeout_of(new, "a"), Some(1.0));
+        let stays: Vec<usize> = (0..=6).filter(|n| *n != gone).collect();
+        assert!(stays.iter().all(
+            |n| world.items(*n).body(Table::Group, "core") == world.items(new).body(Table::Group, "core")
+        ));
+        // Two more may go, and what was acknowledged goes on standing.
+        world.kill(stays[0]);
+        world.kill(stays[1]);
+        assert_eq!(world.answer(new, routes(3, &[("a", "/a/", 2.0)])), Ok(()), "seed {seed}");
+        // The old one comes back with its disk: nobody hears it, and it waits for a place.
+        world.start(gone);
+        world.pass(3_000.0);
+        assert_eq!(world.standing(gone), Some(Standing::Rebuilding), "seed {seed}");
+    }
+}
+
+#[test]
+fn given_an_empty_machine_and_nobody_gone_when_it_asks_for_a_place_then_the_group_does_not_grow() {
+    let mut world = World::founded(3, Defect::None);
+    let new = world.add();
+    world.cut_off(&[5]);
+    world.pass(5_500.0);
+    world.cut.clear();
+    world.pass(5_000.0);
+    assert_eq!(world.standing(new), Some(Standing::Rebuilding));
+    assert_eq!(world.standing(5), Some(Standing::Member));
+    assert_eq!(
+        world.items(0).body(Table::Group, "core").and_then(|g| g["members"].as_array()).map(Vec::len),
+        Some(6)
+    );
+}
+
 /// Plays hours of losses; gives what is wrong in the end, if anything.
 fn play(seed: u64, defect: Defect) -> Result<(), String> {
     let mut rng = fastrand::Rng::with_seed(seed);
--- a/crates/cairn/tests/fleet/world.rs
+++ b/crates/cairn/tests/fleet/world.rs
@@ -158,6 +158,16 @@
         self.start(n);
     }
 
+    /// A machine with an empty disk at an address that nobody knows; gives its number.
+    pub fn add(&mut self) -> usize {
+        self.lives += 1;
+        self.disks.push(Kept::new(self.lives));
+        self.frozen.push(0.0);
+        self.stores.push(None);
+        self.start(self.stores.len() - 1);
+        self.stores.len() - 1
+    }
+
     pub fn freeze(&mut self, n: usize, time: f64) {
         self.frozen[n] = self.now + time;
     }
