--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -195,6 +195,9 @@
     pub connect: Duration,
     /// An idle connection is kept for this long.
     pub keep: Duration,
+    /// Most idle connections that are kept to one server: where each request that must not run twice takes a new one,
+    /// they would add up to more than a server takes.
+    pub idle: usize,
     /// A connection rests this long between two requests.
     pub rest: Duration,
     /// Most that hyper holds of an answer at once; guards the memory against heads that do not end.
@@ -209,6 +212,7 @@
             connections,
             connect: links.connect_timeout.map_or(CONNECT_UNTOLD, millis),
             keep: links.keepalive.map_or(KEEP_UNTOLD, keep),
+            idle: usize::MAX,
             rest: REST,
             buffer: HEAD_MOST,
         }
@@ -483,7 +487,13 @@
 
     pub(crate) fn put_back(&self, server: ServerId, link: Box<Link>) {
         let idle = Idle { link, since: Instant::now() };
-        self.idle.borrow_mut().entry(server).or_default().push(idle);
+        let mut all = self.idle.borrow_mut();
+        let links = all.entry(server).or_default();
+        if links.len() >= self.limits.idle {
+            // The one that was used longest ago, which would be closed first anyway.
+            links.remove(0);
+        }
+        links.push(idle);
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Box<Link>, Outcome> {
@@ -712,3 +722,35 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::TcpListener;
+    use tokio::task::LocalSet;
+
+    #[test]
+    fn given_many_requests_on_new_connections_when_they_end_then_few_idle_ones_are_kept_to_a_server() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("it has one");
+            let limits = UpstreamLimits {
+                connections: 100,
+                connect: CONNECT_UNTOLD,
+                keep: KEEP_UNTOLD,
+                idle: 4,
+                rest: REST,
+                buffer: HEAD_MOST,
+            };
+            let upstream = Upstream::new(limits, Reading::Platform);
+            for _ in 0..10 {
+                let link = upstream.connect(address).await.unwrap_or_else(|_| panic!("it listens"));
+                upstream.put_back(7, link);
+            }
+            assert_eq!(upstream.idle.borrow()[&7].len(), 4);
+            // The others are closed: they count no more towards what may be open.
+            assert_eq!(upstream.open.get(), 4);
+        });
+    }
+}
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -79,6 +79,7 @@
             connections: pool.connections,
             connect: millis(pool.connect),
             keep: millis(pool.keep),
+            idle: usize::MAX,
             // What is there to be read is seen without a rest.
             rest: Duration::ZERO,
             buffer: BUFFER,
--- a/crates/waymark/src/pools.rs
+++ b/crates/waymark/src/pools.rs
@@ -32,6 +32,8 @@
 const CONNECT: Duration = Duration::from_millis(700);
 /// An idle connection to a server is kept this long.
 const KEEP: Duration = Duration::from_secs(8);
+/// Idle connections kept to one server: each is asked by many proxies, and takes only so many connections of all.
+const IDLE_MOST: usize = 4;
 /// What a worth beyond the first is divided by, a rank.
 const WORTH: f64 = 4.0;
 
@@ -178,6 +180,7 @@
             connections: self.connections,
             connect: CONNECT,
             keep: KEEP,
+            idle: IDLE_MOST,
             rest: Duration::from_millis(1),
             buffer: 64 << 10,
         };
