--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -19,7 +19,7 @@
 /// Share that a customer starts with where even slices are smaller than a request. All that passes before the first
 /// reading is then beyond every slice, at each gateway anew, and a client that is refused asks another: of two
 /// asked, six in ten let it pass.
-const FIRST_SHARE: f64 = 0.35;
+const FIRST_SHARE: f64 = 0.38;
 /// Least share: with none passing no reading would come back, and an excess that other gateways send
 /// would cut this one's part to nothing.
 const SHARE_LEAST: f64 = 0.05;
@@ -398,6 +398,7 @@
             }
             None => period,
         };
+        let (first, small) = (customer.reading.is_none(), limits.burst < customer.width);
         customer.reading = Some((now, percent));
         let metered = percent / 100.0 * limits.rate * elapsed / 1000.0;
         let keep = 1.0 - PART_WEIGHT;
@@ -417,7 +418,10 @@
             let metered_at = now - READING_LAG - period / 2.0;
             let share = customer.shares.iter().rev().find(|(since, _)| *since <= metered_at);
             let share = share.or(customer.shares.front()).map_or(1.0, |(_, share)| *share);
-            customer.set_share(now, (share * 100.0 / percent.max(1.0)).clamp(SHARE_LEAST, 1.0));
+            let cut = 100.0 / percent.max(1.0);
+            // Gateways that have heard nothing yet pass what this one is told of: it makes up for one more.
+            let cut = if first && small { cut.min(cut * cut) } else { cut };
+            customer.set_share(now, (share * cut).clamp(SHARE_LEAST, 1.0));
         }
     }
 
