--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -16,9 +16,9 @@
 /// Bounds on the even parts of its requests that a gateway is first taken to get: one over the cost of an
 /// excess, since refusing within the quota costs one. The dearer the error, the less is let through unknown.
 const BURST_PART: (f64, f64) = (0.8, 1.6);
-/// Share that a customer starts with where even slices are smaller than a request. All that passes before the first
-/// reading is then beyond every slice, at each gateway anew, and a client that is refused asks another: of two
-/// asked, six in ten let it pass.
+/// Share that a customer starts with where even slices are smaller than a request. All that passes before the
+/// first reading is then beyond every slice, at each gateway anew, and a client that is refused asks another: of
+/// two asked, six in ten let it pass.
 const FIRST_SHARE: f64 = 0.38;
 /// Least share: with none passing no reading would come back, and an excess that other gateways send
 /// would cut this one's part to nothing.
