Tries of a route are heeded; a zone that is taken back is come back to slowly

A route that says one try was sent to two servers. The list may lag when a zone's servers turned cold just before it is taken back: for 2.5 s they get what cold ones get. Tests of homes, tries, fences and the budget that counts all.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -168,6 +168,7 @@
                 units: m.number_or("priceUnits", 1.0)?,
                 width: m.small_or("width", 1)?,
                 zones: None,
+                tries: None,
             }),
             "done" => Event::Done(Done {
                 request: m.text("requestId")?.into(),
--- a/crates/domains/tests/judgement.rs
+++ b/crates/domains/tests/judgement.rs
@@ -238,6 +238,7 @@
                 units: 1.0,
                 width: 1,
                 zones: None,
+                tries: None,
             };
             guarded.handle(1.0 + f64::from(n), Event::Arrival(arrival), &mut actions);
         }
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -303,6 +303,7 @@
             units: 1.0,
             width: self.scene.nodes as u32,
             zones: None,
+            tries: None,
         };
         self.tell(node, Event::Arrival(arrival));
     }
--- a/crates/forward-auth/tests/orders.rs
+++ b/crates/forward-auth/tests/orders.rs
@@ -244,6 +244,7 @@
             units: 1.0,
             width: 1,
             zones: None,
+            tries: None,
         };
         self.feed(side, Event::Arrival(arrival));
     }
--- a/crates/gateway/examples/one_gateway.rs
+++ b/crates/gateway/examples/one_gateway.rs
@@ -75,6 +75,7 @@
             units: 1.0,
             width: 1,
             zones: None,
+            tries: None,
         };
         actions.clear();
         gateway.handle(now, Event::Arrival(arrival), &mut actions);
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -242,6 +242,8 @@
     pub width: u32,
     /// The only zones whose servers may have it; `None` for all.
     pub zones: Option<Zones>,
+    /// Most attempts for it, where that is fewer than for others.
+    pub tries: Option<u32>,
 }
 
 /// Zones by their names.
--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -16,9 +16,8 @@
 /// Bounds on the even parts of its requests that a gateway is first taken to get: one over the cost of an
 /// excess, since refusing within the quota costs one. The dearer the error, the less is let through unknown.
 const BURST_PART: (f64, f64) = (0.8, 1.6);
-/// Share that a customer starts with where even slices are smaller than a request. All that passes before the
-/// first reading is then beyond every slice, at each gateway anew, and a client that is refused asks another: of
-/// two asked, six in ten let it pass.
+/// Share that a customer starts with where even slices are smaller than a request: what passes before the
+/// first reading is beyond every slice, at each gateway anew. Refused clients ask others, and get through.
 const FIRST_SHARE: f64 = 0.38;
 /// Least share: with none passing no reading would come back, and an excess that other gateways send
 /// would cut this one's part to nothing.
@@ -678,6 +677,7 @@
             aim_at,
             units: arrival.units,
             zones: arrival.zones.clone(),
+            most: arrival.tries.unwrap_or(u32::MAX).min(self.settings.max_attempts),
             attempts: Vec::new(),
             closed: false,
             streaming: false,
@@ -747,7 +747,7 @@
         let left = request.aim_at - now;
         let patience = (OVERDUE * wait).max(OVERDUE_LEAST * left);
         let again = class.effect != Effect::Unsafe
-            && (request.attempts.len() as u32 + 1) < self.settings.max_attempts
+            && (request.attempts.len() as u32 + 1) < request.most
             && patience + wait < left;
         // Where two attempts may be out, a second copy goes out when the first is overdue; elsewhere the
         // first is given up then, in time for another.
@@ -809,7 +809,7 @@
         let request = request.clone();
         let end = self.useful_until(&request);
         let free = request.never_ran() && !self.settings.retries.all;
-        if (request.attempts.len() as u32) < self.settings.max_attempts
+        if (request.attempts.len() as u32) < request.most
             && !request.streaming
             && self.now + MARGIN < end
             && (free || self.retries >= 1.0)
@@ -896,7 +896,7 @@
         else {
             return;
         };
-        if self.retries < 1.0 || request.attempts.len() as u32 >= self.settings.max_attempts {
+        if self.retries < 1.0 || request.attempts.len() as u32 >= request.most {
             return;
         }
         let request = request.clone();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -39,6 +39,8 @@
     pub units: f64,
     /// The only zones whose servers may have it.
     pub zones: Option<Zones>,
+    /// Most attempts.
+    pub most: u32,
     pub attempts: Vec<Attempt>,
     /// Has its final answer; only kept for the attempts still out.
     pub closed: bool,
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -95,6 +95,7 @@
             units: 1.0,
             width: 2,
             zones: None,
+            tries: None,
         };
         (request, self.handle(now, Event::Arrival(arrival)))
     }
@@ -417,6 +418,7 @@
         units: 4.0,
         width: 11,
         zones: None,
+        tries: None,
     };
     let sent = (0..30)
         .filter(|n| {
@@ -478,6 +480,7 @@
         units: 1.0,
         width: 2,
         zones: None,
+        tries: None,
     };
     assert!(refused(&rig.handle(1.0, Event::Arrival(arrival.clone()))));
     arrival.class = "read".into();
@@ -680,6 +683,7 @@
         units,
         width,
         zones: None,
+        tries: None,
     }
 }
 
@@ -1119,3 +1123,61 @@
     };
     assert!(refused(true) < refused(false), "{} {}", refused(true), refused(false));
 }
+
+#[test]
+fn a_request_with_homes_goes_only_there_and_one_with_fewer_tries_is_sent_to_fewer_servers() {
+    let zones = [(1, "east"), (2, "west"), (3, "west")];
+    let place = |(server, zone): (ServerId, &str)| Member {
+        zone: zone.into(),
+        ..member(server, 0, ServerState::Ready)
+    };
+    let mut rig = Rig::new(settings(), zones.map(place).to_vec());
+    for n in 0..40 {
+        let now = f64::from(n) * 100.0;
+        let mut asked = arrival(&format!("h{n}"), "a", now, 1.0, 1);
+        asked.zones = Some(std::sync::Arc::new([std::sync::Arc::from("west")]));
+        asked.tries = Some(1);
+        let actions = rig.handle(now, Event::Arrival(asked));
+        assert_ne!(sent_to(&actions), Some(1), "only west is its home");
+        let again = rig.done(now + 5.0, &format!("h{n}").into(), 0, Outcome::Error);
+        assert_eq!(sent_to(&again), None, "one server is all that it may be sent to");
+    }
+}
+
+#[test]
+fn a_fenced_server_gets_no_more_than_its_rate_until_it_is_warm() {
+    let fence = Some(ivygate_gateway::Fence { per_s: 2.0, until: 5_000.0 });
+    let cold = Member { fence, ..member(1, 0, ServerState::Ready) };
+    let mut rig = Rig::new(settings(), vec![cold]);
+    let mut sent = |from: u32, until: u32| {
+        (from..until)
+            .filter(|n| {
+                let now = f64::from(*n) * 20.0;
+                let asked = arrival(&format!("f{n}"), &format!("c{n}"), now, 1.0, 1);
+                let out = sent_to(&rig.handle(now, Event::Arrival(asked))).is_some();
+                rig.done(now + 5.0, &format!("f{n}").into(), 0, Outcome::Ok);
+                out
+            })
+            .count()
+    };
+    let (cold, warm) = (sent(0, 250), sent(251, 300));
+    assert!((8..=11).contains(&cold), "{cold} in five seconds");
+    assert!(warm > 40, "{warm} of 49");
+}
+
+#[test]
+fn a_budget_that_counts_all_repeats_holds_also_for_those_that_never_ran() {
+    let retries = Retries { part: 0.1, store: 3.0, all: true };
+    let mut rig = Rig::new(Settings { retries, ..settings() }, servers(9));
+    let mut repeats = 0;
+    for n in 0..200 {
+        let now = f64::from(n) * 200.0;
+        let asked = arrival(&format!("b{n}"), &format!("c{n}"), now, 1.0, 1);
+        if sent_to(&rig.handle(now, Event::Arrival(asked))).is_some() {
+            let again = rig.done(now + 5.0, &format!("b{n}").into(), 0, Outcome::Full);
+            repeats += u32::from(sent_to(&again).is_some());
+            rig.done(now + 9.0, &format!("b{n}").into(), 1, Outcome::Ok);
+        }
+    }
+    assert!((10..=21).contains(&repeats), "{repeats} repeats of 200 requests");
+}
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -62,6 +62,8 @@
     pub once: bool,
     /// The only zones whose servers may have it; `None` for all.
     pub zones: Option<Zones>,
+    /// Most servers that it may be sent to, where that is fewer than for others.
+    pub tries: Option<u32>,
 }
 
 /// A client's request, read and checked.
@@ -317,6 +319,7 @@
             units: head.units,
             width: head.width,
             zones: head.zones,
+            tries: head.tries,
         }));
         self.work(&mut state);
         Some(receiver)
@@ -340,6 +343,7 @@
             units: head.units,
             width: head.width,
             zones: head.zones,
+            tries: head.tries,
         });
         let mut actions = Vec::new();
         state.gateway.handle(now, arrival, &mut actions);
--- a/crates/sidecar/src/answering.rs
+++ b/crates/sidecar/src/answering.rs
@@ -135,6 +135,7 @@
             wait: left,
             once,
             zones: None,
+            tries: None,
         });
         let server = match admission {
             Admission::Admitted(server) => server,
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -351,6 +351,7 @@
                     id: id.clone(),
                     once: class.1,
                     zones: None,
+                    tries: None,
                     class: class.0,
                     plan,
                     customer,
--- a/crates/sidecar/src/sign_in.rs
+++ b/crates/sidecar/src/sign_in.rs
@@ -232,6 +232,7 @@
             wait: time,
             once: false,
             zones: None,
+            tries: None,
         },
         deadline: sign_in.pool.driver.now() + time,
         message: Message {
--- a/crates/waymark/src/front.rs
+++ b/crates/waymark/src/front.rs
@@ -167,6 +167,7 @@
             wait,
             once: way.route.kind != Effect::Idempotent,
             zones,
+            tries: Some(way.route.tries),
         };
         let message = Message {
             headers: onward(&parts, holder.as_deref()),
--- a/crates/waymark/src/pools.rs
+++ b/crates/waymark/src/pools.rs
@@ -8,7 +8,7 @@
 use ivygate_runtime::{Clock, Driver, Listing, Reading, Seal, Target, TargetState, Upstream, UpstreamLimits};
 use ropeteam::{place, Node, Role};
 use serde::Deserialize;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,12 +26,16 @@
 const FENCED: usize = 2;
 /// Part of what a cold server bears that is used: two views of who may send must not add up to too much.
 const FENCE_PART: f64 = 0.8;
+/// The servers of a zone that is taken back may have turned cold shortly before: that long the list may not tell yet.
+const RETURN: Millis = 2_500.0;
 /// Part of the budget for further tries that is used.
 const RETRY_PART: f64 = 0.7;
 /// A connection to a server must come up within this time.
 const CONNECT: Duration = Duration::from_millis(700);
 /// An idle connection to a server is kept this long.
 const KEEP: Duration = Duration::from_secs(8);
+/// Most servers that any request is sent to; its route may say fewer.
+const ATTEMPTS_MOST: u32 = 5;
 /// Idle connections kept to one server: each is asked by many proxies, and takes only so many connections of all.
 const IDLE_MOST: usize = 4;
 /// What a worth beyond the first is divided by, a rank.
@@ -48,6 +52,9 @@
     pools: HashMap<String, Pool>,
     /// Of each server that was told to be cold: what was told, and until when that is.
     cold: HashMap<String, (f64, Millis)>,
+    /// Zones that are emptied, and until when those that were taken back are come back to slowly.
+    emptied: HashSet<String>,
+    returned: HashMap<String, Millis>,
 }
 
 struct Pool {
@@ -85,6 +92,8 @@
             connections,
             pools: HashMap::new(),
             cold: HashMap::new(),
+            emptied: HashSet::new(),
+            returned: HashMap::new(),
         }
     }
 
@@ -160,7 +169,7 @@
             zone: self.zone.clone(),
             classes,
             plans: vec![plan],
-            max_attempts: 2,
+            max_attempts: ATTEMPTS_MOST,
             hedging: false,
             probing: true,
             trial: true,
@@ -196,6 +205,13 @@
         let proxies = Node::all(items, Role::Proxy);
         let mut targets: HashMap<String, Vec<Target>> = HashMap::new();
         let mut cold = HashMap::new();
+        let emptied: HashSet<String> =
+            items.standing(Table::Drains).map(|(zone, _)| zone.to_owned()).collect();
+        self.returned.retain(|zone, until| now < *until && !emptied.contains(zone));
+        for zone in self.emptied.difference(&emptied) {
+            self.returned.insert(zone.clone(), now + RETURN);
+        }
+        self.emptied = emptied;
         for (id, body) in items.standing(Table::Servers) {
             let Ok(server) = Server::deserialize(body) else { continue };
             let until = match self.cold.get(id) {
@@ -205,9 +221,11 @@
             if server.cold_s > 0.0 {
                 cold.insert(id.to_owned(), (server.cold_s, until));
             }
-            let leaving = server.draining || items.body(Table::Drains, &server.zone).is_some();
+            let leaving = server.draining || self.emptied.contains(&server.zone);
             let rate = sight.config.backends.get(&server.backend).map_or(0.0, |b| b.warmup_per_s);
-            let fenced = rate > 0.0 && server.cold_s > 0.0 && now < until;
+            let until = if server.cold_s > 0.0 { until } else { now };
+            let until = self.returned.get(&server.zone).map_or(until, |back| back.max(until));
+            let fenced = rate > 0.0 && now < until;
             let fence = fenced.then(|| Fence { per_s: self.part(id, &server, &proxies) * rate, until });
             targets.entry(server.backend).or_default().push(Target {
                 uid: id.to_owned(),
