The keeper keeps sums between reports; the first proxy of a zone holds thin shares for all of it

Cause: with 59 proxies and 74 tenants each report added up all parts of all: the warden took 0.21 of its 0.3 cores. Where a proxy's part stores less than three requests it asks the first proxy of its zone, as chance alone refuses many.

--- a/crates/larder/src/keeper.rs
+++ b/crates/larder/src/keeper.rs
@@ -7,6 +7,8 @@
 const MARGIN: Millis = 500.0;
 /// A tenant that was not asked for anywhere for this long is given out evenly again.
 const QUIET: Millis = 10_000.0;
+/// Sums are made anew in this period: only then do leases that have run out show in them.
+const SUM: Millis = 300.0;
 /// A proxy that was not heard of for this long, and is not known any more, is forgotten.
 const FORGET: Millis = 120_000.0;
 
@@ -17,6 +19,8 @@
     before: f64,
     asked: f64,
     sent: f64,
+    /// What of it the sums hold; `None` for nothing that is known apart.
+    counted: Option<(f64, f64)>,
 }
 
 impl Part {
@@ -50,6 +54,13 @@
     }
 }
 
+/// What all proxies are asked of a tenant, and may be using.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    asked: f64,
+    using: f64,
+}
+
 /// Gives parts of tenants' quotas to proxies.
 #[derive(Clone, Debug)]
 pub struct Keeper {
@@ -59,12 +70,24 @@
     proxies: BTreeMap<String, Proxy>,
     /// When each tenant was last asked for anywhere.
     asked: BTreeMap<String, Millis>,
+    /// Kept between reports: a report costs its own parts, not those of all proxies.
+    sums: BTreeMap<String, Sum>,
+    /// When all sums were last made anew.
+    summed: Millis,
 }
 
 impl Keeper {
     /// A keeper that takes the duty now, under this epoch, and knows nothing of what was given out before.
     pub fn new(now: Millis, epoch: u64) -> Self {
-        Self { epoch, since: now, number: 0, proxies: BTreeMap::new(), asked: BTreeMap::new() }
+        Self {
+            epoch,
+            since: now,
+            number: 0,
+            proxies: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            sums: BTreeMap::new(),
+            summed: f64::NEG_INFINITY,
+        }
     }
 
     /// Its epoch.
@@ -82,7 +105,12 @@
         known: &BTreeMap<String, bool>,
         rate: impl Fn(&str) -> f64,
     ) -> Grant {
+        let before = self.proxies.len();
         self.proxies.retain(|name, proxy| known.contains_key(name) || now < proxy.heard + FORGET);
+        let same = self.proxies.get(from).is_some_and(|proxy| proxy.life == report.life);
+        if !same || self.proxies.len() != before {
+            self.summed = f64::NEG_INFINITY;
+        }
         self.hear(now, from, report);
         let count = known.len().max(self.proxies.len()).max(1) as f64;
         // What proxies use of which nothing is known here: they were given it by a keeper before this one.
@@ -97,27 +125,28 @@
             }
         }
         self.asked.retain(|_, at| now < *at + QUIET);
+        // What proxies do with one that is not asked for is not counted in its sum.
+        self.sums.retain(|name, _| self.asked.contains_key(name));
         let other = WHOLE * UNASKED / count;
+        if now > self.summed + SUM {
+            self.sums.clear();
+            self.summed = now;
+        }
+        let names: Vec<String> = self.asked.keys().cloned().collect();
         let mut tenants = BTreeMap::new();
-        for tenant in self.asked.keys() {
-            let heard = self.proxies.values().filter(|p| now <= p.heard + LEASE);
-            let all: f64 = heard.map(|p| p.part(tenant).asked).sum();
-            let own = self.proxies.get(from).map_or(0.0, |p| p.part(tenant).asked);
-            let weighed = if all > 0.0 { own / all } else { 1.0 / count };
+        for tenant in names {
+            let sum = self.sum(now, from, &tenant);
+            let own = self.proxies.get(from).map(|proxy| proxy.part(&tenant).clone()).unwrap_or_default();
+            let weighed = if sum.asked > 0.0 { own.asked / sum.asked } else { 1.0 / count };
             let wanted = WHOLE * (EVEN / count + (1.0 - EVEN) * weighed);
-            let others: f64 = self
-                .proxies
-                .iter()
-                .filter(|(name, _)| *name != from)
-                .map(|(_, p)| p.using(now, tenant))
-                .sum();
+            let others = (sum.using - own.most()).max(0.0);
             let mut part = wanted.min((WHOLE - others - unknown).max(0.0));
             if early {
-                part = part.min(self.proxies.get(from).map_or(0.0, |p| p.part(tenant).granted));
+                part = part.min(own.granted);
             }
-            let percent = 100.0 * all / rate(tenant).max(1e-9);
+            let percent = 100.0 * sum.asked / rate(&tenant).max(1e-9);
             let round = |v: f64| (v * 1e4).floor() / 1e4;
-            tenants.insert(tenant.clone(), (round(part), percent.round()));
+            tenants.insert(tenant, (round(part), percent.round()));
         }
         self.number += 1;
         if let Some(proxy) = self.proxies.get_mut(from) {
@@ -126,30 +155,62 @@
             let mut parts = BTreeMap::new();
             for (name, (part, _)) in &tenants {
                 let had = proxy.part(name).clone();
-                let had = if proxy.tenants.contains_key(name) {
-                    had
-                } else {
-                    Part { asked: 0.0, sent: 0.0, ..had }
-                };
-                parts.insert(name.clone(), Part { granted: *part, before: had.most(), ..had });
+                let mut next = Part { granted: *part, before: had.most(), ..had };
+                if let (Some(sum), Some((asked, using))) = (self.sums.get_mut(name), next.counted) {
+                    sum.using += next.most() - using;
+                    next.counted = Some((asked, next.most()));
+                }
+                parts.insert(name.clone(), next);
             }
             // One that is not named any more falls back to what all others have.
             let before = proxy.tenants.values().map(Part::most).fold(proxy.other.most(), f64::max);
             let dropped = proxy.tenants.keys().any(|name| !parts.contains_key(name));
             let before = if dropped { before } else { proxy.other.most() };
-            proxy.other = Part { granted: other, before, asked: 0.0, sent: 0.0 };
+            proxy.other = Part { granted: other, before, ..Part::default() };
             proxy.tenants = parts;
             return Grant { epoch: self.epoch, number: self.number, proxies: count as u32, other, tenants };
         }
         Grant { epoch: self.epoch, number: self.number, proxies: count as u32, other: 0.0, tenants }
     }
 
+    /// What all proxies are asked of a tenant and may be using, with what the one that reports now says and had.
+    fn sum(&mut self, now: Millis, from: &str, tenant: &str) -> Sum {
+        let kept = self.sums.get(tenant).copied();
+        let counted =
+            self.proxies.get(from).and_then(|proxy| proxy.tenants.get(tenant)).and_then(|p| p.counted);
+        let sum = match (kept, counted) {
+            (Some(sum), Some((asked, using))) => {
+                let own = self.proxies.get(from).map(|proxy| proxy.part(tenant).clone()).unwrap_or_default();
+                Sum { asked: sum.asked + own.asked - asked, using: sum.using + own.most() - using }
+            }
+            _ => {
+                let mut sum = Sum::default();
+                for proxy in self.proxies.values_mut() {
+                    let (asked, using) = (proxy.part(tenant).asked, proxy.using(now, tenant));
+                    let asked = if now <= proxy.heard + LEASE { asked } else { 0.0 };
+                    sum = Sum { asked: sum.asked + asked, using: sum.using + using };
+                    if let Some(part) = proxy.tenants.get_mut(tenant) {
+                        part.counted = Some((asked, using));
+                    }
+                }
+                sum
+            }
+        };
+        if let Some(proxy) = self.proxies.get_mut(from) {
+            let other = Part { counted: None, ..proxy.other.clone() };
+            let part = proxy.tenants.entry(tenant.to_owned()).or_insert(other);
+            part.counted = Some((part.asked, part.most()));
+        }
+        self.sums.insert(tenant.to_owned(), sum);
+        sum
+    }
+
     /// Takes in what a proxy says.
     fn hear(&mut self, now: Millis, from: &str, report: &Report) {
         let known = self.proxies.get(from).is_some_and(|proxy| proxy.life == report.life);
         if !known {
             // Another life of it has ended, and with it what that used; or an earlier keeper gave this.
-            let told = |part: f64| Part { granted: part, before: part, asked: 0.0, sent: 0.0 };
+            let told = |part: f64| Part { granted: part, before: part, ..Part::default() };
             let tenants =
                 report.tenants.iter().map(|(name, (.., part))| (name.clone(), told(*part))).collect();
             let proxy = Proxy {
--- a/crates/larder/src/rations.rs
+++ b/crates/larder/src/rations.rs
@@ -19,6 +19,8 @@
 /// The even slice, as a part of what a tenant may have passed here in a window: a window of the sketch may hold only half
 /// of what was passed in a whole one.
 const SLICE: f64 = 0.5;
+/// A store of fewer requests than this is thin.
+const THIN: f64 = 3.0;
 /// Weight of a report in the demand that is told.
 const WEIGHT: f64 = 0.5;
 /// A tenant of which nothing was heard for this long is forgotten.
@@ -92,6 +94,11 @@
         }
     }
 
+    /// Whether this proxy's part of a tenant's quota stores so few requests that chance alone would refuse many.
+    pub fn is_thin(&self, now: Millis, tenant: &str, burst: f64) -> bool {
+        self.part(now, tenant) * burst + SLACK / self.proxies < THIN
+    }
+
     /// Whether a request may pass, which it then does; else how long to stay away.
     ///
     /// # Errors
--- a/crates/waymark/src/front.rs
+++ b/crates/waymark/src/front.rs
@@ -142,7 +142,7 @@
             ));
         }
         if let Some(holder) = &holder {
-            if let Err(wait) = self.proxy.take_quota(holder) {
+            if let Err(wait) = self.proxy.take_quota(holder).await {
                 return Err(Unfit::Words(
                     StatusCode::TOO_MANY_REQUESTS,
                     "the tenant is beyond its quota",
--- a/crates/waymark/src/proxy.rs
+++ b/crates/waymark/src/proxy.rs
@@ -11,8 +11,10 @@
 use larder::Rations;
 use ropeteam::{follow, Node, Role};
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 use trailmap::{Config, Tables};
@@ -23,6 +25,11 @@
 const CLIENTS_PART: (u64, u64) = (3, 5);
 /// Longest head and body where no limits are set.
 const UNTOLD: (usize, u64) = (16 << 10, 64 << 20);
+/// Requests of a quota that are asked for at once of the zone's first proxy, how long one that was not needed may still be
+/// used, in milliseconds, and of how many tenants such are kept.
+const TAKEN: u32 = 2;
+const STASHED: Millis = 800.0;
+const STASHED_MOST: usize = 4_096;
 /// News older than this at the first pull are not served by.
 const FRESH: Millis = 3_500.0;
 
@@ -34,6 +41,8 @@
     pools: RefCell<Pools>,
     sight: RefCell<Rc<Sight>>,
     rations: Rc<RefCell<Rations>>,
+    /// What the zone's first proxy gave and was not used yet, and until when it may be.
+    stash: RefCell<HashMap<Arc<str>, (u32, Millis)>>,
     /// The digests of the tables that the sight and the lists were made of.
     made: Cell<(u64, u64)>,
     ready: Cell<bool>,
@@ -61,12 +70,27 @@
         self.sight.borrow().config.limits.as_ref().map_or(UNTOLD.1, |limits| limits.body_max_bytes)
     }
 
-    /// Takes one request of a tenant's quota; else tells how long to stay away.
-    pub fn take_quota(&self, holder: &Holder) -> Result<(), Millis> {
+    /// Takes one request of a tenant's quota; else tells how long to stay away. Where this proxy's part is thin, the
+    /// first proxy of the zone holds the zone's: few stores of some requests refuse less than many of one.
+    pub async fn take_quota(&self, holder: &Holder) -> Result<(), Millis> {
         let tenant = &holder.tenant;
         if tenant.rate_per_s <= 0.0 {
             return Ok(());
         }
+        let now = self.now();
+        if self.rations.borrow().is_thin(now, &holder.name, tenant.burst) {
+            if self.take_stashed(now, &holder.name) {
+                return Ok(());
+            }
+            match self.team.take(&holder.name, TAKEN).await {
+                Some(Ok(passed)) => {
+                    self.stash.borrow_mut().insert(holder.name.clone(), (passed - 1, self.now() + STASHED));
+                    return Ok(());
+                }
+                Some(Err(wait)) if wait > 0.0 => return Err(wait),
+                Some(Err(_)) | None => {}
+            }
+        }
         let taken = self.rations.borrow_mut().take(self.now(), &holder.name, tenant.rate_per_s, tenant.burst);
         if taken.is_err() {
             self.team.want_shares();
@@ -74,6 +98,40 @@
         taken
     }
 
+    fn take_stashed(&self, now: Millis, tenant: &Arc<str>) -> bool {
+        let mut stash = self.stash.borrow_mut();
+        if stash.len() > STASHED_MOST {
+            stash.retain(|_, (_, until)| now < *until);
+        }
+        match stash.get_mut(tenant) {
+            Some((left, until)) if *left > 0 && now < *until => {
+                *left -= 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes requests of a tenant's quota for another proxy of the zone.
+    fn take_for_mate(&self, name: &str, want: u32) -> Result<u32, Millis> {
+        let sight = self.sight();
+        let Some(tenant) = sight.config.tenants.get(name) else { return Err(0.0) };
+        let mut rations = self.rations.borrow_mut();
+        let (rate, burst) = (tenant.rate_per_s, tenant.burst);
+        let mut passed = 0;
+        while passed < want {
+            match rations.take(self.now(), name, rate, burst) {
+                Ok(()) => passed += 1,
+                Err(wait) if passed == 0 => {
+                    self.team.want_shares();
+                    return Err(wait.max(1.0));
+                }
+                Err(_) => break,
+            }
+        }
+        Ok(passed)
+    }
+
     /// A request that was let pass was sent to no server.
     pub fn give_back(&self, holder: &Holder) {
         self.rations.borrow_mut().give_back(&holder.name);
@@ -135,6 +193,7 @@
         clock,
         team: team.clone(),
         sight: RefCell::default(),
+        stash: RefCell::default(),
         rations: Rc::new(RefCell::new(Rations::new(fastrand::u64(1..)))),
         made: Cell::new((0, 0)),
         ready: Cell::new(false),
@@ -147,6 +206,10 @@
             proxy.renew();
         }
     });
+    let taking = Rc::downgrade(&proxy);
+    team.on_take(move |tenant, want| {
+        taking.upgrade().map_or(Err(0.0), |proxy| proxy.take_for_mate(tenant, want))
+    });
     let own = SocketAddr::from((proxy.boot.ip, proxy.boot.ports().proxy));
     let answering = team.clone();
     let relay = serve(own, Rc::new(move |incoming| Box::pin(answering.clone().answer(incoming))))?;
--- a/crates/waymark/src/team.rs
+++ b/crates/waymark/src/team.rs
@@ -4,22 +4,28 @@
 use hutbook::{Beat, Beaten, WARDEN, WATCHERS};
 use larder::{Grant, Rations};
 use ropeteam::{watchers, News, Node, Pull, Role, Source};
+use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 use trailmap::{Item, Table};
 
 /// Period of heartbeats.
 const BEAT: Duration = Duration::from_millis(600);
 /// How long the answer to one is waited for.
 const ANSWER: Duration = Duration::from_millis(800);
+/// How long the zone's first proxy is waited for, and left alone when it did not answer.
+const TAKE: Duration = Duration::from_millis(60);
+const MUTE: Duration = Duration::from_millis(700);
+/// Most requests that it gives at once.
+const TAKE_MOST: u32 = 4;
 /// Period of reports to the keeper of shares, and the shortest time between two.
 const REPORT: Duration = Duration::from_millis(600);
-const REPORT_LEAST: Duration = Duration::from_millis(100);
+const REPORT_LEAST: Duration = Duration::from_millis(200);
 
 /// What a proxy is to others of the system.
 pub struct Team {
@@ -37,7 +43,34 @@
     wanting: Notify,
     /// What is done with news.
     came: RefCell<Option<Box<dyn Fn()>>>,
-    tree: Vec<Matcher<()>>,
+    /// What is done when another proxy of the zone asks for requests of a tenant's quota; gives how many it may pass.
+    takes: RefCell<Option<Box<Takes>>>,
+    /// Until when the zone's first proxy is not asked: it did not answer.
+    mute_until: Cell<Option<Instant>>,
+    tree: Vec<Matcher<Call>>,
+}
+
+/// Takes requests of a tenant's quota; else tells how long to stay away.
+type Takes = dyn Fn(&str, u32) -> Result<u32, f64>;
+
+#[derive(Clone, Copy)]
+enum Call {
+    News,
+    Take,
+}
+
+/// A proxy asks the first of its zone for requests of a tenant's quota.
+#[derive(Serialize, Deserialize)]
+struct Taking {
+    tenant: String,
+    want: u32,
+}
+
+/// How many it may pass, or how long to stay away, in milliseconds.
+#[derive(Serialize, Deserialize)]
+struct Taken {
+    passed: u32,
+    wait: f64,
 }
 
 impl Team {
@@ -55,7 +88,12 @@
             sooner: Notify::new(),
             wanting: Notify::new(),
             came: RefCell::default(),
-            tree: vec![Matcher::At("news", vec![Matcher::End("POST", ())])],
+            takes: RefCell::default(),
+            mute_until: Cell::new(None),
+            tree: vec![
+                Matcher::At("news", vec![Matcher::End("POST", Call::News)]),
+                Matcher::At("take", vec![Matcher::End("POST", Call::Take)]),
+            ],
         })
     }
 
@@ -157,12 +195,59 @@
 
     /// Answers others of the system.
     pub async fn answer(self: Rc<Self>, incoming: Incoming) -> Outgoing {
-        if let Err(fault) = Matcher::find(&self.tree, &incoming.method, &incoming.path) {
-            return answer_of::<()>(Err(fault));
+        let malformed =
+            |e: serde_json::Error| answer_of::<()>(Err(Fault::new(Kind::Malformed, e.to_string())));
+        match Matcher::find(&self.tree, &incoming.method, &incoming.path).map(|found| found.call) {
+            Err(fault) => answer_of::<()>(Err(fault)),
+            Ok(Call::News) => match serde_json::from_slice::<Pull>(&incoming.body) {
+                Ok(pull) => answer_of(Ok(self.news.pulled(pull).await)),
+                Err(error) => malformed(error),
+            },
+            Ok(Call::Take) => match serde_json::from_slice::<Taking>(&incoming.body) {
+                Ok(Taking { tenant, want }) => {
+                    let takes = self.takes.borrow();
+                    let taken = takes.as_ref().map_or(Err(0.0), |takes| takes(&tenant, want.min(TAKE_MOST)));
+                    answer_of(Ok(match taken {
+                        Ok(passed) => Taken { passed, wait: 0.0 },
+                        Err(wait) => Taken { passed: 0, wait },
+                    }))
+                }
+                Err(error) => malformed(error),
+            },
+        }
+    }
+
+    /// What is done when another proxy of the zone asks for requests of a tenant's quota.
+    pub fn on_take(&self, act: impl Fn(&str, u32) -> Result<u32, f64> + 'static) {
+        self.takes.replace(Some(Box::new(act)));
+    }
+
+    /// The first proxy of the zone, if that is another and it answers.
+    fn first_of_zone(&self) -> Option<Ipv4Addr> {
+        if self.mute_until.get().is_some_and(|until| Instant::now() < until) {
+            return None;
         }
-        match serde_json::from_slice::<Pull>(&incoming.body) {
-            Ok(pull) => answer_of(Ok(self.news.pulled(pull).await)),
-            Err(error) => answer_of::<()>(Err(Fault::new(Kind::Malformed, error.to_string()))),
+        let items = self.news.items();
+        let nodes = Node::all(&items, Role::Proxy).into_iter();
+        let mates = nodes.filter(|node| node.is_up() && node.ready && node.zone == self.boot.az);
+        mates.map(|node| node.ip).min().filter(|first| *first < self.boot.ip)
+    }
+
+    /// Asks the first proxy of the zone, which reports for all of it, for requests of a tenant's quota: how many may pass,
+    /// or how long to stay away. `None` where there is no other, or it does not answer.
+    pub async fn take(&self, tenant: &str, want: u32) -> Option<Result<u32, f64>> {
+        let first = self.first_of_zone()?;
+        let to = SocketAddr::from((first, self.boot.ports().proxy));
+        let taking = Taking { tenant: tenant.to_owned(), want };
+        let answer: Result<Taken, Fault> = self.calls.post(to, "/take", &taking, TAKE).await;
+        match answer {
+            Ok(Taken { passed: 0, wait }) => Some(Err(wait)),
+            Ok(Taken { passed, .. }) => Some(Ok(passed.min(want))),
+            Err(fault) => {
+                tracing::debug!("the zone's first proxy {first} gives nothing: {fault}");
+                self.mute_until.set(Some(Instant::now() + MUTE));
+                None
+            }
         }
     }
 }
