--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1181,3 +1181,25 @@
     }
     assert!((10..=21).contains(&repeats), "{repeats} repeats of 200 requests");
 }
+
+#[test]
+fn an_overdue_attempt_is_doubled_and_not_given_up() {
+    let retries = Retries { part: 0.2, store: 5.0, all: true };
+    let mut rig = Rig::new(Settings { hedging: true, retries, ..settings() }, servers(9));
+    for n in 0..60 {
+        let now = f64::from(n) * 50.0;
+        let request = format!("o{n}");
+        let asked = arrival(&request, &format!("c{n}"), now, 1.0, 1);
+        let deadline = asked.deadline;
+        for action in rig.handle(now, Event::Arrival(asked)) {
+            if let Action::Send { give_up_at, .. } = action {
+                assert!(
+                    give_up_at >= deadline - 5.0,
+                    "given up {} ms before the deadline",
+                    deadline - give_up_at
+                );
+            }
+        }
+        rig.done(now + 5.0, &request.as_str().into(), 0, Outcome::Ok);
+    }
+}
--- a/crates/waymark/src/pools.rs
+++ b/crates/waymark/src/pools.rs
@@ -170,7 +170,8 @@
             classes,
             plans: vec![plan],
             max_attempts: ATTEMPTS_MOST,
-            hedging: false,
+            // A server that is silent may be at work: it is asked beside another, not given up.
+            hedging: true,
             probing: true,
             trial: true,
             retries,
