--- a/crates/cairn/src/main.rs
+++ b/crates/cairn/src/main.rs
@@ -217,19 +217,7 @@
 fn main() -> miette::Result<()> {
     let arguments: Arguments = argh::from_env();
     footbridge::start_logs("cairn", arguments.verbose);
-    let boot = match Boot::load() {
-        Ok(boot) => boot,
-        Err(fault) => {
-            eprintln!("{:?}", miette::Report::new(fault));
-            std::process::exit(2);
-        }
-    };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|e| Fault::new(Kind::Setting, e.to_string()))?;
-    tokio::task::LocalSet::new().block_on(&runtime, run(boot))?;
-    Ok(())
+    footbridge::run_program(run)
 }
 
 async fn run(boot: Boot) -> Result<(), Fault> {
--- a/crates/footbridge/src/lib.rs
+++ b/crates/footbridge/src/lib.rs
@@ -7,6 +7,7 @@
 mod errors;
 mod logs;
 mod matcher;
+mod program;
 mod server;
 mod settings;
 
@@ -14,5 +15,6 @@
 pub use errors::{Fault, Kind};
 pub use logs::start as start_logs;
 pub use matcher::{Found, Matcher};
+pub use program::run as run_program;
 pub use server::{answer_of, serve, CallServer, Handler, Incoming, Outgoing, BODY_MOST};
 pub use settings::{Boot, Bound, Cloud, Listen, Machine, Ports, Survive};
--- a/crates/waymark/src/team.rs
+++ b/crates/waymark/src/team.rs
@@ -45,6 +45,8 @@
     came: RefCell<Option<Box<dyn Fn()>>>,
     /// What is done when another proxy of the zone asks for requests of a tenant's quota; gives how many it may pass.
     takes: RefCell<Option<Box<Takes>>>,
+    /// The zone's first proxy, if that is another, by the copy's last change: it is looked for with each request.
+    first: Cell<(u64, Option<Ipv4Addr>)>,
     /// Until when the zone's first proxy is not asked: it did not answer.
     mute_until: Cell<Option<Instant>>,
     tree: Vec<Matcher<Call>>,
@@ -89,6 +91,7 @@
             wanting: Notify::new(),
             came: RefCell::default(),
             takes: RefCell::default(),
+            first: Cell::new((0, None)),
             mute_until: Cell::new(None),
             tree: vec![
                 Matcher::At("news", vec![Matcher::End("POST", Call::News)]),
@@ -228,9 +231,15 @@
             return None;
         }
         let items = self.news.items();
+        let (change, first) = self.first.get();
+        if change == items.changes() {
+            return first;
+        }
         let nodes = Node::all(&items, Role::Proxy).into_iter();
         let mates = nodes.filter(|node| node.is_up() && node.ready && node.zone == self.boot.az);
-        mates.map(|node| node.ip).min().filter(|first| *first < self.boot.ip)
+        let first = mates.map(|node| node.ip).min().filter(|first| *first < self.boot.ip);
+        self.first.set((items.changes(), first));
+        first
     }
 
     /// Asks the first proxy of the zone, which reports for all of it, for requests of a tenant's quota: how many may pass,
