--- a/crates/cairn/src/disk.rs
+++ b/crates/cairn/src/disk.rs
@@ -4,7 +4,7 @@
 //! files are synced here; names are made safe by syncing the folders. What can't be read back counts as lost: the
 //! state is then rebuilt from the other stores.
 
-use crate::messages::{Ballot, Kept, Pending};
+use crate::messages::{Accepted, Ballot, Kept};
 use footbridge::{Fault, Kind};
 use serde::{Deserialize, Serialize};
 use std::fs::File;
@@ -18,10 +18,10 @@
 
 #[derive(Serialize, Deserialize)]
 struct Meta {
-    life: u64,
-    whole: bool,
+    incarnation: u64,
     promised: Ballot,
-    pending: Option<Pending>,
+    accepted: Option<Accepted>,
+    chosen: Ballot,
 }
 
 /// The files of a store.
@@ -42,14 +42,14 @@
     ///
     /// # Errors
     /// If the folder can't be written.
-    pub fn open(folder: &Path, life: u64) -> Result<(Self, Kept), Fault> {
+    pub fn open(folder: &Path, incarnation: u64) -> Result<(Self, Kept), Fault> {
         std::fs::create_dir_all(folder).map_err(lost)?;
-        match Self::read(folder, life) {
+        match Self::read(folder, incarnation) {
             Ok(read) => Ok(read),
             Err(fault) => {
                 tracing::warn!("the state on disk can't be read and counts as lost: {fault}");
                 std::fs::remove_dir_all(Self::place(folder)).map_err(lost)?;
-                Self::read(folder, life)
+                Self::read(folder, incarnation)
             }
         }
     }
@@ -58,7 +58,7 @@
         folder.join("cairn.sled")
     }
 
-    fn read(folder: &Path, life: u64) -> Result<(Self, Kept), Fault> {
+    fn read(folder: &Path, incarnation: u64) -> Result<(Self, Kept), Fault> {
         let db = sled::Config::new()
             .path(Self::place(folder))
             .cache_capacity(CACHE)
@@ -66,14 +66,14 @@
             .open()
             .map_err(lost)?;
         let items = db.open_tree(ITEMS).map_err(lost)?;
-        let mut kept = Kept::new(life);
+        let mut kept = Kept::new(incarnation);
         if let Some(meta) = db.get(META).map_err(lost)? {
             let meta: Meta = serde_json::from_slice(&meta).map_err(lost)?;
             kept = Kept {
-                life: meta.life,
-                whole: meta.whole,
+                incarnation: meta.incarnation,
                 promised: meta.promised,
-                pending: meta.pending,
+                accepted: meta.accepted,
+                chosen: meta.chosen,
                 ..kept
             };
         }
@@ -102,10 +102,10 @@
         // Items first: they stand whatever becomes of the rest. A batch is written whole or not at all.
         self.items.apply_batch(batch).map_err(lost)?;
         let meta = Meta {
-            life: kept.life,
-            whole: kept.whole,
+            incarnation: kept.incarnation,
             promised: kept.promised,
-            pending: kept.pending.clone(),
+            accepted: kept.accepted.clone(),
+            chosen: kept.chosen,
         };
         self.db.insert(META, serde_json::to_vec(&meta).map_err(lost)?).map_err(lost)?;
         self.sync()?;
--- a/crates/cairn/src/lib.rs
+++ b/crates/cairn/src/lib.rs
@@ -5,9 +5,11 @@
 //! [`Disk`] touches files.
 
 mod disk;
+mod group;
 mod messages;
 mod store;
 
 pub use disk::Disk;
-pub use messages::{Ask, Ballot, Change, Copied, Kept, Pending, Reply};
+pub use group::Group;
+pub use messages::{Accepted, Answer, Ask, Ballot, Candidate, Change, Kept, Outcome, Reply};
 pub use store::{CallId, Output, Standing, Store};
--- a/crates/cairn/src/main.rs
+++ b/crates/cairn/src/main.rs
@@ -2,7 +2,7 @@
 //! [`Store`]; it never decides.
 
 use argh::FromArgs;
-use cairn::{Ask, CallId, Change, Disk, Kept, Output, Reply, Store};
+use cairn::{Ask, CallId, Change, Disk, Kept, Outcome, Output, Reply, Standing, Store};
 use footbridge::{answer_of, serve, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
 use ropeteam::{News, Pull};
 use serde::{Deserialize, Serialize};
@@ -14,7 +14,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::oneshot;
 use tokio::time::{interval, Instant, MissedTickBehavior};
-use trailmap::{listing, Amended, Table, Tables};
+use trailmap::{listing, Amended, Tables};
 
 /// Keeps the configuration together with the other stores.
 #[derive(FromArgs)]
@@ -26,6 +26,8 @@
 
 /// How long another store's answer is waited for.
 const ANSWER: Duration = Duration::from_millis(1_000);
+/// How long a store that ends tries to give its place to a machine that waits for one.
+const LEAVE: Duration = Duration::from_millis(2_500);
 /// Period of the store's clock.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -86,7 +88,7 @@
     news: Rc<News>,
     /// The last change of what stands that is told on.
     told: Cell<u64>,
-    waiting: RefCell<HashMap<CallId, oneshot::Sender<Result<(), Fault>>>>,
+    waiting: RefCell<HashMap<CallId, oneshot::Sender<Result<Outcome, Fault>>>>,
     next: Cell<CallId>,
 }
 
@@ -135,7 +137,7 @@
             self.told.set(items.changes());
             self.news.merge(news);
         }
-        if let Some(age) = store.touch(self.now()) {
+        if let Some(age) = store.contact(self.now()) {
             self.news.freshen(age);
         }
     }
@@ -154,7 +156,7 @@
     }
 
     /// Has a call carried out by the group.
-    async fn call(self: &Rc<Self>, change: Change) -> Result<(), Fault> {
+    async fn call(self: &Rc<Self>, change: Change) -> Result<Outcome, Fault> {
         let id = self.next.get();
         self.next.set(id + 1);
         let (answer, answered) = oneshot::channel();
@@ -181,22 +183,27 @@
                 Err(error) => answer_of::<()>(Err(malformed(error))),
             },
             Call::Amend => match Amended::read(&body) {
-                Ok(amended) => answer_of(self.call(Change::Amend(amended)).await),
-                Err(fault) => answer_of::<()>(Err(fault)),
-            },
-            Call::Read => match self.call(Change::Read).await {
-                Ok(()) => answer_of(Ok(listing(&self.store.borrow().kept().items))),
+                Ok(amended) => answer_of(self.call(Change::Amend(amended)).await.map(drop)),
                 Err(fault) => answer_of::<()>(Err(fault)),
             },
+            Call::Read => answer_of(match self.call(Change::Read).await {
+                Ok(Outcome::Read(items)) => Ok(listing(&items)),
+                Ok(_) => Err(Fault::new(Kind::Late, "the reading was dropped")),
+                Err(fault) => Err(fault),
+            }),
             Call::Begin | Call::Finish => {
                 let zone = found.kept.first().copied().unwrap_or_default().to_owned();
                 let on = matches!(found.call, Call::Begin);
-                answer_of(self.call(Change::Drain { zone, on }).await)
+                answer_of(self.call(Change::Drain { zone, on }).await.map(drop))
             }
             Call::Duty => match serde_json::from_slice::<Taking>(&body) {
+                // The epoch of this very call: what stands by now may be another's.
                 Ok(Taking { name, holder }) => {
-                    let taken = self.call(Change::Duty { name: name.clone(), holder }).await;
-                    answer_of(taken.map(|()| self.store.borrow().kept().items.version(Table::Duties, &name)))
+                    answer_of(match self.call(Change::Duty { name, holder }).await {
+                        Ok(Outcome::Epoch(epoch)) => Ok(epoch),
+                        Ok(_) => Err(Fault::new(Kind::Late, "the duty was dropped")),
+                        Err(fault) => Err(fault),
+                    })
                 }
                 Err(error) => answer_of::<()>(Err(malformed(error))),
             },
@@ -207,7 +214,8 @@
                     "members": store.members(),
                     "items": store.kept().items.len(),
                     "digest": format!("{:016x}", store.kept().items.digest(Tables::KEPT)),
-                    "inTouchMs": store.touch(self.now()),
+                    "chosen": store.kept().chosen,
+                    "inTouchMs": store.contact(self.now()),
                 })))
             }
         }
@@ -250,6 +258,7 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut standing = cairn.store.borrow().standing();
+    let mut ends: Option<Instant> = None;
     loop {
         tokio::select! {
             _ = ticks.tick() => {
@@ -260,7 +269,16 @@
                     standing = next;
                 }
             }
-            _ = terminate.recv() => break,
+            _ = terminate.recv(), if ends.is_none() => {
+                if !cairn.with(|store, now| store.leave(now)) {
+                    break;
+                }
+                tracing::info!("gives its place to a machine that waits for one");
+                ends = Some(Instant::now() + LEAVE);
+            }
+        }
+        if ends.is_some_and(|at| Instant::now() >= at || standing != Standing::Member) {
+            break;
         }
     }
     server.wind_up().await;
--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -1,58 +1,66 @@
 //! One store's part in the group, as a state machine. Time is passed in; what it wants done comes out.
 //!
-//! A call is carried out in a round: more than half of the group promise to take part in no lower one and tell what
-//! stands with them and what they have written down; the call is judged against all that; its items are written down by
-//! more than half; then they stand and the call is acknowledged. Two rounds share a store, so the later one sees what the
-//! earlier may have achieved, and carries it on.
-
-use crate::messages::{Ask, Ballot, Change, Copied, Kept, Pending, Reply};
+//! The group holds one replicated register, whose value is the whole map of items. A call is carried out in a round under
+//! a ballot: more than half of the group promise to take part in no lower one and tell what they know to be chosen and what
+//! they have accepted beyond that; the call is judged against all that; its items are accepted by more than half; then they
+//! are chosen, and the call is acknowledged. Two rounds share a store, so the later one sees what the earlier may have
+//! achieved, and builds on it. The group is an item too: a round that changes it needs more than half of both groups.
+
+use crate::group::{Group, GROUP_MOST};
+use crate::messages::{Accepted, Answer, Ask, Ballot, Candidate, Change, Kept, Outcome, Reply};
 use footbridge::{Fault, Kind};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trailmap::{amend, Item, Table, Tables};
+use trailmap::{amend, Item, Items, Table};
 
 /// A point on the caller's steady clock, or a length of time, in milliseconds.
 type Millis = f64;
 /// Names a call to its caller.
 pub type CallId = u64;
 
-/// The name of the group's item.
-const CORE: &str = "core";
 /// A step of a round that has not come to an end by then has failed: several ways there and back.
 const STEP: Millis = 900.0;
 /// A call that has waited this long is answered: operators go elsewhere after a second.
 const CALL: Millis = 2_600.0;
+/// A call is refused after this time if more than half of the group has answered nothing that was asked since it came.
+const REFUSE: Millis = 300.0;
+/// Least time between two questions that only ask who answers.
+const PROBE: Millis = 100.0;
 /// Pause before another round after one was outbid, drawn between these and doubled with each that was outbid since: two
 /// ways there and back over the farthest regions have to fit between the rounds of two stores.
 const PAUSE: (Millis, Millis) = (40.0, 300.0);
 /// Most times that it is doubled.
 const DOUBLED: u32 = 3;
-/// Items that were written down and not heard to stand are carried on by whoever has them, after a time drawn between
+/// Items that were accepted and not heard to be chosen are carried on by whoever has them, after a time drawn between
 /// these: all that have them begin to wait at once.
 const ORPHANED: (Millis, Millis) = (350.0, 1_800.0);
-/// Period in which the own items are compared with those of each other store, which also tells who is in touch.
-const COMPARE: Millis = 1_000.0;
+/// Period in which each other store is asked for what was chosen, which also tells who is in contact.
+const CATCH_UP: Millis = 1_000.0;
 /// Period of questions by one that lacks its group or its items.
 const QUESTION: Millis = 150.0;
 /// The group is founded when no new machine has come forward for this long.
 const FOUNDING: Millis = 1_200.0;
-/// A store that has answered within this time is in touch.
-const TOUCH: Millis = 2_500.0;
+/// Contact that is older than this is none.
+const CONTACT: Millis = 2_500.0;
 /// A machine of the group that has answered nothing for this long is gone, if another waits for its place.
-const GONE: Millis = 7_000.0;
+const GONE: Millis = 3_000.0;
 /// One that waits for a place says so again and again; after this time without it has given up.
 const CANDIDATE: Millis = 1_500.0;
-/// Pause between two changes of the group: each must stand at all before the next.
-const REGROUP: Millis = 1_000.0;
+/// Pause between two changes of the group that one store begins.
+const REGROUP: Millis = 600.0;
+/// A round that gives a machine a place waits this long for it to hold all before it does without.
+const NEWCOMER: Millis = 400.0;
+/// A tick that comes this late tells that the process stood still: whom it did not hear is not gone for that.
+const STILL: Millis = 600.0;
 /// Most calls that wait.
 const CALLS_MOST: usize = 256;
-/// Most machines of a group.
-const GROUP_MOST: usize = 31;
+/// Most questions whose answers are waited for.
+const ASKED_MOST: usize = 1_024;
 
 /// What a store wants done, in order.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Output {
     /// Save what is kept, safe against a loss of power, before anything that follows.
     Save,
@@ -70,38 +78,55 @@
         /// The call.
         call: CallId,
         /// What came of it.
-        result: Result<(), Fault>,
+        result: Result<Outcome, Fault>,
     },
 }
 
+#[derive(Clone, Debug)]
 struct Waiting {
     id: CallId,
     change: Change,
     since: Millis,
 }
 
+#[derive(Clone, Debug)]
 struct Promise {
-    life: u64,
-    pending: Option<Pending>,
-    /// What stands there, where it differed from here when that was asked.
-    items: Option<Vec<Arc<Item>>>,
+    accepted: Option<Accepted>,
+    /// The highest round that it knows to be chosen.
+    chosen: Ballot,
+}
+
+/// Items that are to be accepted, and what is answered once they are chosen.
+#[derive(Clone, Debug)]
+struct Proposal {
+    ballot: Ballot,
+    since: Millis,
+    items: Vec<Arc<Item>>,
+    /// The group before the round, and after it.
+    groups: (Group, Group),
+    accepted: BTreeSet<(Ipv4Addr, u64)>,
+    calls: Vec<(Waiting, Result<Outcome, Fault>)>,
 }
 
 /// Where the store's own round stands.
+#[derive(Clone, Debug)]
 enum Round {
     /// There is none.
     Idle,
-    /// Promises are gathered; `from` is the last change here when they were asked for.
-    Reserving { ballot: Ballot, since: Millis, from: u64, promises: BTreeMap<Ipv4Addr, Promise> },
-    /// Items are being written down.
-    Writing {
-        ballot: Ballot,
-        since: Millis,
-        from: u64,
-        items: Vec<Arc<Item>>,
-        written: BTreeSet<Ipv4Addr>,
-        calls: Vec<(Waiting, Result<(), Fault>)>,
-    },
+    /// Promises of a group are gathered.
+    Preparing { ballot: Ballot, since: Millis, group: Group, promises: BTreeMap<(Ipv4Addr, u64), Promise> },
+    /// Items are being accepted.
+    Accepting(Box<Proposal>),
+}
+
+/// A question that is out.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    to: Ipv4Addr,
+    /// Of which round.
+    ballot: Ballot,
+    /// When it went out: its answer tells of contact then, whenever that is read.
+    at: Millis,
 }
 
 /// How a store's own state stands.
@@ -109,21 +134,23 @@
 pub enum Standing {
     /// The whole system starts for the first time: it waits for its group.
     Founding,
-    /// Its disk was lost: it gathers what the others keep.
-    Rebuilding,
+    /// It has no place in the group: its disk is new or was lost, or its place was given away. It learns what was
+    /// chosen, and waits for a place.
+    Learner,
     /// It takes part.
     Member,
-    /// Its place in the group was given to another while it was away.
-    Outside,
 }
 
 /// One store.
+#[derive(Clone, Debug)]
 pub struct Store {
     me: Ipv4Addr,
     seeds: Vec<Ipv4Addr>,
     bootstrap: bool,
     rng: fastrand::Rng,
     kept: Kept,
+    /// The group in what is kept.
+    group: Option<Group>,
     round: Round,
     calls: VecDeque<Waiting>,
     /// The highest counter of a round seen.
@@ -132,53 +159,70 @@
     paused_until: Millis,
     /// Rounds outbid since the last that came to an end.
     outbid: u32,
-    /// When what is written down and not known to stand is to be carried on.
+    /// When what is accepted and not known to be chosen is to be carried on.
     orphaned_at: Option<Millis>,
     number: u64,
-    /// Questions that are out: to whom, and of which round.
-    asked: BTreeMap<u64, (Ipv4Addr, Ballot)>,
-    /// Last answers of others.
-    heard: BTreeMap<Ipv4Addr, Millis>,
+    asked: BTreeMap<u64, Asked>,
+    /// When the last question was asked that each member has answered.
+    heard: BTreeMap<(Ipv4Addr, u64), Millis>,
     /// Machines that came forward, at the founder.
-    hellos: BTreeSet<Ipv4Addr>,
+    hellos: BTreeMap<Ipv4Addr, u64>,
     hello_at: Millis,
-    copies: BTreeMap<Ipv4Addr, Copied>,
     /// Machines that wait for a place in the group, and when they last said so.
-    candidates: BTreeMap<Ipv4Addr, Millis>,
+    candidates: BTreeMap<Ipv4Addr, (Millis, Candidate)>,
     regroup_at: Millis,
-    started: Option<Millis>,
-    compare_at: Millis,
+    /// It is about to end, and gives its place to one that waits.
+    leaving: bool,
+    /// Since when it has run without standing still.
+    awake: Millis,
+    ticked: Option<Millis>,
+    catch_up_at: Millis,
+    /// What was chosen at the last two times of catching up: one that waits for a place must not lag behind the first.
+    chosen_before: [Ballot; 2],
+    probed_at: Millis,
     question_at: Millis,
+    /// Which source is asked next.
+    source: usize,
     outputs: Vec<Output>,
 }
 
 impl Store {
-    /// A store with what its disk held.
+    /// A store with what its disk held. `seed` must differ between lives of the process, since it draws the numbers of
+    /// questions: no answer to one that an earlier life asked is taken for one to a later.
     pub fn new(me: Ipv4Addr, seeds: Vec<Ipv4Addr>, bootstrap: bool, kept: Kept, seed: u64) -> Self {
-        let counter = kept.promised.counter;
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut kept = kept;
+        if kept.marks.is_empty() && kept.chosen > Ballot::NONE {
+            kept.marks.push((kept.chosen, kept.items.changes()));
+        }
         Self {
             me,
             seeds,
             bootstrap,
-            rng: fastrand::Rng::with_seed(seed),
+            group: kept.group(),
+            counter: kept.floor().counter,
+            number: rng.u64(..) >> 8,
+            rng,
             outbid: 0,
             orphaned_at: None,
             kept,
             round: Round::Idle,
             calls: VecDeque::new(),
-            counter,
             paused_until: f64::NEG_INFINITY,
-            number: 0,
             asked: BTreeMap::new(),
             heard: BTreeMap::new(),
-            hellos: BTreeSet::new(),
+            hellos: BTreeMap::new(),
             hello_at: f64::INFINITY,
-            copies: BTreeMap::new(),
             candidates: BTreeMap::new(),
             regroup_at: f64::NEG_INFINITY,
-            started: None,
-            compare_at: f64::NEG_INFINITY,
+            leaving: false,
+            awake: f64::INFINITY,
+            ticked: None,
+            catch_up_at: f64::NEG_INFINITY,
+            chosen_before: [Ballot::NONE; 2],
+            probed_at: f64::NEG_INFINITY,
             question_at: f64::NEG_INFINITY,
+            source: 0,
             outputs: Vec::new(),
         }
     }
@@ -190,38 +234,38 @@
 
     /// How its own state stands.
     pub fn standing(&self) -> Standing {
-        if self.kept.whole && self.members().contains(&self.me) {
-            Standing::Member
-        } else if self.kept.whole {
-            Standing::Outside
-        } else if self.bootstrap {
-            Standing::Founding
-        } else {
-            Standing::Rebuilding
+        match &self.group {
+            Some(group) if group.has(self.me, self.kept.incarnation) => Standing::Member,
+            None if self.bootstrap => Standing::Founding,
+            _ => Standing::Learner,
         }
     }
 
     /// The machines of the group.
     pub fn members(&self) -> Vec<Ipv4Addr> {
-        members(&self.kept.items)
+        self.group.iter().flat_map(|group| group.members.keys().copied()).collect()
+    }
+
+    /// The last moment at which more than half of the group was surely there: each of them has answered a question that
+    /// was asked then or later.
+    fn contact_at(&self, now: Millis) -> Millis {
+        let Some(group) = &self.group else { return f64::NEG_INFINITY };
+        let heard =
+            |(machine, incarnation): (&Ipv4Addr, &u64)| match self.heard.get(&(*machine, *incarnation)) {
+                _ if *machine == self.me => now,
+                Some(at) => *at,
+                None => f64::NEG_INFINITY,
+            };
+        let mut times: Vec<Millis> = group.members.iter().map(heard).collect();
+        times.sort_unstable_by(|a, b| b.total_cmp(a));
+        times.get(group.members.len() / 2).copied().unwrap_or(f64::NEG_INFINITY)
     }
 
-    /// How long ago more than half of the group was surely in touch with it; nothing if not of late.
-    pub fn touch(&self, now: Millis) -> Option<Millis> {
-        let members = self.members();
-        if self.standing() != Standing::Member {
-            return None;
-        }
-        let age = |m: &Ipv4Addr| {
-            if *m == self.me {
-                0.0
-            } else {
-                self.heard.get(m).map_or(f64::INFINITY, |at| now - at)
-            }
-        };
-        let mut ages: Vec<Millis> = members.iter().map(age).collect();
-        ages.sort_unstable_by(f64::total_cmp);
-        Some(ages[members.len() / 2]).filter(|age| *age < TOUCH)
+    /// How long ago more than half of the group was surely in contact with it; nothing if not of late, or if it is no
+    /// member.
+    pub fn contact(&self, now: Millis) -> Option<Millis> {
+        let age = now - self.contact_at(now);
+        (self.standing() == Standing::Member && age < CONTACT).then_some(age)
     }
 
     /// Takes what is to be done.
@@ -234,7 +278,7 @@
         if self.standing() != Standing::Member {
             return self.answer(
                 id,
-                Err(Fault::new(Kind::Unready, "the store rebuilds its state or waits for its group")),
+                Err(Fault::new(Kind::Unready, "the store has no place in its group yet, or no more")),
             );
         }
         if self.calls.len() >= CALLS_MOST {
@@ -242,9 +286,22 @@
         }
         self.calls.push_back(Waiting { id, change, since: now });
         self.begin(now);
+        let waits = !matches!(&self.round, Round::Preparing { since, .. } if *since == now);
+        if waits && now >= self.probed_at + PROBE {
+            self.catch_up(now);
+        }
+    }
+
+    /// The process is about to end: its place goes to a machine that waits for one, if any does. Tells whether it is
+    /// worth waiting for that.
+    pub fn leave(&mut self, now: Millis) -> bool {
+        self.leaving = true;
+        self.regroup(now);
+        self.begin(now);
+        self.standing() == Standing::Member && self.fit(now).is_some()
     }
 
-    fn answer(&mut self, call: CallId, result: Result<(), Fault>) {
+    fn answer(&mut self, call: CallId, result: Result<Outcome, Fault>) {
         self.outputs.push(Output::Answer { call, result });
     }
 
@@ -252,125 +309,142 @@
 
     /// Another store asks. What must be saved before the answer goes out is among the outputs.
     pub fn asked(&mut self, now: Millis, from: Ipv4Addr, ask: Ask) -> Reply {
-        match ask {
-            Ask::Hello => self.hello(now, from),
-            _ if self.standing() != Standing::Member => Reply::Blank,
-            Ask::Join => {
-                if self.candidates.len() < GROUP_MOST || self.candidates.contains_key(&from) {
-                    self.candidates.insert(from, now);
-                }
-                Reply::Settled
-            }
-            Ask::Reserve { ballot, digest } => {
-                if ballot <= self.kept.promised {
-                    return Reply::Outbid { promised: self.kept.promised };
-                }
-                self.promise(ballot);
-                self.outputs.push(Output::Save);
-                let items = self.differs(digest).then(|| self.all());
-                Reply::Reserved { life: self.kept.life, pending: self.kept.pending.clone(), items }
+        let answer = match ask {
+            // Whoever is asked as this incarnation has a place by some group, known here or not.
+            Ask::Prepare { incarnation, .. } | Ask::Accept { incarnation, .. }
+                if incarnation != self.kept.incarnation =>
+            {
+                Answer::Blank
             }
-            Ask::Write { ballot, life, missing, items } => {
-                if ballot < self.kept.promised || life != self.kept.life {
-                    return Reply::Outbid { promised: self.kept.promised };
-                }
-                self.promise(ballot);
-                self.stand(missing);
-                self.kept.pending = Some(Pending { ballot, items });
-                self.orphaned_at = Some(self.orphaned(now));
-                self.outputs.push(Output::Save);
-                Reply::Written
+            Ask::Prepare { ballot, chosen, .. } => self.prepared(ballot, chosen),
+            Ask::Accept { ballot, base, missing, items, .. } => {
+                self.accept(now, ballot, base, missing, items)
             }
-            Ask::Settle { ballot, items } => {
-                self.stand(items);
-                if self.kept.pending.as_ref().is_some_and(|pending| pending.ballot <= ballot) {
-                    self.kept.pending = None;
-                    self.orphaned_at = None;
+            Ask::Learn { ballot, base, items } => self.learn(now, from, ballot, base, items),
+            Ask::Hello { incarnation } => self.hello(now, from, incarnation),
+            _ if self.standing() != Standing::Member => Answer::Blank,
+            Ask::Join(candidate) => {
+                if self.candidates.len() < GROUP_MOST || self.candidates.contains_key(&from) {
+                    self.candidates.insert(from, (now, candidate));
                 }
-                Reply::Settled
-            }
-            Ask::Compare { digest } => {
-                Reply::Stands { items: if self.differs(digest) { self.all() } else { Vec::new() } }
+                Answer::Learned
             }
-            Ask::Copy => Reply::Copied(Box::new(Copied {
-                promised: self.kept.promised,
-                pending: self.kept.pending.clone(),
-                items: self.all(),
-            })),
+            Ask::CatchUp { chosen } => self.snapshot(chosen),
+        };
+        Reply { incarnation: self.kept.incarnation, answer }
+    }
+
+    fn prepared(&mut self, ballot: Ballot, chosen: Ballot) -> Answer {
+        if ballot <= self.kept.floor() {
+            return Answer::Nack { promised: self.kept.floor() };
+        }
+        self.promise(ballot);
+        self.outputs.push(Output::Save);
+        Answer::Promised {
+            accepted: self.kept.accepted.clone(),
+            chosen: self.kept.chosen,
+            items: self.kept.since(chosen),
         }
     }
 
-    fn promise(&mut self, ballot: Ballot) {
-        self.kept.promised = ballot;
-        self.counter = self.counter.max(ballot.counter);
+    fn accept(
+        &mut self,
+        now: Millis,
+        ballot: Ballot,
+        base: Ballot,
+        missing: Vec<Arc<Item>>,
+        items: Vec<Arc<Item>>,
+    ) -> Answer {
+        if ballot < self.kept.promised || ballot <= self.kept.chosen {
+            return Answer::Nack { promised: self.kept.floor() };
+        }
+        self.promise(ballot);
+        self.adopt(base, missing);
+        self.kept.accepted = Some(Accepted { ballot, items });
+        self.orphaned_at = Some(self.orphaned(now));
+        self.outputs.push(Output::Save);
+        Answer::Accepted
     }
 
-    fn differs(&self, digest: u64) -> bool {
-        self.kept.items.digest(Tables::KEPT) != digest
+    fn learn(
+        &mut self,
+        now: Millis,
+        from: Ipv4Addr,
+        ballot: Ballot,
+        base: Ballot,
+        items: Vec<Arc<Item>>,
+    ) -> Answer {
+        let accepted = self.kept.accepted.as_ref().is_some_and(|accepted| accepted.ballot == ballot);
+        if accepted || self.kept.chosen >= base {
+            self.adopt(ballot, items);
+        } else {
+            // With these items alone, what it holds would be no state that ever was.
+            let chosen = self.kept.chosen;
+            self.ask(now, from, Ballot::NONE, Ask::CatchUp { chosen });
+        }
+        Answer::Learned
     }
 
-    fn all(&self) -> Vec<Arc<Item>> {
-        self.kept.items.all(Tables::KEPT).cloned().collect()
+    fn snapshot(&self, chosen: Ballot) -> Answer {
+        Answer::Snapshot { chosen: self.kept.chosen, items: self.kept.since(chosen) }
     }
 
-    /// Takes in items that stand.
-    fn stand(&mut self, items: Vec<Arc<Item>>) {
-        for item in items {
-            if Tables::KEPT.contains(item.key.table.set()) {
-                self.kept.items.merge_shared(item);
-            }
-        }
-        let Some(pending) = &self.kept.pending else { return };
-        let items = &self.kept.items;
-        if pending.items.iter().all(|item| items.version(item.key.table, &item.key.name) >= item.version) {
-            self.kept.pending = None;
+    fn promise(&mut self, ballot: Ballot) {
+        self.kept.promised = self.kept.promised.max(ballot);
+        self.counter = self.counter.max(ballot.counter);
+    }
+
+    /// Takes in a round that is chosen.
+    fn adopt(&mut self, chosen: Ballot, items: Vec<Arc<Item>>) {
+        self.counter = self.counter.max(chosen.counter);
+        let regroups = items.iter().any(|item| item.key.table == Table::Group);
+        self.kept.adopt(chosen, items);
+        if self.kept.accepted.is_none() {
             self.orphaned_at = None;
         }
+        if regroups {
+            self.group = self.kept.group();
+            let group = self.group.as_ref();
+            self.heard
+                .retain(|(machine, incarnation), _| group.is_some_and(|g| g.has(*machine, *incarnation)));
+        }
     }
 
     /// At the first start of the whole system: the founder gathers machines; whoever has the group tells it.
-    fn hello(&mut self, now: Millis, from: Ipv4Addr) -> Reply {
-        if let Some(group) = self.kept.items.get(Table::Group, CORE) {
-            return if self.members().contains(&from) {
-                Reply::Found { group: group.clone() }
-            } else {
-                Reply::Blank
-            };
+    fn hello(&mut self, now: Millis, from: Ipv4Addr, incarnation: u64) -> Answer {
+        if self.standing() == Standing::Member {
+            return self.snapshot(Ballot::NONE);
         }
-        if self.is_founder() && self.hellos.len() < GROUP_MOST && self.hellos.insert(from) {
+        if self.is_founder()
+            && (self.hellos.len() < GROUP_MOST || self.hellos.contains_key(&from))
+            && self.hellos.insert(from, incarnation) != Some(incarnation)
+        {
             self.hello_at = now;
         }
-        Reply::Blank
+        Answer::Blank
     }
 
     fn is_founder(&self) -> bool {
-        self.bootstrap && !self.kept.whole && self.seeds.iter().min() == Some(&self.me)
+        self.standing() == Standing::Founding && self.seeds.iter().min() == Some(&self.me)
     }
 
     // As one that asks.
 
     /// Begins a round if there is something to do and none is under way.
     fn begin(&mut self, now: Millis) {
-        let orphaned = self.kept.pending.is_some() && self.orphaned_at.is_some_and(|at| now > at);
+        let orphaned = self.kept.accepted.is_some() && self.orphaned_at.is_some_and(|at| now > at);
         let idle = matches!(self.round, Round::Idle);
-        if !idle
-            || now < self.paused_until
-            || self.standing() != Standing::Member
-            || (self.calls.is_empty() && !orphaned)
-        {
+        let Some(group) = self.group.clone().filter(|_| self.standing() == Standing::Member) else { return };
+        if !idle || now < self.paused_until || (self.calls.is_empty() && !orphaned) {
             return;
         }
-        self.counter += 1;
-        let ballot = Ballot { counter: self.counter, by: self.me };
-        self.round = Round::Reserving {
-            ballot,
-            since: now,
-            from: self.kept.items.changes(),
-            promises: BTreeMap::new(),
-        };
-        let digest = self.kept.items.digest(Tables::KEPT);
-        for member in self.members() {
-            self.ask(now, member, ballot, Ask::Reserve { ballot, digest });
+        self.counter = self.counter.saturating_add(1);
+        let ballot = Ballot { counter: self.counter, by: self.me, incarnation: self.kept.incarnation };
+        let members = group.members.clone();
+        self.round = Round::Preparing { ballot, since: now, group, promises: BTreeMap::new() };
+        for (member, incarnation) in members {
+            let chosen = self.kept.chosen;
+            self.ask(now, member, ballot, Ask::Prepare { ballot, incarnation, chosen });
         }
     }
 
@@ -381,51 +455,53 @@
             return self.told(now, to, ballot, reply);
         }
         self.number += 1;
-        self.asked.insert(self.number, (to, ballot));
+        self.asked.insert(self.number, Asked { to, ballot, at: now });
         self.outputs.push(Output::Send { to, number: self.number, ask });
     }
 
     /// An answer to a question has come, or surely none will.
     pub fn replied(&mut self, now: Millis, number: u64, reply: Option<Reply>) {
-        let Some((from, ballot)) = self.asked.remove(&number) else { return };
+        let Some(Asked { to, ballot, at }) = self.asked.remove(&number) else { return };
         let Some(reply) = reply else { return };
-        self.heard.insert(from, now);
-        self.bound_heard();
-        self.told(now, from, ballot, reply);
-    }
-
-    fn bound_heard(&mut self) {
-        // Guards the memory against callers from ever new addresses.
-        if self.heard.len() > 4 * GROUP_MOST {
-            let members = self.members();
-            self.heard.retain(|ip, _| members.contains(ip));
+        let member = self.group.as_ref().is_some_and(|group| group.has(to, reply.incarnation));
+        if member && !matches!(reply.answer, Answer::Blank) {
+            let heard = self.heard.entry((to, reply.incarnation)).or_insert(at);
+            *heard = heard.max(at);
         }
+        self.told(now, to, ballot, reply);
     }
 
     fn told(&mut self, now: Millis, from: Ipv4Addr, of: Ballot, reply: Reply) {
-        match reply {
-            Reply::Reserved { life, pending, items } => {
-                self.reserved(now, from, of, Promise { life, pending, items })
+        let who = (from, reply.incarnation);
+        match reply.answer {
+            Answer::Promised { accepted, chosen, items } => {
+                if self.ballot() == Some(of) {
+                    // Complete for whoever held all up to what was told in the question.
+                    self.adopt(chosen, items);
+                    self.promised(now, who, of, Promise { accepted, chosen });
+                }
             }
-            Reply::Outbid { promised } => {
+            Answer::Nack { promised } => {
                 self.counter = self.counter.max(promised.counter);
-                if self.ballot() == Some(of) {
+                if self.ballot() == Some(of) && promised > of {
                     self.pause(now);
                 }
             }
-            Reply::Written => self.written(now, from, of),
-            Reply::Stands { items } if self.kept.whole => self.stand(items),
-            Reply::Copied(copied) if !self.kept.whole => {
-                self.copies.insert(from, *copied);
-                self.rebuild();
-            }
-            Reply::Found { group } if self.standing() == Standing::Founding => {
-                self.kept.items.merge_shared(group);
-                self.kept.whole = true;
-                self.outputs.push(Output::Save);
-            }
-            Reply::Settled | Reply::Stands { .. } | Reply::Copied(_) | Reply::Found { .. } | Reply::Blank => {
-            }
+            Answer::Accepted => self.accepted(now, who, of),
+            Answer::Snapshot { chosen, items } => self.caught_up(chosen, items),
+            Answer::Learned | Answer::Blank => {}
+        }
+    }
+
+    fn caught_up(&mut self, chosen: Ballot, items: Vec<Arc<Item>>) {
+        if chosen <= self.kept.chosen {
+            return;
+        }
+        let standing = self.standing();
+        self.adopt(chosen, items);
+        if standing != Standing::Member {
+            // Much was brought, which need not come again after a restart.
+            self.outputs.push(Output::Save);
         }
     }
 
@@ -433,14 +509,15 @@
     fn ballot(&self) -> Option<Ballot> {
         match &self.round {
             Round::Idle => None,
-            Round::Reserving { ballot, .. } | Round::Writing { ballot, .. } => Some(*ballot),
+            Round::Preparing { ballot, .. } => Some(*ballot),
+            Round::Accepting(proposal) => Some(proposal.ballot),
         }
     }
 
     /// Gives a round up; its calls wait for the next.
     fn pause(&mut self, now: Millis) {
-        if let Round::Writing { calls, .. } = std::mem::replace(&mut self.round, Round::Idle) {
-            for (waiting, _) in calls.into_iter().rev() {
+        if let Round::Accepting(proposal) = std::mem::replace(&mut self.round, Round::Idle) {
+            for (waiting, _) in proposal.calls.into_iter().rev() {
                 self.calls.push_front(waiting);
             }
         }
@@ -453,139 +530,181 @@
         now + ORPHANED.0 + self.rng.f64() * (ORPHANED.1 - ORPHANED.0)
     }
 
-    fn reserved(&mut self, now: Millis, from: Ipv4Addr, of: Ballot, promise: Promise) {
-        let members = self.members();
+    fn promised(&mut self, now: Millis, from: (Ipv4Addr, u64), of: Ballot, promise: Promise) {
         match &mut self.round {
-            Round::Reserving { ballot, promises, .. } if *ballot == of => {
+            Round::Preparing { ballot, group, promises, .. } if *ballot == of => {
                 promises.insert(from, promise);
-                if promises.len() > members.len() / 2 {
+                if group.is_quorum(&promises.keys().copied().collect()) {
                     self.judge(now);
                 }
             }
-            Round::Writing { ballot, items, written, from: change, .. }
-                if *ballot == of && !written.contains(&from) =>
-            {
-                let (life, items) = (promise.life, items.clone());
-                let missing = missing(&self.kept.items, promise.items.as_deref(), *change);
-                self.ask(now, from, of, Ask::Write { ballot: of, life, missing, items });
+            Round::Accepting(proposal) if proposal.ballot == of && !proposal.accepted.contains(&from) => {
+                let items = proposal.items.clone();
+                self.propose(now, from, of, promise.chosen, items);
             }
             _ => {}
         }
     }
 
-    /// More than half take part: judges the calls against all that stands or may.
+    /// Asks one that has promised a round, and holds all that was chosen up to another, to accept.
+    fn propose(
+        &mut self,
+        now: Millis,
+        to: (Ipv4Addr, u64),
+        ballot: Ballot,
+        chosen: Ballot,
+        items: Vec<Arc<Item>>,
+    ) {
+        let (base, missing) = (self.kept.chosen, self.kept.since(chosen));
+        self.ask(now, to.0, ballot, Ask::Accept { ballot, incarnation: to.1, base, missing, items });
+    }
+
+    /// More than half take part: judges the calls against all that is chosen or may be.
     fn judge(&mut self, now: Millis) {
-        let Round::Reserving { ballot, promises, from, .. } = std::mem::replace(&mut self.round, Round::Idle)
+        let Round::Preparing { ballot, group, promises, .. } =
+            std::mem::replace(&mut self.round, Round::Idle)
         else {
             return;
         };
-        let group = self.members();
-        let all: Vec<_> = promises.values().flat_map(|p| p.items.iter().flatten().cloned()).collect();
-        self.stand(all);
-        if self.members() != group {
+        if self.group.as_ref() != Some(&group) {
             // More than half of another group has to promise.
             return self.begin(now);
         }
-        // What the highest of earlier rounds has written down may have been acknowledged: it is carried on. What lower
-        // ones have written down was seen by that one, or never came to stand.
-        let last = promises.values().filter_map(|p| p.pending.as_ref()).max_by_key(|pending| pending.ballot);
+        // What the highest of earlier rounds has had accepted may have been chosen, unless a higher one is known to be:
+        // it is built upon. What lower ones have had accepted is contained in that, or never came to be chosen.
+        let last = promises
+            .values()
+            .filter_map(|promise| promise.accepted.as_ref())
+            .filter(|accepted| accepted.ballot > self.kept.chosen)
+            .max_by_key(|accepted| accepted.ballot);
+        let carries = last.is_some();
         let mut copy = self.kept.items.clone();
         let mut items: Vec<Arc<Item>> = Vec::new();
-        for item in last.iter().flat_map(|pending| &pending.items) {
+        for item in last.iter().flat_map(|accepted| &accepted.items) {
             if copy.merge_shared(item.clone()) {
                 items.push(item.clone());
             }
         }
+        let calls = self.verdicts(&mut copy, &mut items);
+        if items.is_empty() && !carries {
+            return self.conclude(now, calls);
+        }
+        // Of two items of one name the newer is enough.
+        items.retain(|item| copy.version(item.key.table, &item.key.name) == item.version);
+        let next = Group::read(&copy).unwrap_or_else(|| group.clone());
+        let newcomers: Vec<(Ipv4Addr, u64)> =
+            next.members.iter().map(|(m, i)| (*m, *i)).filter(|(m, i)| !group.has(*m, *i)).collect();
+        let proposal = Proposal {
+            ballot,
+            since: now,
+            items: items.clone(),
+            groups: (group, next),
+            accepted: BTreeSet::new(),
+            calls,
+        };
+        self.round = Round::Accepting(Box::new(proposal));
+        let promised: Vec<_> = promises.into_iter().map(|(who, promise)| (who, promise.chosen)).collect();
+        for (who, chosen) in promised {
+            self.propose(now, who, ballot, chosen, items.clone());
+        }
+        for (machine, incarnation) in newcomers {
+            // It tells what it holds, and then accepts with the rest.
+            let chosen = self.kept.chosen;
+            self.ask(now, machine, ballot, Ask::Prepare { ballot, incarnation, chosen });
+        }
+    }
+
+    /// Judges the calls that wait, in order, against a copy that they change; their items come on top of others.
+    fn verdicts(
+        &mut self,
+        copy: &mut Items,
+        items: &mut Vec<Arc<Item>>,
+    ) -> Vec<(Waiting, Result<Outcome, Fault>)> {
         let mut calls = Vec::new();
-        // A change of the group that may stand is carried on alone: what comes after it is written down by the new one.
+        // A change of the group is chosen alone: what comes after it is accepted by the new one.
         let regroups = |items: &[Arc<Item>]| items.iter().any(|item| item.key.table == Table::Group);
         while let Some(waiting) = self.calls.pop_front() {
-            if regroups(&items) {
+            let alone = matches!(waiting.change, Change::Regroup { .. }) && !items.is_empty();
+            if alone || regroups(items) {
                 self.calls.push_front(waiting);
                 break;
             }
+            let mut put = |copy: &mut Items, item: Item| {
+                let item = Arc::new(item);
+                copy.merge_shared(item.clone());
+                items.push(item);
+            };
             let verdict = match &waiting.change {
-                Change::Read => Ok(()),
-                Change::Amend(call) => amend(&copy, call).map(|(next, newer)| {
-                    copy = next;
+                Change::Read => Ok(Outcome::Read(Items::default())),
+                Change::Amend(call) => amend(copy, call).map(|(next, newer)| {
+                    *copy = next;
                     items.extend(newer.into_iter().map(Arc::new));
+                    Outcome::Applied
                 }),
                 Change::Drain { zone, on } => {
                     if copy.body(Table::Drains, zone).is_some() != *on {
                         let version = copy.version(Table::Drains, zone) + 1;
-                        let item = Arc::new(Item::new(Table::Drains, zone, version, on.then(|| json!({}))));
-                        copy.merge_shared(item.clone());
-                        items.push(item);
+                        put(copy, Item::new(Table::Drains, zone, version, on.then(|| json!({}))));
                     }
-                    Ok(())
+                    Ok(Outcome::Applied)
                 }
-                Change::Regroup { gone, comes } => {
-                    if !items.is_empty() {
-                        self.calls.push_front(waiting);
-                        break;
-                    }
-                    if let Some(item) = regrouped(&copy, *gone, *comes).map(Arc::new) {
-                        copy.merge_shared(item.clone());
-                        items.push(item);
+                Change::Regroup { goes, comes } => {
+                    let next = Group::read(copy).and_then(|group| group.changed(*goes, *comes));
+                    if let Some(next) = next {
+                        put(copy, next.item());
                     }
-                    Ok(())
+                    Ok(Outcome::Applied)
                 }
                 Change::Duty { name, holder } => {
                     let epoch = copy.version(Table::Duties, name) + 1;
-                    let item =
-                        Arc::new(Item::new(Table::Duties, name, epoch, Some(json!({ "holder": holder }))));
-                    copy.merge_shared(item.clone());
-                    items.push(item);
-                    Ok(())
+                    put(copy, Item::new(Table::Duties, name, epoch, Some(json!({ "holder": holder }))));
+                    Ok(Outcome::Epoch(epoch))
                 }
             };
             calls.push((waiting, verdict));
         }
-        if items.is_empty() {
-            // An empty round of an earlier one may be left; nothing in it is owed.
-            if self.kept.pending.as_ref().is_some_and(|pending| pending.ballot < ballot) {
-                self.kept.pending = None;
-                self.orphaned_at = None;
-            }
-            return self.conclude(now, calls);
-        }
-        // Of two items of one name the newer is enough.
-        items.retain(|item| copy.version(item.key.table, &item.key.name) == item.version);
-        let reserved: Vec<(Ipv4Addr, u64, Vec<Arc<Item>>)> = promises
-            .iter()
-            .map(|(to, p)| (*to, p.life, missing(&self.kept.items, p.items.as_deref(), from)))
-            .collect();
-        let written = BTreeSet::new();
-        self.round = Round::Writing { ballot, since: now, from, items: items.clone(), written, calls };
-        for (to, life, missing) in reserved {
-            self.ask(now, to, ballot, Ask::Write { ballot, life, missing, items: items.clone() });
-        }
+        calls
     }
 
-    fn written(&mut self, now: Millis, from: Ipv4Addr, of: Ballot) {
-        let half = self.members().len() / 2;
+    fn accepted(&mut self, now: Millis, from: (Ipv4Addr, u64), of: Ballot) {
         match &mut self.round {
-            Round::Writing { ballot, written, .. } if *ballot == of => {
-                written.insert(from);
-                if written.len() <= half {
-                    return;
-                }
+            Round::Accepting(proposal) if proposal.ballot == of => {
+                proposal.accepted.insert(from);
             }
             _ => return,
         }
-        let Round::Writing { ballot, items, calls, .. } = std::mem::replace(&mut self.round, Round::Idle)
-        else {
+        self.count(now);
+    }
+
+    /// Ends the round if its items are chosen: accepted by more than half of the group before it and of the one after.
+    fn count(&mut self, now: Millis) {
+        let Round::Accepting(proposal) = &self.round else { return };
+        let Proposal { groups: (old, new), accepted, since, .. } = &**proposal;
+        let chosen = old.is_quorum(accepted) && new.is_quorum(accepted);
+        let newcomer = |(m, i): (&Ipv4Addr, &u64)| !old.has(*m, *i) && !accepted.contains(&(*m, *i));
+        if !chosen || (new.members.iter().any(newcomer) && now < since + NEWCOMER) {
             return;
-        };
-        for member in self.members() {
-            self.ask(now, member, ballot, Ask::Settle { ballot, items: items.clone() });
+        }
+        let Round::Accepting(proposal) = std::mem::replace(&mut self.round, Round::Idle) else { return };
+        let Proposal { ballot, items, groups: (old, new), calls, .. } = *proposal;
+        let base = self.kept.chosen;
+        self.adopt(ballot, items.clone());
+        let mut members: BTreeSet<Ipv4Addr> =
+            old.members.into_keys().chain(new.members.into_keys()).collect();
+        members.remove(&self.me);
+        for member in members {
+            self.ask(now, member, ballot, Ask::Learn { ballot, base, items: items.clone() });
         }
         self.conclude(now, calls);
     }
 
-    fn conclude(&mut self, now: Millis, calls: Vec<(Waiting, Result<(), Fault>)>) {
+    fn conclude(&mut self, now: Millis, calls: Vec<(Waiting, Result<Outcome, Fault>)>) {
         self.outbid = 0;
         for (waiting, verdict) in calls {
+            let verdict = match verdict {
+                Ok(Outcome::Read(_)) => Ok(Outcome::Read(self.kept.items.clone())),
+                other => other,
+            };
             self.answer(waiting.id, verdict);
         }
         self.begin(now);
@@ -595,194 +714,165 @@
 
     /// Time has passed.
     pub fn tick(&mut self, now: Millis) {
-        if let Round::Reserving { since, .. } | Round::Writing { since, .. } = &self.round {
-            if now > since + STEP {
-                self.pause(now);
-            }
+        if self.ticked.replace(now).is_none_or(|ticked| now > ticked + STILL) {
+            self.awake = now;
         }
-        while self.calls.front().is_some_and(|waiting| now > waiting.since + CALL) {
-            if let Some(waiting) = self.calls.pop_front() {
-                self.answer(
-                    waiting.id,
-                    Err(Fault::new(Kind::NoMajority, "more than half of the core can't be reached")),
-                );
-            }
+        let since = match &self.round {
+            Round::Idle => None,
+            Round::Preparing { since, .. } => Some(*since),
+            Round::Accepting(proposal) => Some(proposal.since),
+        };
+        self.count(now);
+        if since.is_some_and(|since| now > since + STEP) && !matches!(self.round, Round::Idle) {
+            self.pause(now);
         }
-        if self.kept.pending.is_some() && self.orphaned_at.is_none() {
+        if matches!(&self.round, Round::Preparing { group, .. } if self.group.as_ref() != Some(group)) {
+            // More than half of another group has to promise.
+            self.round = Round::Idle;
+            self.begin(now);
+        }
+        self.refuse(now);
+        if self.kept.accepted.is_some() && self.orphaned_at.is_none() {
             self.orphaned_at = Some(self.orphaned(now));
         }
-        self.started.get_or_insert(now);
         self.regroup(now);
         self.begin(now);
         // Questions that nothing came of.
-        while self.asked.len() > 1024 {
+        while self.asked.len() > ASKED_MOST {
             self.asked.pop_first();
         }
         match self.standing() {
-            Standing::Member if now >= self.compare_at => {
-                self.compare_at = now + COMPARE * (0.8 + 0.4 * self.rng.f64());
-                let others: Vec<_> = self.members().into_iter().filter(|m| *m != self.me).collect();
-                for other in others {
-                    let digest = self.kept.items.digest(Tables::KEPT);
-                    self.ask(now, other, Ballot::NONE, Ask::Compare { digest });
-                }
+            Standing::Member if now >= self.catch_up_at => {
+                self.catch_up_at = now + CATCH_UP * (0.8 + 0.4 * self.rng.f64());
+                self.chosen_before = [self.chosen_before[1], self.kept.chosen];
+                self.catch_up(now);
             }
             Standing::Founding if now >= self.question_at => {
                 self.question_at = now + QUESTION;
                 self.found(now);
             }
-            Standing::Outside => {
-                // What it promised was to a group that it is no part of: it waits for a place as a new machine does.
-                let items = std::mem::take(&mut self.kept.items);
-                self.kept = Kept::new(self.rng.u64(1..));
-                if let Some(group) = items.get(Table::Group, CORE) {
-                    self.kept.items.merge_shared(group.clone());
-                }
-                self.round = Round::Idle;
-                self.bootstrap = false;
-                self.outputs.push(Output::Save);
-            }
-            Standing::Rebuilding if now >= self.question_at => {
-                self.question_at = now + 2.0 * QUESTION;
-                let known = self.copies.values().flat_map(|copied| &copied.items);
-                let group = known.filter(|i| i.key.table == Table::Group).max_by_key(|i| i.version);
-                let mut sources = group.map(|group| named(group)).unwrap_or_default();
-                sources.extend(&self.seeds);
-                sources.sort_unstable();
-                sources.dedup();
-                sources.retain(|source| *source != self.me);
-                let known = self.copies.values().flat_map(|copied| &copied.items);
-                let group = known.filter(|i| i.key.table == Table::Group).max_by_key(|i| i.version);
-                let placed = group.is_none_or(|group| named(group).contains(&self.me));
-                for source in sources {
-                    self.ask(now, source, Ballot::NONE, Ask::Copy);
-                    if !placed {
-                        self.ask(now, source, Ballot::NONE, Ask::Join);
-                    }
-                }
+            Standing::Learner if now >= self.question_at && !self.leaving => {
+                self.question_at = now + QUESTION;
+                self.wait(now);
             }
             _ => {}
         }
     }
 
-    /// Gives the place of a machine that is gone to one that waits, in two rounds: with one machine more or less, any two
-    /// majorities before and after still share one. The first of those that answer does it.
-    fn regroup(&mut self, now: Millis) {
-        self.candidates.retain(|_, said| now < *said + CANDIDATE);
-        if self.candidates.is_empty() || now < self.regroup_at || self.touch(now).is_none() {
+    /// Answers calls that have waited too long, or that no majority can be reached for.
+    fn refuse(&mut self, now: Millis) {
+        let contact = self.contact_at(now);
+        let member = self.standing() == Standing::Member;
+        let over = |waiting: &Waiting| {
+            !member
+                || now > waiting.since + CALL
+                || (now > waiting.since + REFUSE && contact < waiting.since - PROBE)
+        };
+        let (over, calls): (Vec<_>, Vec<_>) = self.calls.drain(..).partition(over);
+        self.calls = calls.into();
+        for waiting in over {
+            let fault = Fault::new(Kind::NoMajority, "more than half of the core can't be reached");
+            self.answer(waiting.id, Err(fault));
+        }
+    }
+
+    /// Asks all others for what was chosen.
+    fn catch_up(&mut self, now: Millis) {
+        self.probed_at = now;
+        let chosen = self.kept.chosen;
+        let mut members = self.members();
+        members.retain(|member| *member != self.me);
+        for member in members {
+            self.ask(now, member, Ballot::NONE, Ask::CatchUp { chosen });
+        }
+    }
+
+    /// One that has no place learns what was chosen from one source after the other, and asks all for a place.
+    fn wait(&mut self, now: Millis) {
+        let mut sources = self.members();
+        sources.extend(&self.seeds);
+        sources.sort_unstable();
+        sources.dedup();
+        sources.retain(|source| *source != self.me);
+        if sources.is_empty() {
             return;
         }
-        let members = self.members();
-        let heard = |m: &Ipv4Addr| {
-            let at = self.heard.get(m).copied().unwrap_or(f64::NEG_INFINITY);
-            if *m == self.me {
-                now
-            } else {
-                at.max(self.started.unwrap_or(now))
+        let chosen = self.kept.chosen;
+        self.source = (self.source + 1) % sources.len();
+        self.ask(now, sources[self.source], Ballot::NONE, Ask::CatchUp { chosen });
+        if let Some(group) = &self.group {
+            let candidate = Candidate { incarnation: self.kept.incarnation, group: group.version, chosen };
+            for source in sources {
+                self.ask(now, source, Ballot::NONE, Ask::Join(candidate));
             }
+        }
+    }
+
+    /// A machine that waits for a place and holds all but the newest.
+    fn fit(&self, now: Millis) -> Option<(Ipv4Addr, u64)> {
+        let group = self.group.as_ref()?;
+        let fits = |(machine, (said, candidate)): (&Ipv4Addr, &(Millis, Candidate))| {
+            let fresh = now < said + CANDIDATE && candidate.group == group.version;
+            let holds = candidate.chosen >= self.chosen_before[0].min(self.kept.chosen);
+            let placed = group.has(*machine, candidate.incarnation);
+            (fresh && holds && !placed).then_some((*machine, candidate.incarnation))
         };
-        if members.iter().filter(|m| now < heard(m) + TOUCH).min() != Some(&self.me) {
+        // One that lost its disk takes its own place before others come.
+        let all = || self.candidates.iter().filter_map(fits);
+        let returns = all().find(|(machine, _)| group.members.contains_key(machine));
+        returns.or_else(|| all().next())
+    }
+
+    /// Gives a place to one that waits: its own of an earlier incarnation, one that is free, that of a machine that is
+    /// gone, or this store's own when that leaves. The first of those that answer does it.
+    fn regroup(&mut self, now: Millis) {
+        self.candidates.retain(|_, (said, _)| now < *said + CANDIDATE);
+        if self.candidates.is_empty() || now < self.regroup_at || self.contact(now).is_none() {
             return;
         }
-        let free = members.len() < size(&self.kept.items);
-        let gone =
-            members.iter().filter(|m| now > heard(m) + GONE).min_by(|a, b| heard(a).total_cmp(&heard(b)));
-        let comes = self.candidates.keys().find(|c| !members.contains(c));
-        let change = match (free, gone, comes) {
-            (true, _, Some(comes)) => Change::Regroup { gone: None, comes: Some(*comes) },
-            (false, Some(gone), Some(_)) => Change::Regroup { gone: Some(*gone), comes: None },
+        let (Some(group), Some(comes)) = (&self.group, self.fit(now)) else { return };
+        let heard = |member: &(Ipv4Addr, u64)| match self.heard.get(member) {
+            _ if member.0 == self.me => now,
+            Some(at) => at.max(self.awake),
+            None => self.awake,
+        };
+        let members = || group.members.iter().map(|(machine, incarnation)| (*machine, *incarnation));
+        let first = members().find(|member| now < heard(member) + CONTACT).map(|member| member.0);
+        let silent = members().filter(|member| now > heard(member) + GONE);
+        let gone = silent.min_by(|a, b| heard(a).total_cmp(&heard(b)));
+        let own = |machine: Ipv4Addr| members().find(|member| member.0 == machine);
+        let goes = match (own(comes.0), gone) {
+            (Some(earlier), _) if first == Some(self.me) => Some(earlier),
+            (None, _) if self.leaving => own(self.me),
+            (None, _) if group.members.len() < group.size && first == Some(self.me) => None,
+            (None, Some(gone)) if first == Some(self.me) => Some(gone),
             _ => return,
         };
         self.regroup_at = now + REGROUP;
-        self.calls.push_back(Waiting { id: 0, change, since: now });
+        self.calls.push_back(Waiting { id: 0, change: Change::Regroup { goes, comes }, since: now });
     }
 
     /// At the first start of the whole system.
     fn found(&mut self, now: Millis) {
-        if self.is_founder() {
-            if self.hellos.insert(self.me) {
-                self.hello_at = now;
-            }
-            let seeds = self.seeds.iter().filter(|s| self.hellos.contains(s)).count();
-            if seeds > self.seeds.len() / 2 && now > self.hello_at + FOUNDING {
-                let body = json!({ "members": self.hellos, "size": self.hellos.len() });
-                self.kept.items.merge(Item::new(Table::Group, CORE, 1, Some(body)));
-                self.kept.whole = true;
-                self.outputs.push(Output::Save);
+        let incarnation = self.kept.incarnation;
+        if !self.is_founder() {
+            for seed in self.seeds.clone() {
+                if seed != self.me {
+                    self.ask(now, seed, Ballot::NONE, Ask::Hello { incarnation });
+                }
             }
             return;
         }
-        for seed in self.seeds.clone() {
-            if seed != self.me {
-                self.ask(now, seed, Ballot::NONE, Ask::Hello);
-            }
-        }
-    }
-
-    /// With a disk that was lost: takes part again when it has copies of so many others that each majority that ever
-    /// wrote anything down, less all whose disks were lost, is among them.
-    fn rebuild(&mut self) {
-        let all = || self.copies.values().flat_map(|copied| &copied.items);
-        let Some(group) = all().filter(|i| i.key.table == Table::Group).max_by_key(|i| i.version) else {
-            return;
-        };
-        let members = named(group);
-        let needed = members.len() - members.len() / 2;
-        let copies: Vec<_> =
-            self.copies.iter().filter(|(ip, _)| members.contains(ip)).map(|(_, c)| c).collect();
-        if !members.contains(&self.me) || copies.len() < needed {
-            return;
+        if self.hellos.insert(self.me, incarnation).is_none() {
+            self.hello_at = now;
         }
-        let promised = copies.iter().map(|c| c.promised).max().unwrap_or(Ballot::NONE);
-        let pending = copies.iter().filter_map(|c| c.pending.clone()).max_by_key(|p| p.ballot);
-        let items: Vec<_> = copies.iter().flat_map(|c| c.items.iter().cloned()).collect();
-        self.promise(promised);
-        self.kept.pending = pending;
-        self.orphaned_at = None;
-        self.stand(items);
-        self.kept.whole = true;
-        self.copies.clear();
-        self.outputs.push(Output::Save);
-    }
-}
-
-/// The items of a copy that another lacks: by what the other told where it differed, else what has come since.
-fn missing(own: &trailmap::Items, told: Option<&[Arc<Item>]>, since: u64) -> Vec<Arc<Item>> {
-    let Some(told) = told else { return own.since(since, Tables::KEPT) };
-    let mut other = trailmap::Items::default();
-    for item in told {
-        other.merge_shared(item.clone());
-    }
-    own.lacking_in(&other, Tables::KEPT)
-}
-
-/// The group with one machine less or more, if that is one step from what stands.
-fn regrouped(copy: &trailmap::Items, gone: Option<Ipv4Addr>, comes: Option<Ipv4Addr>) -> Option<Item> {
-    let (mut members, size) = (members(copy), size(copy));
-    match (gone, comes) {
-        (Some(gone), None) if members.len() == size && members.contains(&gone) => {
-            members.retain(|m| *m != gone)
+        let seeds = self.seeds.iter().filter(|seed| self.hellos.contains_key(seed)).count();
+        if seeds > self.seeds.len() / 2 && now > self.hello_at + FOUNDING {
+            let group = Group::founded(std::mem::take(&mut self.hellos));
+            let ballot = Ballot { counter: 1, by: self.me, incarnation };
+            self.promise(ballot);
+            self.adopt(ballot, vec![Arc::new(group.item())]);
+            self.outputs.push(Output::Save);
         }
-        (None, Some(comes)) if members.len() < size && !members.contains(&comes) => members.push(comes),
-        _ => return None,
     }
-    members.sort_unstable();
-    let version = copy.version(Table::Group, CORE) + 1;
-    Some(Item::new(Table::Group, CORE, version, Some(json!({ "members": members, "size": size }))))
-}
-
-/// How many machines the group was founded with.
-fn size(items: &trailmap::Items) -> usize {
-    let size =
-        items.body(Table::Group, CORE).and_then(|body| body.get("size")).and_then(serde_json::Value::as_u64);
-    size.map_or_else(|| members(items).len(), |size| size as usize)
-}
-
-fn named(group: &Item) -> Vec<Ipv4Addr> {
-    let members = group.body.as_ref().and_then(|body| body.get("members")).cloned().unwrap_or_default();
-    serde_json::from_value(members).unwrap_or_default()
-}
-
-fn members(items: &trailmap::Items) -> Vec<Ipv4Addr> {
-    items.get(Table::Group, CORE).map(|group| named(group)).unwrap_or_default()
 }
