Store: a change of the group that is carried on needs promises of both groups

Cause (read, not brought about yet): a round of the old group that finds a change of the group accepted by one of its members built upon it with promises of the old group alone. The new group may have gone on by itself since; with five stores half of the old and half of the new share none, so what the new one had chosen could be written over.

Change: who finds a change that may have been chosen prepares the machines that it brings too, and judges only when more than half of both groups have promised; what the new one has chosen then shows, and the round begins anew under it.

Ruled out: a change that this round proposes itself needs no such promises: were its group in force, more than half of the old one would have shown it.

--- a/crates/cairn/src/group.rs
+++ b/crates/cairn/src/group.rs
@@ -57,6 +57,12 @@
         2 * count > self.members.len()
     }
 
+    /// Those of this group that have no place in another.
+    pub fn not_in(&self, other: &Self) -> Vec<(Ipv4Addr, u64)> {
+        let all = self.members.iter().map(|(machine, incarnation)| (*machine, *incarnation));
+        all.filter(|(machine, incarnation)| !other.has(*machine, *incarnation)).collect()
+    }
+
     /// The group with one place given to another, or a free one taken; nothing if that is no step from here.
     pub fn changed(&self, goes: Option<(Ipv4Addr, u64)>, comes: (Ipv4Addr, u64)) -> Option<Self> {
         let mut next = self.clone();
--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -113,8 +113,14 @@
 enum Round {
     /// There is none.
     Idle,
-    /// Promises of a group are gathered.
-    Preparing { ballot: Ballot, since: Millis, group: Group, promises: BTreeMap<(Ipv4Addr, u64), Promise> },
+    /// Promises are gathered of a group, and also of the one that an earlier round may have put in its place.
+    Preparing {
+        ballot: Ballot,
+        since: Millis,
+        group: Group,
+        next: Option<Group>,
+        promises: BTreeMap<(Ipv4Addr, u64), Promise>,
+    },
     /// Items are being accepted.
     Accepting(Box<Proposal>),
 }
@@ -440,11 +446,15 @@
         }
         self.counter = self.counter.saturating_add(1);
         let ballot = Ballot { counter: self.counter, by: self.me, incarnation: self.kept.incarnation };
-        let members = group.members.clone();
-        self.round = Round::Preparing { ballot, since: now, group, promises: BTreeMap::new() };
-        for (member, incarnation) in members {
+        let members = group.members.clone().into_iter().collect();
+        self.round = Round::Preparing { ballot, since: now, group, next: None, promises: BTreeMap::new() };
+        self.prepare(now, ballot, members);
+    }
+
+    fn prepare(&mut self, now: Millis, ballot: Ballot, acceptors: Vec<(Ipv4Addr, u64)>) {
+        for (machine, incarnation) in acceptors {
             let chosen = self.kept.chosen;
-            self.ask(now, member, ballot, Ask::Prepare { ballot, incarnation, chosen });
+            self.ask(now, machine, ballot, Ask::Prepare { ballot, incarnation, chosen });
         }
     }
 
@@ -532,9 +542,10 @@
 
     fn promised(&mut self, now: Millis, from: (Ipv4Addr, u64), of: Ballot, promise: Promise) {
         match &mut self.round {
-            Round::Preparing { ballot, group, promises, .. } if *ballot == of => {
+            Round::Preparing { ballot, group, next, promises, .. } if *ballot == of => {
                 promises.insert(from, promise);
-                if group.is_quorum(&promises.keys().copied().collect()) {
+                let who = promises.keys().copied().collect();
+                if group.is_quorum(&who) && next.as_ref().is_none_or(|next| next.is_quorum(&who)) {
                     self.judge(now);
                 }
             }
@@ -561,7 +572,7 @@
 
     /// More than half take part: judges the calls against all that is chosen or may be.
     fn judge(&mut self, now: Millis) {
-        let Round::Preparing { ballot, group, promises, .. } =
+        let Round::Preparing { ballot, since, group, promises, .. } =
             std::mem::replace(&mut self.round, Round::Idle)
         else {
             return;
@@ -585,6 +596,13 @@
                 items.push(item.clone());
             }
         }
+        let carried = Group::read(&copy).unwrap_or_else(|| group.clone());
+        if carried != group && !carried.is_quorum(&promises.keys().copied().collect()) {
+            // The other group may have gone on by itself: more than half of it has to promise too.
+            let newcomers = carried.not_in(&group);
+            self.round = Round::Preparing { ballot, since, group, next: Some(carried), promises };
+            return self.prepare(now, ballot, newcomers);
+        }
         let calls = self.verdicts(&mut copy, &mut items);
         if items.is_empty() && !carries {
             return self.conclude(now, calls);
@@ -592,8 +610,8 @@
         // Of two items of one name the newer is enough.
         items.retain(|item| copy.version(item.key.table, &item.key.name) == item.version);
         let next = Group::read(&copy).unwrap_or_else(|| group.clone());
-        let newcomers: Vec<(Ipv4Addr, u64)> =
-            next.members.iter().map(|(m, i)| (*m, *i)).filter(|(m, i)| !group.has(*m, *i)).collect();
+        let mut newcomers = next.not_in(&group);
+        newcomers.retain(|who| !promises.contains_key(who));
         let proposal = Proposal {
             ballot,
             since: now,
@@ -607,11 +625,8 @@
         for (who, chosen) in promised {
             self.propose(now, who, ballot, chosen, items.clone());
         }
-        for (machine, incarnation) in newcomers {
-            // It tells what it holds, and then accepts with the rest.
-            let chosen = self.kept.chosen;
-            self.ask(now, machine, ballot, Ask::Prepare { ballot, incarnation, chosen });
-        }
+        // They tell what they hold, and then accept with the rest.
+        self.prepare(now, ballot, newcomers);
     }
 
     /// Judges the calls that wait, in order, against a copy that they change; their items come on top of others.
