--- a/crates/cairn/src/main.rs
+++ b/crates/cairn/src/main.rs
@@ -133,7 +133,7 @@
         let store = self.store.borrow();
         let items = &store.kept().items;
         if items.changes() > self.told.get() {
-            let news = items.since(self.told.get(), Tables::KEPT);
+            let news = items.since(self.told.get(), Tables::PUBLISHED);
             self.told.set(items.changes());
             self.news.merge(news);
         }
