A 421 for another request no longer lets one that may not run twice go out again

Sealed answers had to bring the request's id back, but for a 421, which was believed from anybody. A surplus one for the request before, read in the place of the next one's answer, counted as proof that nothing ran, and a request that must not be repeated was sent to a second server (story: ran 2 times, answered 200).

Now a 421 needs the id like any other answer. Without any id it is believed on a connection that has carried no other request, where it can belong to none but this one: whoever has a dead server's address by now is met on a new connection. Ruled out: to take no 421 without an id, which would cost requests where such a server does not echo.

--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -365,7 +365,7 @@
             // Guards against what happened while connecting: the client left, the server drains, time is up.
             let Some(request) = request(&progress.sent) else { return End::bare(Outcome::Moot) };
             progress.begin(&link.written);
-            let answer = self.exchange(server, link, request).await;
+            let answer = self.exchange(server, link, reused, request).await;
             if reused && progress.may_have_run() {
                 let broke = f64::from(u8::from(matches!(answer, Err(Broken::Lost))));
                 self.broke.set(self.broke.get() + BROKE_WEIGHT * (broke - self.broke.get()));
@@ -388,6 +388,7 @@
         self: &Rc<Self>,
         server: ServerId,
         mut link: Box<Link>,
+        reused: bool,
         request: Request<Outgoing>,
     ) -> Result<End, Broken> {
         let echo = match &self.reading {
@@ -424,10 +425,12 @@
                 let reading = pin!(read_whole(answer, seal.most));
                 let whole = drive_while(&mut link, reading).await?;
                 // Guards against a surplus answer to an earlier request, and against bytes that no server's
-                // application made.
-                if whole.headers.get(&seal.echo) != echo.as_ref()
-                    && whole.status != StatusCode::MISDIRECTED_REQUEST
-                {
+                // application made. Whoever has the address by now may turn a request away without a word on
+                // which; on a connection that has carried no other there is but the one.
+                let untold = !reused
+                    && whole.status == StatusCode::MISDIRECTED_REQUEST
+                    && !whole.headers.contains_key(&seal.echo);
+                if whole.headers.get(&seal.echo) != echo.as_ref() && !untold {
                     return Err(Broken::Spoilt);
                 }
                 let outcome = (seal.judge)(whole.status, &whole.headers);
