A request sent to the same server again goes on a new connection

An answer that comes twice bears the id of its request, so the id can't tell the copy from the answer to a second attempt at the same server. A copy of 'not run' passed for one of the attempt that ran: the client got a 503, which promises that nothing ran, for a request that had (story: refused, ran once).

An attempt at a server that has had this request before takes a connection of its own. Ruled out: an id for each attempt (servers must get the client's); never to ask a server twice (the only one of a pool may be full for a moment).

--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -629,6 +629,7 @@
         // Where a body can't be had again, giving up in time for another attempt is no use.
         let give_up_at = if open.message.body.is_streamed() { open.deadline } else { give_up_at };
         open.fallback = None;
+        let again = open.attempts.iter().any(|attempt| attempt.server == server);
         let progress = Rc::new(Progress::default());
         let listed = servers.get(&server).map(|s| (s.address, s.uid.clone()));
         let address = listed.as_ref().map(|(address, _)| *address);
@@ -654,7 +655,9 @@
                 };
                 driver.awake().await;
                 let end = match address {
-                    Some(address) => driver.upstream.attempt(server, address, &progress, once, request).await,
+                    Some(address) => {
+                        driver.upstream.attempt(server, address, &progress, once, again, request).await
+                    }
                     None => End::bare(Outcome::Moot),
                 };
                 driver.attempt_ended(&id, number, end);
--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -339,7 +339,7 @@
 
     /// One attempt. `request` is asked for the request when a connection stands and just before its first
     /// byte is written; `None` means that it must not be sent any more. `once` says that it must not be sent
-    /// again once it has been.
+    /// again once it has been, `again` that this server has been sent it before.
     ///
     /// Dropping the future gives the attempt up and closes its connection.
     pub(crate) async fn attempt(
@@ -348,12 +348,15 @@
         address: SocketAddr,
         progress: &Progress,
         once: bool,
+        again: bool,
         request: impl Fn(&Rc<Sent>) -> Option<Request<Outgoing>>,
     ) -> End {
         loop {
             // Guards requests that can't be repeated against servers that end kept connections unsaid: a new
             // connection costs a handshake, a reset the whole request.
-            let trusted = !once || self.broke.get() < BROKE_MOST;
+            // And against a copy of the server's answer to the same request, which bears the same id: a second
+            // refusal would pass for one of this attempt, which runs.
+            let trusted = !again && (!once || self.broke.get() < BROKE_MOST);
             let kept = if trusted { self.idle_link(server, address).await } else { None };
             let (link, reused) = match kept {
                 Some(link) => (link, true),
--- a/crates/runtime/tests/peers.rs
+++ b/crates/runtime/tests/peers.rs
@@ -271,3 +271,27 @@
     });
     assert_eq!((told, runs.of("a")), ((200, "a".to_owned()), 1));
 }
+#[test]
+fn given_a_server_that_turns_a_request_away_twice_when_it_gets_it_again_then_the_copy_does_not_hide_that_it_ran(
+) {
+    let runs = Runs::default();
+    let ran = runs.clone();
+    let server = Scripted::start(move |stream, number| {
+        if number > 0 {
+            return serve(stream, &ran);
+        }
+        let request = read_message(stream).expect("a request");
+        let away = whole("503 Service Unavailable", &id(&request), AWAY);
+        write(stream, &away);
+        if let Some(request) = read_message(stream) {
+            ran.add(&id(&request));
+            write(stream, &away);
+        }
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let told = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let driver = driver(server.address);
+        told(&ask(&driver, "once", "a").await)
+    });
+    assert_eq!((told, runs.of("a")), ((200, "a".to_owned()), 1));
+}
