Connections to servers are let go before the time that Keep-Alive tells; peers in trouble in stories

A connection was kept for as long as our own settings say, also where its server had told that it closes it sooner: a request written in that moment is lost, and one that must not run twice can't be sent again (story: the second request went out on a connection whose time was over).

Kept until half a second before the time told, or for 0.6 of it where that is longer. Besides, stories on loopback sockets: a server that answers for the request before, twice, late, half, with no HTTP, resets before reading, after running, within the answer, closes a connection that rests; each with how often the request ran and what was told.

--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -45,6 +45,8 @@
 /// Part of the time after which app servers close an idle connection for which one is kept here: a request
 /// written to a connection that the other side is just closing is a reset.
 const KEEP_PART: f64 = 0.6;
+/// And where the server itself tells it, the connection is let go this long before: the close is on its way then.
+const KEEP_WAY: Duration = Duration::from_millis(500);
 /// Where the settings tell no such time.
 const KEEP_UNTOLD: Duration = Duration::from_secs(4);
 /// And where they tell no time for connecting.
@@ -246,6 +248,8 @@
     /// Nothing is asked, so that anything to be read is too much.
     resting: Rc<Cell<bool>>,
     address: SocketAddr,
+    /// How long it is kept while idle, by the limits and by what the server last told.
+    keep: Duration,
 }
 
 impl Link {
@@ -330,9 +334,8 @@
 
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
-        let keep = self.limits.keep;
         self.idle.borrow_mut().retain(|_, links| {
-            links.retain(|idle| idle.since.elapsed() < keep);
+            links.retain(|idle| idle.since.elapsed() < idle.link.keep);
             !links.is_empty()
         });
     }
@@ -414,6 +417,7 @@
             Poll::Pending
         })
         .await?;
+        link.keep = kept_for(answer.headers(), self.limits.keep);
         match &self.reading {
             Reading::Platform => {
                 let reading = pin!(read_whole(answer, BODY_MOST));
@@ -485,7 +489,7 @@
                 sleep(self.limits.rest - rested).await;
             }
             let mut link = idle.link;
-            if rested < self.limits.keep && link.address == address && link.usable().await {
+            if rested < link.keep && link.address == address && link.usable().await {
                 return Some(link);
             }
         }
@@ -523,7 +527,8 @@
             .handshake(TokioIo::new(counted))
             .await
             .map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Box::new(Link { sender, connection: Some(connection), written, resting, address }))
+        let keep = self.limits.keep;
+        Ok(Box::new(Link { sender, connection: Some(connection), written, resting, address, keep }))
     }
 
     /// Makes room by closing the connection that has been idle longest.
@@ -534,6 +539,17 @@
     }
 }
 
+/// How long an idle connection is kept, at most, where its server tells when it closes one: `Keep-Alive: timeout=5`, in
+/// whole seconds.
+fn kept_for(headers: &HeaderMap, most: Duration) -> Duration {
+    let told = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let told = told.and_then(|told| told.split(',').find_map(|part| part.trim().strip_prefix("timeout=")));
+    let Some(told) = told.and_then(|seconds| seconds.parse().ok()).map(Duration::from_secs) else {
+        return most;
+    };
+    told.saturating_sub(KEEP_WAY).max(told.mul_f64(KEEP_PART)).min(most)
+}
+
 /// Whether an error says that this process or machine has no descriptor left (EMFILE, ENFILE).
 pub fn out_of_descriptors(error: &io::Error) -> bool {
     matches!(error.raw_os_error(), Some(23 | 24))
--- a/crates/runtime/tests/peers.rs
+++ b/crates/runtime/tests/peers.rs
@@ -4,12 +4,12 @@
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, StatusCode};
-use ivygate_gateway::{Class, Effect, Gateway, Outcome, Plan, Retries, Settings};
+use ivygate_gateway::{Class, Effect, Gateway, Millis, Outcome, Plan, Retries, Settings};
 use ivygate_runtime::{
     Answer, Ask, Clock, Driver, Head, Listing, Message, Payload, Reading, Seal, Target, TargetState,
     Upstream, UpstreamLimits,
 };
-use ivygate_standin::{read_message, until, Message as Read, Scripted};
+use ivygate_standin::{read_message, reset, until, Message as Read, Scripted};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -106,6 +106,10 @@
 }
 
 async fn ask(driver: &Rc<Driver>, class: &str, id: &str) -> Answer {
+    ask_for(driver, class, id, 10_000.0).await
+}
+
+async fn ask_for(driver: &Rc<Driver>, class: &str, id: &str, wait: Millis) -> Answer {
     let mut headers = HeaderMap::new();
     headers.insert("host", HeaderValue::from_static("h"));
     headers.insert(ID, HeaderValue::from_str(id).expect("a value"));
@@ -116,7 +120,7 @@
         customer: "".into(),
         units: 1.0,
         width: 1,
-        wait: 10_000.0,
+        wait,
         once: class == "once",
         zones: None,
         tries: Some(5),
@@ -128,7 +132,7 @@
         body: Rc::new(Payload::whole(Bytes::from_static(b"body"))),
         tells: None,
     };
-    let answer = driver.arrive(Ask { head, deadline: driver.now() + 10_000.0, message });
+    let answer = driver.arrive(Ask { head, deadline: driver.now() + wait, message });
     answer.expect("no other has its id").await.expect("it is answered")
 }
 
@@ -295,3 +299,253 @@
     });
     assert_eq!((told, runs.of("a")), ((200, "a".to_owned()), 1));
 }
+
+/// Waits until a request lies in the socket, and leaves it there.
+fn arrived(stream: &BufReader<TcpStream>) {
+    let _ = stream.get_ref().peek(&mut [0]);
+}
+
+#[test]
+fn given_a_server_in_trouble_when_a_request_must_not_run_twice_then_it_runs_once_at_most_and_is_answered_truly(
+) {
+    /// What the server does; the status then; how often the request runs, by its own answer or by another's.
+    type Row = (&'static str, Script, u16, usize);
+    let rows: [Row; 12] = [
+        (
+            "closes before it has read",
+            |stream, _| {
+                arrived(stream);
+                reset(stream.get_ref());
+            },
+            502,
+            0,
+        ),
+        (
+            "reads, runs and resets",
+            |stream, runs| {
+                run_second(stream, runs);
+                reset(stream.get_ref());
+            },
+            502,
+            1,
+        ),
+        ("reads, runs and closes in good order", run_second, 502, 1),
+        (
+            "resets after half of the answer",
+            |stream, runs| {
+                run_second(stream, runs);
+                write(stream, b"HTTP/1.1 200 OK\r\nIvygate-Attempt-Id: b\r\nIvygate-Server-Seal: s\r\n");
+                write(stream, b"Content-Length: 9\r\n\r\nb");
+                reset(stream.get_ref());
+            },
+            502,
+            1,
+        ),
+        (
+            "closes after half of a head",
+            |stream, runs| {
+                run_second(stream, runs);
+                write(stream, b"HTTP/1.1 200 OK\r\nIvygate-Attempt-Id: b\r\n");
+            },
+            502,
+            1,
+        ),
+        (
+            "closes within a chunk",
+            |stream, runs| {
+                run_second(stream, runs);
+                write(stream, b"HTTP/1.1 200 OK\r\nIvygate-Attempt-Id: b\r\nIvygate-Server-Seal: s\r\n");
+                write(stream, b"Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n");
+            },
+            502,
+            1,
+        ),
+        (
+            "closes an answer whose end only the close would tell",
+            |stream, runs| {
+                run_second(stream, runs);
+                write(stream, b"HTTP/1.1 200 OK\r\nIvygate-Attempt-Id: b\r\nIvygate-Server-Seal: s\r\n\r\nb");
+            },
+            502,
+            1,
+        ),
+        (
+            "answers the request before once more, and then this one",
+            |stream, runs| {
+                run_second(stream, runs);
+                write(stream, &whole("200 OK", "a", SEALED));
+                write(stream, &whole("200 OK", "b", SEALED));
+            },
+            502,
+            1,
+        ),
+        (
+            "answers the one before in the same moment as it asks for it",
+            |stream, runs| {
+                arrived(stream);
+                write(stream, &whole("200 OK", "a", SEALED));
+                run_second(stream, runs);
+            },
+            502,
+            1,
+        ),
+        (
+            "answers with what is no answer",
+            |stream, runs| {
+                run_second(stream, runs);
+                write(stream, b"\x16\x03\x01 no HTTP at all\r\n\r\n");
+            },
+            502,
+            1,
+        ),
+        (
+            "answers twice",
+            |stream, runs| {
+                run_second(stream, runs);
+                let answer = whole("200 OK", "b", SEALED);
+                write(stream, &[&answer[..], &answer].concat());
+                serve(stream, runs);
+            },
+            200,
+            1,
+        ),
+        (
+            "says that it did not run",
+            |stream, _| {
+                read_message(stream).expect("a second request");
+                write(stream, &whole("503 Service Unavailable", "b", AWAY));
+            },
+            200,
+            1,
+        ),
+    ];
+    for (what, script, status, ran) in rows {
+        let ((told, id), runs) = second("once", script);
+        assert_eq!((told, runs), (status, ran), "{what}");
+        assert!(told != 200 || id == "b", "{what}: it bears '{id}'");
+    }
+}
+
+#[test]
+fn given_a_server_in_trouble_when_a_request_may_run_again_then_it_is_sent_anew_and_bears_its_own_answer() {
+    let scripts: [Script; 4] = [
+        |stream, runs| {
+            run_second(stream, runs);
+            reset(stream.get_ref());
+        },
+        |stream, runs| {
+            run_second(stream, runs);
+            write(stream, &whole("200 OK", "a", SEALED));
+        },
+        |stream, runs| {
+            run_second(stream, runs);
+            write(stream, b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nIvygate-Attempt-Id: b\r\n\r\nb");
+        },
+        |stream, runs| {
+            run_second(stream, runs);
+            write(
+                stream,
+                &whole("200 OK", "b", "Ivygate-Server-Seal: s\r\nContent-Encoding: gzip\r\n")[..40],
+            );
+        },
+    ];
+    for script in scripts {
+        assert_eq!(second("often", script), ((200, "b".to_owned()), 2));
+    }
+}
+
+/// Two requests one behind the other, with what the server does to the connection between them. Tells the answer to the
+/// second, how often it ran, and how many connections were made.
+fn between(more: &'static str, script: Script) -> ((u16, String), usize, usize) {
+    let runs = Runs::default();
+    let (done, is_done) = std::sync::mpsc::channel();
+    let (ran, done) = (runs.clone(), Mutex::new(done));
+    let server = Scripted::start(move |stream, number| {
+        if number > 0 {
+            return serve(stream, &ran);
+        }
+        let first = read_message(stream).expect("a request");
+        write(stream, &whole("200 OK", &id(&first), &format!("{SEALED}{more}")));
+        script(stream, &ran);
+        let closed = stream.get_ref().try_clone().expect("a handle");
+        let _ = closed.shutdown(std::net::Shutdown::Both);
+        done.lock().expect("no panic").send(()).expect("the test waits");
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let told = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let driver = driver(server.address);
+        assert_eq!(told(&ask(&driver, "once", "a").await), (200, "a".to_owned()));
+        // The node hears nothing meanwhile: what comes is met by its look at the connection.
+        is_done.recv().expect("the server is through");
+        told(&ask(&driver, "once", "b").await)
+    });
+    (told, runs.of("b"), server.accepted())
+}
+
+#[test]
+fn given_a_kept_connection_that_was_closed_or_brought_more_when_the_next_request_comes_then_it_takes_another()
+{
+    let scripts: [Script; 3] = [
+        |_, _| {},
+        |stream, _| reset(stream.get_ref()),
+        |stream, _| write(stream, &whole("200 OK", "a", SEALED)),
+    ];
+    for script in scripts {
+        assert_eq!(between("", script), ((200, "b".to_owned()), 1, 2));
+    }
+}
+
+#[test]
+fn given_a_silent_server_when_the_time_is_up_then_its_late_answer_reaches_nobody() {
+    let runs = Runs::default();
+    let ran = runs.clone();
+    let server = Scripted::start(move |stream, number| {
+        if number > 0 {
+            return serve(stream, &ran);
+        }
+        run_second(stream, &ran);
+        // Ends when the node has closed the connection: whatever is written now has nobody to read it.
+        assert!(read_message(stream).is_none(), "nothing else comes on it");
+        write(stream, &whole("200 OK", "a", SEALED));
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let driver = driver(server.address);
+        assert_eq!(told(&ask_for(&driver, "once", "a", 300.0).await), (504, String::new()));
+        assert_eq!(told(&ask(&driver, "often", "b").await), (200, "b".to_owned()));
+    });
+    assert_eq!((runs.of("a"), runs.of("b")), (1, 1));
+}
+
+#[test]
+fn given_a_server_that_tells_how_long_it_keeps_a_connection_when_that_is_nearly_over_then_the_next_takes_another(
+) {
+    // What it tells; the time between two requests; the connections that they take.
+    let rows = [
+        ("", 59_000, 1),
+        ("", 61_000, 2),
+        ("Keep-Alive: timeout=5, max=100\r\n", 4_400, 1),
+        ("Keep-Alive: max=100, timeout=5\r\n", 4_600, 2),
+        ("Keep-Alive: timeout=1\r\n", 500, 1),
+        ("Keep-Alive: timeout=1\r\n", 700, 2),
+        ("Keep-Alive: timeout=90\r\n", 61_000, 2),
+        ("Keep-Alive: timeout=soon\r\n", 59_000, 1),
+    ];
+    for (told_time, pause, connections) in rows {
+        let server = Scripted::start(move |stream, _| {
+            while let Some(request) = read_message(stream) {
+                write(stream, &whole("200 OK", &id(&request), &format!("{SEALED}{told_time}")));
+            }
+        });
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let driver = driver(server.address);
+            assert_eq!(told(&ask(&driver, "once", "a").await), (200, "a".to_owned()));
+            tokio::time::pause();
+            tokio::time::advance(Duration::from_millis(pause)).await;
+            tokio::time::resume();
+            assert_eq!(told(&ask(&driver, "once", "b").await), (200, "b".to_owned()));
+        });
+        assert_eq!(server.accepted(), connections, "{told_time}{pause}");
+    }
+}
