Own calls bear an id that the answer brings back; none is sent again, none taken late

Nothing told an answer on a kept connection to be the call's own: a copy of the answer before, or a late one, was handed to the next caller (story: '/first' for '/second'). Half an answer whose end only the connection's end told passed for whole. An answer that lay there while the process stood still counted though its time was over. A kept connection that its peer had closed cost the call instead of a new connection, though not a byte had left. And a server began calls whose caller had left: an order that waited through a freeze, and was given to another registry since, ran all the same.

Each call bears `call-id`, a count, and its server echoes it. An answer with another id, or with none on a connection that has carried a call, is none. Strangers (the platform) know no ids: their answers count on a connection of their own. What comes after the call's time is late. A kept connection is looked at, past tokio, before it is used; a call of which nothing was written takes another. A server lets its connection be read once more before it begins a call.

Cost: 11 bytes and the digits of a count, each way. Ruled out: a new connection for each call (a round trip); ids by chance (longer, and no better within one process's connections).

--- a/crates/footbridge/src/server.rs
+++ b/crates/footbridge/src/server.rs
@@ -1,5 +1,6 @@
 //! The side that is called: one listener, each call read whole within a bound, one answer in JSON.
 
+use crate::client::CALL;
 use crate::errors::{Fault, Kind};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -76,6 +77,10 @@
             },
             Ok(Ok(body)) => {
                 turn.open();
+                // Guards against an order that waited while this process stood still, or a link was cut, and that has
+                // been given to another since: the connection is looked at once more, and where the caller has left,
+                // this call ends here.
+                tokio::task::yield_now().await;
                 let incoming = Incoming {
                     method: head.method.as_str().to_owned(),
                     path: head.uri.path().to_owned(),
@@ -89,6 +94,9 @@
         let mut response = Response::new(Full::new(Bytes::from(outgoing.body)));
         *response.status_mut() = outgoing.status;
         response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(call) = head.headers.get(CALL) {
+            response.headers_mut().insert(CALL, call.clone());
+        }
         Ok(response)
     }
 }
--- /dev/null
+++ b/crates/footbridge/tests/calls.rs
@@ -0,0 +1,312 @@
+//! Calls between own processes over real sockets: a peer that answers late, twice, for the call before, or half; one that
+//! breaks the connection; a caller that has left.
+
+use footbridge::{answer_of, serve, CallServer, Calls, Fault, Handler, Kind};
+use ivygate_standin::{read_message, reset, Message, Scripted};
+use std::cell::RefCell;
+use std::future::Future;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const WAIT: Duration = Duration::from_secs(10);
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test)
+}
+
+/// The answer of one of our own processes: it brings the call's id back.
+fn answered(call: &Message, text: &str) -> Vec<u8> {
+    let id = call.header("call-id").map_or_else(String::new, |id| format!("call-id: {id}\r\n"));
+    format!("HTTP/1.1 200 OK\r\n{id}content-length: {}\r\n\r\n{text}", text.len()).into_bytes()
+}
+
+fn write(stream: &mut BufReader<TcpStream>, bytes: &[u8]) {
+    // Where the other side has left, the test sees what came of it.
+    let _ = stream.get_mut().write_all(bytes);
+}
+
+/// Answers each call with its path.
+fn answer_all(stream: &mut BufReader<TcpStream>) {
+    while let Some(call) = read_message(stream) {
+        let path = call.start.split(' ').nth(1).expect("a path").to_owned();
+        write(stream, &answered(&call, &format!("\"{path}\"")));
+    }
+}
+
+async fn call(calls: &Calls, to: SocketAddr, path: &str) -> Result<String, Fault> {
+    calls.post(to, path, &"what", WAIT).await
+}
+
+type Script = fn(&mut BufReader<TcpStream>, Message, &AtomicUsize);
+
+/// One call that is answered, and another, which `script` gets and counts as run; other connections answer all. Tells
+/// what came of the second, how often it ran, and how many connections there were.
+fn second(script: Script) -> (Result<String, Fault>, usize, usize) {
+    let ran: Arc<AtomicUsize> = Arc::default();
+    let counted = ran.clone();
+    let peer = Scripted::start(move |stream, number| {
+        if number > 0 {
+            return answer_all(stream);
+        }
+        let first = read_message(stream).expect("a call");
+        write(stream, &answered(&first, "\"/first\""));
+        script(stream, first, &counted);
+    });
+    let came = run(async {
+        let calls = Calls::default();
+        assert_eq!(call(&calls, peer.address, "/first").await.as_deref(), Ok("/first"));
+        call(&calls, peer.address, "/second").await
+    });
+    (came, ran.load(Ordering::SeqCst), peer.accepted())
+}
+
+fn take(stream: &mut BufReader<TcpStream>, ran: &AtomicUsize) -> Message {
+    let call = read_message(stream).expect("a second call");
+    ran.fetch_add(1, Ordering::SeqCst);
+    call
+}
+
+#[test]
+fn given_a_peer_that_answers_for_the_call_before_when_that_comes_in_the_next_ones_place_then_nobody_gets_it()
+{
+    let scripts: [Script; 3] = [
+        |stream, first, ran| {
+            take(stream, ran);
+            write(stream, &answered(&first, "\"/first\""));
+        },
+        |stream, first, ran| {
+            let second = take(stream, ran);
+            write(stream, &answered(&first, "\"/first\""));
+            write(stream, &answered(&second, "\"/second\""));
+        },
+        // One without an id, on a connection that has carried another call.
+        |stream, _, ran| {
+            take(stream, ran);
+            write(stream, &answered(&Message::default(), "\"/first\""));
+        },
+    ];
+    for script in scripts {
+        let (came, ran, connections) = second(script);
+        assert_eq!(came.map_err(|fault| fault.kind), Err(Kind::Unreachable));
+        assert_eq!((ran, connections), (1, 1), "it is not sent again");
+    }
+}
+
+#[test]
+fn given_a_peer_that_breaks_off_when_a_call_may_have_run_then_it_is_not_sent_again_and_half_an_answer_is_none(
+) {
+    let scripts: [Script; 5] = [
+        |stream, _, ran| {
+            take(stream, ran);
+            reset(stream.get_ref());
+        },
+        |stream, _, ran| {
+            take(stream, ran);
+        },
+        |stream, _, ran| {
+            let id = take(stream, ran).header("call-id").unwrap_or_default().to_owned();
+            write(
+                stream,
+                format!("HTTP/1.1 200 OK\r\ncall-id: {id}\r\ncontent-length: 9\r\n\r\n1").as_bytes(),
+            );
+        },
+        // Half of a number is a number.
+        |stream, _, ran| {
+            let id = take(stream, ran).header("call-id").unwrap_or_default().to_owned();
+            write(stream, format!("HTTP/1.1 200 OK\r\ncall-id: {id}\r\n\r\n\"/sec\"").as_bytes());
+        },
+        |stream, _, ran| {
+            let id = take(stream, ran).header("call-id").unwrap_or_default().to_owned();
+            let head = format!("HTTP/1.1 200 OK\r\ncall-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n");
+            write(stream, format!("{head}6\r\n\"/sec\"\r\n").as_bytes());
+        },
+    ];
+    for (number, script) in scripts.into_iter().enumerate() {
+        let (came, ran, connections) = second(script);
+        assert_eq!(came.map_err(|fault| fault.kind), Err(Kind::Unreachable), "{number}");
+        assert_eq!((ran, connections), (1, 1), "{number}");
+    }
+}
+
+/// A peer that answers one call, does something to the connection, and says so.
+fn left(script: fn(&mut BufReader<TcpStream>)) -> (Scripted, Receiver<()>) {
+    let (done, is_done) = channel();
+    let done = Mutex::new(done);
+    let peer = Scripted::start(move |stream, number| {
+        if number > 0 {
+            return answer_all(stream);
+        }
+        let first = read_message(stream).expect("a call");
+        write(stream, &answered(&first, "\"/first\""));
+        script(stream);
+        let _ = stream.get_ref().shutdown(Shutdown::Both);
+        done.lock().expect("no panic").send(()).expect("the test waits");
+    });
+    (peer, is_done)
+}
+
+#[test]
+fn given_a_kept_connection_that_its_peer_has_closed_when_the_next_call_comes_then_it_is_made_on_another() {
+    for script in
+        [|_: &mut BufReader<TcpStream>| {}, |stream: &mut BufReader<TcpStream>| reset(stream.get_ref())]
+    {
+        let (peer, is_done) = left(script);
+        run(async {
+            let calls = Calls::default();
+            assert_eq!(call(&calls, peer.address, "/first").await.as_deref(), Ok("/first"));
+            // Nothing is heard meanwhile: the close is met only when the next call is about to be written.
+            is_done.recv().expect("the peer is through");
+            assert_eq!(call(&calls, peer.address, "/second").await.as_deref(), Ok("/second"));
+        });
+        assert_eq!(peer.accepted(), 2);
+    }
+}
+
+#[test]
+fn given_a_silent_peer_when_the_time_is_up_then_the_connection_ends_and_the_late_answer_reaches_nobody() {
+    let peer = Scripted::start(|stream, number| {
+        if number > 0 {
+            return answer_all(stream);
+        }
+        let first = read_message(stream).expect("a call");
+        assert!(read_message(stream).is_none(), "nothing else comes on it");
+        write(stream, &answered(&first, "\"/first\""));
+    });
+    run(async {
+        let calls = Calls::default();
+        let late: Result<String, Fault> =
+            calls.post(peer.address, "/first", &"what", Duration::from_millis(50)).await;
+        assert_eq!(late.map_err(|fault| fault.kind), Err(Kind::Late));
+        assert_eq!(call(&calls, peer.address, "/second").await.as_deref(), Ok("/second"));
+        // The connection that was given up ends by itself, not with the process.
+        while peer.ended.load(Ordering::SeqCst) == 0 {
+            tokio::task::yield_now().await;
+        }
+    });
+}
+
+#[test]
+fn given_a_process_that_stood_still_when_it_finds_an_answer_whose_time_is_up_then_that_is_none() {
+    let ((came, has_come), (go, may_go), (done, is_done)) = (channel(), channel(), channel());
+    let signals = Mutex::new((came, may_go, done));
+    let peer = Scripted::start(move |stream, _| {
+        let first = read_message(stream).expect("a call");
+        let (came, may_go, done) = &*signals.lock().expect("no panic");
+        came.send(()).expect("the test waits");
+        may_go.recv().expect("the test says when");
+        write(stream, &answered(&first, "\"/first\""));
+        done.send(()).expect("the test waits");
+    });
+    run(async {
+        let calls = Calls::default();
+        let asking = tokio::task::spawn_local(async move { call(&calls, peer.address, "/first").await });
+        while has_come.try_recv().is_err() {
+            tokio::task::yield_now().await;
+        }
+        // From here on this thread looks at nothing until the answer lies there and its time is up.
+        go.send(()).expect("the peer waits");
+        is_done.recv().expect("the peer answers");
+        tokio::time::pause();
+        tokio::time::advance(WAIT + WAIT).await;
+        tokio::time::resume();
+        let came = asking.await.expect("no panic");
+        assert_eq!(came.map_err(|fault| fault.kind), Err(Kind::Late));
+    });
+}
+
+#[test]
+fn given_a_stranger_that_knows_no_ids_when_it_is_called_then_its_answer_counts_on_a_connection_of_its_own() {
+    let peer = Scripted::start(|stream, _| {
+        while read_message(stream).is_some() {
+            write(stream, &answered(&Message::default(), "\"page\""));
+        }
+    });
+    run(async {
+        let calls = Calls::default();
+        for _ in 0..2 {
+            let page: Result<String, Fault> = calls.get(peer.address, "/instances", WAIT).await;
+            assert_eq!(page.as_deref(), Ok("page"));
+        }
+    });
+    assert_eq!(peer.accepted(), 2);
+}
+
+/// A server of calls that notes which it began, and its address.
+fn noting() -> (CallServer, SocketAddr, Rc<RefCell<Vec<String>>>) {
+    let begun: Rc<RefCell<Vec<String>>> = Rc::default();
+    let noted = begun.clone();
+    let handler: Handler = Rc::new(move |incoming| {
+        noted.borrow_mut().push(incoming.path.clone());
+        Box::pin(async move { answer_of(Ok(incoming.path)) })
+    });
+    // A port that was free a moment ago: a server of calls is always told its own.
+    let address =
+        std::net::TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a port");
+    (serve(address, handler).expect("it listens"), address, begun)
+}
+
+#[test]
+fn given_a_caller_that_has_left_when_its_call_is_read_then_it_is_not_begun() {
+    run(async {
+        let (_server, address, begun) = noting();
+        // All of it lies there before the server looks: the call, and the end of whoever made it.
+        let mut gone = TcpStream::connect(address).expect("it listens");
+        gone.write_all(b"POST /stale HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n").expect("it is taken");
+        drop(gone);
+        let calls = Calls::default();
+        assert_eq!(call(&calls, address, "/next").await.as_deref(), Ok("/next"));
+        assert_eq!(*begun.borrow(), ["/next"]);
+    });
+}
+
+#[test]
+fn given_half_a_call_when_its_caller_leaves_then_it_is_not_begun() {
+    run(async {
+        let (_server, address, begun) = noting();
+        let mut gone = TcpStream::connect(address).expect("it listens");
+        gone.write_all(b"POST /half HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\n123")
+            .expect("it is taken");
+        drop(gone);
+        let calls = Calls::default();
+        assert_eq!(call(&calls, address, "/next").await.as_deref(), Ok("/next"));
+        assert_eq!(*begun.borrow(), ["/next"]);
+    });
+}
+
+#[test]
+fn given_calls_behind_each_other_on_a_connection_when_they_are_answered_then_in_order_and_each_under_its_id()
+{
+    let (told, tell) = channel();
+    let (address_of, address) = channel();
+    let caller = std::thread::spawn(move || {
+        let mut stream = TcpStream::connect(address.recv().expect("it listens")).expect("it listens");
+        for id in 1..=3 {
+            let text =
+                format!("POST /{id} HTTP/1.1\r\nhost: h\r\ncall-id: {id}\r\ncontent-length: 0\r\n\r\n");
+            stream.write_all(text.as_bytes()).expect("it is taken");
+        }
+        let mut stream = BufReader::new(stream);
+        for _ in 0..3 {
+            let answer = read_message(&mut stream).expect("an answer");
+            let id = answer.header("call-id").expect("it bears an id").to_owned();
+            told.send((id, String::from_utf8(answer.body).expect("text"))).expect("the test waits");
+        }
+    });
+    run(async {
+        let (_server, own, _) = noting();
+        address_of.send(own).expect("the caller waits");
+        while !caller.is_finished() {
+            tokio::task::yield_now().await;
+        }
+    });
+    caller.join().expect("no panic");
+    let told: Vec<_> = tell.into_iter().collect();
+    let wanted = ["1", "2", "3"].map(|id| (id.to_owned(), format!("\"/{id}\"")));
+    assert_eq!(told, wanted);
+}
--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -555,6 +555,13 @@
     matches!(error.raw_os_error(), Some(23 | 24))
 }
 
+/// Whether the other side has sent something that is still unread, or has ended its sending. Asks the system itself: tokio
+/// may not have heard yet.
+pub fn has_news(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
 /// Why there was no whole answer.
 enum Broken {
     /// The connection ended or broke.
@@ -689,12 +696,6 @@
 }
 
 impl Counted {
-    /// Whether the other side has sent something that is still unread, or has ended its sending.
-    fn has_news(&self) -> bool {
-        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-        !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-    }
-
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &written {
             self.written.set(self.written.get() + *bytes as u64);
@@ -710,7 +711,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         // Guards against a stray second answer that tokio has not noticed yet.
-        if self.resting.get() && self.has_news() {
+        if self.resting.get() && has_news(&self.stream) {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         Pin::new(&mut self.stream).poll_read(cx, buf)
