A server's 503, 429 or 408 that proves nothing is no promise to a client

These statuses promise that a request has not run and never will. A server's own, without its word that it did not run the request, was passed on as it came, also where the request must not run twice and had run (story: 429, ran once).

For such requests the proxy answers 502 of its own then, without the server's stamp, which would vouch for another status. Requests that may be repeated get the server's words as before. Stories through the whole proxy, with a registry that tells it of routes and servers: servers that answer twice, for another, half, with no answer; requests behind each other; clients that leave.

--- a/crates/waymark/src/front.rs
+++ b/crates/waymark/src/front.rs
@@ -176,6 +176,7 @@
             body: Rc::new(Payload::whole(body)),
             tells: Some(tell),
         };
+        let once = head.once;
         let id = head.id.clone();
         let ask = Ask { head, deadline: now + wait, message };
         let Some(answer) = driver.arrive(ask) else {
@@ -190,7 +191,7 @@
         }
         let refused = matches!(answer, Answer::Refused(..));
         let crowd = service.map_or(0.0, |service| self.crowded(service, refused));
-        Ok(worded(answer, CROWDED * crowd))
+        Ok(worded(answer, CROWDED * crowd, once))
     }
 
     /// Counts a request of a service; tells the part of those of late that were refused.
@@ -273,8 +274,23 @@
     headers
 }
 
-fn worded(answer: Answer, least: Millis) -> Response<Full<Bytes>> {
+/// Whether a status promises that the request has not run and never will.
+fn promises(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+fn worded(answer: Answer, least: Millis, once: bool) -> Response<Full<Bytes>> {
     match answer {
+        // Guards a promise that the server has not made: where it has, its words are not passed on.
+        Answer::Whole(answer) if once && promises(answer.status()) => {
+            plain(StatusCode::BAD_GATEWAY, "failed; it may have run", 0.0)
+        }
         Answer::Whole(answer) => {
             let (mut parts, body) = answer.into_parts();
             parts.headers = without_hop_by_hop(parts.headers);
--- /dev/null
+++ b/crates/waymark/tests/resending.rs
@@ -0,0 +1,262 @@
+//! The whole proxy between clients and servers on real sockets, with a registry that tells it of routes and servers: whose
+//! answer a client gets, how often a server runs a request, and what is promised.
+
+use footbridge::{answer_of, serve, Boot, Fault, Handler, Kind};
+use hutbook::{Beaten, Server};
+use ivygate_standin::{read_message, reset, until, Client, Message, Scripted};
+use ropeteam::{News, Pull};
+use serde_json::json;
+use std::io::{BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use trailmap::{Item, Table};
+
+const SEALED: &str = "Ivygate-Server-Seal: s.1\r\n";
+
+/// An address of this test's own on loopback: a proxy is told its ports and those of others.
+fn own_address() -> Ipv4Addr {
+    static NUMBER: AtomicUsize = AtomicUsize::new(1);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst).to_le_bytes()[0];
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    Ipv4Addr::new(127, 64 | high & 63, low, number)
+}
+
+fn item(table: Table, name: &str, body: serde_json::Value) -> Arc<Item> {
+    Arc::new(Item::new(table, name, 1, Some(body)))
+}
+
+/// What the registry tells: routes `/once/` and `/often/` of one service with one server.
+fn told(server: SocketAddr) -> Vec<Arc<Item>> {
+    let route = |kind: &str, prefix: &str| {
+        json!({"vhost": "h.example", "pathPrefix": prefix, "kind": kind, "backend": "s", "tries": 4,
+               "timeoutS": 20, "targetS": 5, "public": true})
+    };
+    let server = Server {
+        backend: "s".to_owned(),
+        address: server,
+        zone: "north".to_owned(),
+        capacity: 8.0,
+        draining: false,
+        cold_s: 0.0,
+    };
+    vec![
+        item(Table::Backends, "s", json!({})),
+        item(Table::Routes, "once", route("mutating", "/once/")),
+        item(Table::Routes, "often", route("idempotent", "/often/")),
+        item(Table::Servers, "i-1", serde_json::to_value(server).expect("it can be written")),
+    ]
+}
+
+/// A registry that tells a proxy what it is given.
+fn registry(ip: Ipv4Addr, items: Vec<Arc<Item>>) {
+    let news = News::new(7);
+    news.merge(items);
+    let handler: Handler = std::rc::Rc::new(move |incoming| {
+        let news = news.clone();
+        Box::pin(async move {
+            news.freshen(0.0);
+            match incoming.path.as_str() {
+                "/beat" => answer_of(Ok(Beaten { version: 1, registries: vec![ip] })),
+                "/news" => {
+                    let pull: Pull = serde_json::from_slice(&incoming.body).expect("a pull");
+                    answer_of(Ok(news.pulled(pull).await))
+                }
+                _ => answer_of::<()>(Err(Fault::new(Kind::Unready, "it gives nothing else"))),
+            }
+        })
+    });
+    // It serves for as long as the test runs.
+    let _ = serve(SocketAddr::from((ip, 7741)), handler).expect("it listens");
+}
+
+/// A proxy in front of a server; where it takes clients.
+fn proxy(server: SocketAddr) -> SocketAddr {
+    let ip = own_address();
+    let http = SocketAddr::from((ip, 7800));
+    let text = json!({"hostname": "edge-1", "ip": ip, "az": "north", "region": "r",
+        "zones": {"north": "r"}, "portRange": [7740, 7742], "listen": {"http": http},
+        "seeds": [SocketAddr::from((ip, 7801))], "bounds": ["retryRatio=1.0", "retryExtra=100"]});
+    let boot = Boot::parse(&text.to_string()).expect("it is sound");
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            registry(ip, told(server));
+            waymark::run(boot).await.expect("it runs");
+        });
+    });
+    until("the proxy knows its routes", || {
+        let Ok(stream) = TcpStream::connect(http) else { return false };
+        let mut client = Client { stream: BufReader::new(stream) };
+        client.ask("GET /no-route HTTP/1.1\r\nHost: h.example\r\n\r\n").status() == 404
+    });
+    http
+}
+
+fn client(proxy: SocketAddr) -> Client {
+    Client { stream: BufReader::new(TcpStream::connect(proxy).expect("it listens")) }
+}
+
+fn request(route: &str, id: &str) -> String {
+    format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: h.example\r\nIvygate-Attempt-Id: {id}\r\n\
+         Ivygate-Deadline-Ms: 15000\r\nContent-Length: 2\r\n\r\nhi"
+    )
+}
+
+fn id(message: &Message) -> String {
+    message.header("ivygate-attempt-id").unwrap_or_default().to_owned()
+}
+
+/// A whole answer of a server, its body being the id.
+fn whole(status: &str, id: &str, more: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status}\r\nIvygate-Attempt-Id: {id}\r\n{more}Content-Length: {}\r\n\r\n{id}", id.len())
+        .into_bytes()
+}
+
+fn write(stream: &mut BufReader<TcpStream>, bytes: &[u8]) {
+    // Where the other side has left, the test sees what came of it.
+    let _ = stream.get_mut().write_all(bytes);
+}
+
+/// Requests that ran, by id.
+#[derive(Clone, Default)]
+struct Runs(Arc<Mutex<Vec<String>>>);
+
+impl Runs {
+    fn of(&self, id: &str) -> usize {
+        self.0.lock().expect("no panic").iter().filter(|ran| *ran == id).count()
+    }
+}
+
+/// What a server writes, and whether it then resets the connection.
+type Reply = (Vec<u8>, bool);
+
+/// A server that runs whatever comes and answers by a script, which gets the id and how many requests there were before.
+fn server(script: impl Fn(&str, usize) -> Reply + Send + Sync + 'static) -> (Scripted, Runs) {
+    let runs = Runs::default();
+    let (ran, count) = (runs.clone(), AtomicUsize::new(0));
+    let server = Scripted::start(move |stream, _| {
+        while let Some(request) = read_message(stream) {
+            let id = id(&request);
+            ran.0.lock().expect("no panic").push(id.clone());
+            let (bytes, breaks) = script(&id, count.fetch_add(1, Ordering::SeqCst));
+            write(stream, &bytes);
+            if breaks {
+                return reset(stream.get_ref());
+            }
+        }
+    });
+    (server, runs)
+}
+
+#[test]
+fn given_a_status_that_promises_what_the_server_did_not_when_a_request_must_not_run_twice_then_it_is_not_passed_on(
+) {
+    for status in ["429 Too Many Requests", "503 Service Unavailable", "408 Request Timeout"] {
+        let (server, runs) = server(move |id, _| (whole(status, id, SEALED), false));
+        let mut client = client(proxy(server.address));
+        let answer = client.ask(&request("once", "a"));
+        assert_eq!((answer.status(), runs.of("a")), (502, 1), "{status}");
+        assert_eq!(
+            answer.header("ivygate-server-seal"),
+            None,
+            "another status than the server's bears no seal"
+        );
+    }
+}
+
+#[test]
+fn given_an_answer_of_a_server_when_it_is_passed_on_then_status_body_seal_and_id_are_its_own() {
+    let (server, runs) = server(|id, number| {
+        let status = ["200 OK", "500 Internal Server Error", "418 Teapot"][number % 3];
+        (whole(status, id, SEALED), false)
+    });
+    let mut client = client(proxy(server.address));
+    for (name, status) in [("a", 200), ("b", 500), ("c", 418)] {
+        let answer = client.ask(&request("once", name));
+        assert_eq!((answer.status(), id(&answer), runs.of(name)), (status, name.to_owned(), 1));
+        assert_eq!(answer.header("ivygate-server-seal"), Some("s.1"));
+        assert_eq!(answer.body, name.as_bytes());
+    }
+}
+
+#[test]
+fn given_servers_in_trouble_when_clients_keep_asking_then_none_gets_anothers_answer_and_nothing_runs_twice() {
+    let (server, runs) = server(|id, number| {
+        let own = whole("200 OK", id, SEALED);
+        match number % 8 {
+            1 => ([&own[..], &own].concat(), false),
+            2 => (whole("200 OK", "elsewhere", SEALED), false),
+            3 => (Vec::new(), true),
+            4 => (own[..own.len() - 1].to_vec(), true),
+            5 => ([&own[..], b"no answer at all"].concat(), false),
+            6 => (whole("421 Misdirected Request", "elsewhere", ""), false),
+            7 => (whole("503 Service Unavailable", "elsewhere", "Ivygate-Not-Run: full\r\n"), false),
+            _ => (own, false),
+        }
+    });
+    let proxy = proxy(server.address);
+    let (mut client, mut served) = (client(proxy), 0);
+    for number in 0..60 {
+        let name = format!("t{number}");
+        let answer = client.ask(&request("once", &name));
+        let ran = runs.of(&name);
+        match answer.status() {
+            200 => {
+                assert_eq!((id(&answer), answer.body, ran), (name.clone(), name.into_bytes(), 1));
+                served += 1;
+            }
+            502 => assert!(ran <= 1, "{name} ran {ran} times"),
+            503 => assert_eq!(ran, 0, "{name}: a promise"),
+            other => panic!("{name} was answered {other}"),
+        }
+    }
+    assert!(served > 0, "some are served");
+}
+
+#[test]
+fn given_requests_behind_each_other_when_they_are_answered_then_in_order_and_each_its_own() {
+    let (server, _) = server(|id, _| (whole("200 OK", id, SEALED), false));
+    let mut client = client(proxy(server.address));
+    let all: String = ["a", "b", "c"].iter().map(|id| request("often", id)).collect();
+    client.write(all.as_bytes());
+    for name in ["a", "b", "c"] {
+        let answer = client.read().expect("an answer");
+        assert_eq!((id(&answer), answer.body), (name.to_owned(), name.as_bytes().to_vec()));
+    }
+}
+
+#[test]
+fn given_a_client_that_leaves_early_or_within_its_body_when_others_ask_then_they_get_their_own() {
+    let (begun, has_begun) = std::sync::mpsc::channel();
+    let begun = Mutex::new(begun);
+    let runs = Runs::default();
+    let ran = runs.clone();
+    let server = Scripted::start(move |stream, _| {
+        while let Some(request) = read_message(stream) {
+            let id = id(&request);
+            ran.0.lock().expect("no panic").push(id.clone());
+            if id == "gone" {
+                begun.lock().expect("no panic").send(()).expect("the test waits");
+                // Ends when the proxy has given the request up; the answer is late then.
+                assert!(read_message(stream).is_none(), "nothing else comes on that connection");
+            }
+            write(stream, &whole("200 OK", &id, SEALED));
+        }
+    });
+    let proxy = proxy(server.address);
+    let mut half = client(proxy);
+    half.write(&request("once", "half").as_bytes()[..request("once", "half").len() - 1]);
+    drop(half);
+    let mut gone = client(proxy);
+    gone.write(request("often", "gone").as_bytes());
+    has_begun.recv().expect("the server has it");
+    drop(gone);
+    let mut next = client(proxy);
+    for name in ["a", "b"] {
+        let answer = next.ask(&request("once", name));
+        assert_eq!((answer.status(), id(&answer)), (200, name.to_owned()));
+    }
+    assert_eq!((runs.of("half"), runs.of("gone")), (0, 1));
+}
