--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -45,6 +45,8 @@
 /// Part of the time after which app servers close an idle connection for which one is kept here: a request
 /// written to a connection that the other side is just closing is a reset.
 const KEEP_PART: f64 = 0.6;
+/// And where the server itself tells it, the connection is let go this long before: the close is on its way then.
+const KEEP_WAY: Duration = Duration::from_millis(500);
 /// Where the settings tell no such time.
 const KEEP_UNTOLD: Duration = Duration::from_secs(4);
 /// And where they tell no time for connecting.
@@ -246,6 +248,8 @@
     /// Nothing is asked, so that anything to be read is too much.
     resting: Rc<Cell<bool>>,
     address: SocketAddr,
+    /// How long it is kept while idle, by the limits and by what the server last told.
+    keep: Duration,
 }
 
 impl Link {
@@ -330,16 +334,15 @@
 
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
-        let keep = self.limits.keep;
         self.idle.borrow_mut().retain(|_, links| {
-            links.retain(|idle| idle.since.elapsed() < keep);
+            links.retain(|idle| idle.since.elapsed() < idle.link.keep);
             !links.is_empty()
         });
     }
 
     /// One attempt. `request` is asked for the request when a connection stands and just before its first
     /// byte is written; `None` means that it must not be sent any more. `once` says that it must not be sent
-    /// again once it has been.
+    /// again once it has been, `again` that this server has been sent it before.
     ///
     /// Dropping the future gives the attempt up and closes its connection.
     pub(crate) async fn attempt(
@@ -348,12 +351,15 @@
         address: SocketAddr,
         progress: &Progress,
         once: bool,
+        again: bool,
         request: impl Fn(&Rc<Sent>) -> Option<Request<Outgoing>>,
     ) -> End {
         loop {
             // Guards requests that can't be repeated against servers that end kept connections unsaid: a new
             // connection costs a handshake, a reset the whole request.
-            let trusted = !once || self.broke.get() < BROKE_MOST;
+            // And against a copy of the server's answer to the same request, which bears the same id: a second
+            // refusal would pass for one of this attempt, which runs.
+            let trusted = !again && (!once || self.broke.get() < BROKE_MOST);
             let kept = if trusted { self.idle_link(server, address).await } else { None };
             let (link, reused) = match kept {
                 Some(link) => (link, true),
@@ -365,7 +371,7 @@
             // Guards against what happened while connecting: the client left, the server drains, time is up.
             let Some(request) = request(&progress.sent) else { return End::bare(Outcome::Moot) };
             progress.begin(&link.written);
-            let answer = self.exchange(server, link, request).await;
+            let answer = self.exchange(server, link, reused, request).await;
             if reused && progress.may_have_run() {
                 let broke = f64::from(u8::from(matches!(answer, Err(Broken::Lost))));
                 self.broke.set(self.broke.get() + BROKE_WEIGHT * (broke - self.broke.get()));
@@ -388,6 +394,7 @@
         self: &Rc<Self>,
         server: ServerId,
         mut link: Box<Link>,
+        reused: bool,
         request: Request<Outgoing>,
     ) -> Result<End, Broken> {
         let echo = match &self.reading {
@@ -410,6 +417,7 @@
             Poll::Pending
         })
         .await?;
+        link.keep = kept_for(answer.headers(), self.limits.keep);
         match &self.reading {
             Reading::Platform => {
                 let reading = pin!(read_whole(answer, BODY_MOST));
@@ -424,10 +432,12 @@
                 let reading = pin!(read_whole(answer, seal.most));
                 let whole = drive_while(&mut link, reading).await?;
                 // Guards against a surplus answer to an earlier request, and against bytes that no server's
-                // application made.
-                if whole.headers.get(&seal.echo) != echo.as_ref()
-                    && whole.status != StatusCode::MISDIRECTED_REQUEST
-                {
+                // application made. Whoever has the address by now may turn a request away without a word on
+                // which; on a connection that has carried no other there is but the one.
+                let untold = !reused
+                    && whole.status == StatusCode::MISDIRECTED_REQUEST
+                    && !whole.headers.contains_key(&seal.echo);
+                if whole.headers.get(&seal.echo) != echo.as_ref() && !untold {
                     return Err(Broken::Spoilt);
                 }
                 let outcome = (seal.judge)(whole.status, &whole.headers);
@@ -479,7 +489,7 @@
                 sleep(self.limits.rest - rested).await;
             }
             let mut link = idle.link;
-            if rested < self.limits.keep && link.address == address && link.usable().await {
+            if rested < link.keep && link.address == address && link.usable().await {
                 return Some(link);
             }
         }
@@ -517,7 +527,8 @@
             .handshake(TokioIo::new(counted))
             .await
             .map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Box::new(Link { sender, connection: Some(connection), written, resting, address }))
+        let keep = self.limits.keep;
+        Ok(Box::new(Link { sender, connection: Some(connection), written, resting, address, keep }))
     }
 
     /// Makes room by closing the connection that has been idle longest.
@@ -528,11 +539,29 @@
     }
 }
 
+/// How long an idle connection is kept, at most, where its server tells when it closes one: `Keep-Alive: timeout=5`, in
+/// whole seconds.
+fn kept_for(headers: &HeaderMap, most: Duration) -> Duration {
+    let told = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let told = told.and_then(|told| told.split(',').find_map(|part| part.trim().strip_prefix("timeout=")));
+    let Some(told) = told.and_then(|seconds| seconds.parse().ok()).map(Duration::from_secs) else {
+        return most;
+    };
+    told.saturating_sub(KEEP_WAY).max(told.mul_f64(KEEP_PART)).min(most)
+}
+
 /// Whether an error says that this process or machine has no descriptor left (EMFILE, ENFILE).
 pub fn out_of_descriptors(error: &io::Error) -> bool {
     matches!(error.raw_os_error(), Some(23 | 24))
 }
 
+/// Whether the other side has sent something that is still unread, or has ended its sending. Asks the system itself: tokio
+/// may not have heard yet.
+pub fn has_news(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
 /// Why there was no whole answer.
 enum Broken {
     /// The connection ended or broke.
@@ -667,12 +696,6 @@
 }
 
 impl Counted {
-    /// Whether the other side has sent something that is still unread, or has ended its sending.
-    fn has_news(&self) -> bool {
-        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-        !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-    }
-
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &written {
             self.written.set(self.written.get() + *bytes as u64);
@@ -688,7 +711,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         // Guards against a stray second answer that tokio has not noticed yet.
-        if self.resting.get() && self.has_news() {
+        if self.resting.get() && has_news(&self.stream) {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         Pin::new(&mut self.stream).poll_read(cx, buf)
