Contact of a follower counts from its question, not from its reading

A follower that stood still for 20 s and then read the answer that had waited for it took the age told there as its own: it believed itself in touch with the core and served, granted and answered by it.

An answer now tells how long it was held (heldMs, 0 where it is missing); its age when read is the age told and all time since the question but that. It is never below the age told. The arithmetic and the last contact are `age_when_read` and `Contact`, which are passed the times.

Ruled out: half of the way as the age of a message (ways may differ), and dropping late answers whole (their items are news all the same).

--- a/crates/ropeteam/src/lib.rs
+++ b/crates/ropeteam/src/lib.rs
@@ -3,11 +3,13 @@
 //!
 //! Called by the three programs. Must never decide what the news means.
 
+mod contact;
 mod follower;
 mod news;
 mod node;
 mod ring;
 
+pub use contact::{age_when_read, Contact};
 pub use follower::Follower;
 pub use news::{follow, News, Pull, Pulled, Source};
 pub use node::{Node, Role};
--- a/crates/ropeteam/src/news.rs
+++ b/crates/ropeteam/src/news.rs
@@ -1,5 +1,6 @@
 //! A process's copy of control state, and pulls of what is new in it. A pull waits for news for a moment.
 
+use crate::contact::{age_when_read, Contact};
 use crate::follower::Follower;
 use crate::Millis;
 use footbridge::{Calls, Fault, Kind};
@@ -46,6 +47,10 @@
     pub change: u64,
     /// How long ago it was surely in touch with more than half of the core, in milliseconds.
     pub age: Millis,
+    /// How long the pull was held before that was told, in milliseconds: only the rest of the time since the question
+    /// adds to the age.
+    #[serde(default, rename = "heldMs")]
+    pub held: Millis,
     /// What is new.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub items: Vec<Arc<Item>>,
@@ -56,14 +61,20 @@
     items: RefCell<Items>,
     changed: Notify,
     life: u64,
-    /// When it was last surely in touch with more than half of the core.
-    fresh: Cell<Option<Instant>>,
+    start: Instant,
+    contact: Cell<Contact>,
 }
 
 impl News {
     /// An empty copy; `life` must differ from that of earlier ones of this process.
     pub fn new(life: u64) -> Rc<Self> {
-        Rc::new(Self { items: RefCell::default(), changed: Notify::new(), life, fresh: Cell::new(None) })
+        Rc::new(Self {
+            items: RefCell::default(),
+            changed: Notify::new(),
+            life,
+            start: Instant::now(),
+            contact: Cell::default(),
+        })
     }
 
     /// What it holds.
@@ -87,17 +98,20 @@
         self.items.borrow_mut().forget(keys);
     }
 
-    /// It was in touch with more than half of the core so long ago.
+    fn now(&self) -> Millis {
+        self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// It was in touch with more than half of the core so long ago, in milliseconds.
     pub fn freshen(&self, age: Millis) {
-        let at = Instant::now().checked_sub(Duration::from_secs_f64((age / 1000.0).clamp(0.0, 86_400.0)));
-        if let Some(at) = at.filter(|at| self.fresh.get().is_none_or(|known| *at > known)) {
-            self.fresh.set(Some(at));
-        }
+        let mut contact = self.contact.get();
+        contact.freshen(self.now(), age);
+        self.contact.set(contact);
     }
 
-    /// How long ago that was.
+    /// How long ago that was, in milliseconds; a day where it never was.
     pub fn age(&self) -> Millis {
-        self.fresh.get().map_or(86_400_000.0, |at| at.elapsed().as_secs_f64() * 1000.0)
+        self.contact.get().age(self.now())
     }
 
     /// Waits for the next change.
@@ -109,6 +123,7 @@
     pub async fn pulled(&self, pull: Pull) -> Pulled {
         let tables = Tables::from_bits_truncate(pull.tables);
         let since = if pull.life == self.life { pull.since } else { 0 };
+        let begun = self.now();
         let end = Instant::now() + Duration::from_secs_f64(pull.hold.clamp(0.0, 5.0));
         loop {
             let changed = self.changed.notified();
@@ -118,7 +133,8 @@
             };
             let over = Instant::now() >= end || pull.life != self.life;
             if !items.is_empty() || over {
-                return Pulled { life: self.life, change, age: self.age(), items };
+                let held = self.now() - begun;
+                return Pulled { life: self.life, change, age: self.age(), held, items };
             }
             let _ = timeout(end - Instant::now(), changed).await;
         }
@@ -151,19 +167,20 @@
                 continue;
             };
             let pull = Pull { life, since, hold: HOLD, tables: tables.bits() };
-            let asked = Instant::now();
+            let asked = now();
             let wait = Duration::from_secs_f64(HOLD + PATIENCE);
             let answer: Result<Pulled, Fault> = calls.post(to, PATH, &pull, wait).await;
             match answer {
                 Ok(pulled) => {
-                    follower.came(now(), to, pulled.life, pulled.change, pulled.age);
-                    news.freshen(pulled.age);
+                    let age = age_when_read(asked, now(), pulled.age, pulled.held);
+                    follower.came(now(), to, pulled.life, pulled.change, age);
+                    news.freshen(age);
                     let came = news.merge(pulled.items);
                     if !came.is_empty() {
                         source.came(came);
                     }
                     // Guards against a parent that answers at once, always.
-                    if asked.elapsed() < Duration::from_millis(5) {
+                    if now() < asked + 5.0 {
                         sleep(Duration::from_millis(5)).await;
                     }
                 }
