A follower resumes at every parent, and a good one behind bad ones is reached

Found by a model of the follower (300 seeded plays of 120 s, four parents that are cut off, restart and lose touch; a follower that stands still):

- Three bad parents before a good one were tried in turn for ever: each was left alone for 2 s, one that is mute takes 1.5 s, so the first was due again before the fourth's turn came.
- Where all parents are out of touch they are asked in turn, and each time for everything from the beginning, without a pause: with thousands of items that is megabytes a round trip in the worst moment.

Ruled out: asking at random (the nearest first saves bytes between zones), and one cursor for all (a change number means nothing at another copy).

--- a/crates/ropeteam/src/news.rs
+++ b/crates/ropeteam/src/news.rs
@@ -173,12 +173,16 @@
             match answer {
                 Ok(pulled) => {
                     let age = age_when_read(asked, now(), pulled.age, pulled.held);
-                    follower.came(now(), to, pulled.life, pulled.change, age);
+                    let in_touch = follower.came(now(), to, pulled.life, pulled.change, age);
                     news.freshen(age);
                     let came = news.merge(pulled.items);
                     if !came.is_empty() {
                         source.came(came);
                     }
+                    // Where all are out of touch they are asked in turn, without haste.
+                    if !in_touch {
+                        sleep(PAUSE).await;
+                    }
                     // Guards against a parent that answers at once, always.
                     if now() < asked + 5.0 {
                         sleep(Duration::from_millis(5)).await;
--- a/crates/ropeteam/tests/follower.rs
+++ b/crates/ropeteam/tests/follower.rs
@@ -42,3 +42,33 @@
         "the one that failed first"
     );
 }
+
+#[test]
+fn given_all_parents_out_of_touch_when_they_are_asked_in_turn_then_each_tells_only_what_is_new_since_its_last(
+) {
+    let mut follower = Follower::default();
+    let all = [at(1), at(2)];
+    for (port, life, change) in [(1, 7, 40), (2, 8, 50)] {
+        assert_eq!(follower.next(0.0, &all), Some((at(port), 0, 0)));
+        assert!(!follower.came(0.0, at(port), life, change, 9_000.0));
+    }
+    assert_eq!(follower.next(10.0, &all), Some((at(1), 7, 40)), "not all of it once more");
+    follower.came(20.0, at(1), 7, 41, 9_000.0);
+    assert_eq!(follower.next(30.0, &all), Some((at(2), 8, 50)));
+}
+
+#[test]
+fn given_three_bad_parents_before_a_good_one_when_they_stay_bad_then_the_good_one_is_asked_soon() {
+    let (mut follower, mut now) = (Follower::default(), 0.0);
+    let all = [at(1), at(2), at(3), at(4)];
+    while let Some((to, ..)) = follower.next(now, &all).filter(|(to, ..)| *to != at(4)) {
+        if to == at(1) {
+            now += 700.0;
+            follower.came(now, to, 7, 40, 9_000.0);
+        } else {
+            now += 1_500.0;
+            follower.failed(now, to, false);
+        }
+        assert!(now < 10_000.0, "they are asked in turn for ever");
+    }
+}
--- /dev/null
+++ b/crates/ropeteam/tests/model.rs
@@ -0,0 +1,133 @@
+//! Plays of a process that follows parents which are cut off, stand still, restart and lose touch with the core, while it
+//! stands still itself now and then. Seeded; time is counted, not waited for.
+
+use fastrand::Rng;
+use ropeteam::{age_when_read, Contact, Follower};
+use std::net::SocketAddr;
+use trailmap::{Item, Items, Table, Tables};
+
+const PARENTS: usize = 4;
+/// The whole wait for an answer, as the caller of pulls has it, and the pause after a failure.
+const WAIT: f64 = 1_400.0;
+const PAUSE: f64 = 100.0;
+/// News older than this are those of a parent out of touch; a pull that is held and its way back are not in it.
+const OLD: f64 = 3_500.0;
+const HELD: f64 = 800.0;
+/// While some parent is sound all the time, no contact gets older than this: it is `OLD` before a parent is left, and then
+/// three others may be mute.
+const OLDEST: f64 = OLD + HELD + 3.0 * (WAIT + PAUSE);
+
+struct Parent {
+    life: u64,
+    items: Items,
+    contact: Contact,
+    /// Its ways to the core and to the follower.
+    touches: bool,
+    reached: bool,
+}
+
+fn at(n: usize) -> SocketAddr {
+    ([10, 0, 0, 1], n as u16 + 1).into()
+}
+
+/// How often the follower was in touch, of all turns.
+fn play(seed: u64) -> (u32, u32) {
+    let mut rng = Rng::with_seed(seed);
+    let parent = |life| Parent {
+        life,
+        items: Items::default(),
+        contact: Contact::default(),
+        touches: true,
+        reached: true,
+    };
+    let mut parents: Vec<Parent> = (0..PARENTS).map(|n| parent(n as u64 + 1)).collect();
+    let candidates: Vec<SocketAddr> = (0..PARENTS).map(at).collect();
+    let (mut core, mut lives) = (Items::default(), 100);
+    let (mut follower, mut copy, mut contact) = (Follower::default(), Items::default(), Contact::default());
+    // Since when each parent is sound and nothing stood still.
+    let (mut now, mut sound_since) = (0.0_f64, [0.0_f64; PARENTS]);
+    let (mut fresh, mut turns) = (0, 0);
+    while now < 120_000.0 {
+        // The world: changes of the core, faults, and parents that keep up as far as they are in touch.
+        let change = format!("item-{}", rng.u8(..6));
+        let version = core.version(Table::Tenants, &change) + 1;
+        core.merge(Item::new(Table::Tenants, change, version, (rng.u8(..5) > 0).then(|| version.into())));
+        if rng.u8(..12) == 0 {
+            let one = &mut parents[rng.usize(..PARENTS)];
+            match rng.u8(..4) {
+                0 => one.touches = !one.touches,
+                1 => one.reached = !one.reached,
+                2 => {
+                    lives += 1;
+                    *one = parent(lives);
+                }
+                _ => (one.touches, one.reached) = (true, true),
+            }
+        }
+        for parent in parents.iter_mut().filter(|parent| parent.touches) {
+            parent.contact.freshen(now, 300.0);
+            for item in core.all(Tables::all()) {
+                parent.items.merge_shared(item.clone());
+            }
+        }
+        for (since, parent) in sound_since.iter_mut().zip(&parents) {
+            if !(parent.touches && parent.reached) {
+                *since = f64::INFINITY;
+            } else if since.is_infinite() {
+                *since = now;
+            }
+        }
+        // One pull.
+        let (to, life, since) = follower.next(now, &candidates).expect("there are candidates");
+        let (asked, one) = (now, &parents[candidates.iter().position(|c| *c == to).expect("one of them")]);
+        if !one.reached {
+            let gone = rng.bool();
+            now += PAUSE + if gone { 1.0 } else { WAIT };
+            follower.failed(now, to, gone);
+        } else {
+            let since = if life == one.life { since } else { 0 };
+            let news = one.items.since(since, Tables::all());
+            let held = if news.is_empty() { 600.0 } else { 0.0 };
+            let (age, change, life, mine) =
+                (one.contact.age(now + held), one.items.changes(), one.life, one.items.clone());
+            // The follower may stand still before it reads.
+            let frozen = rng.u8(..40) == 0;
+            now += held + rng.f64() * 100.0 + if frozen { 20_000.0 } else { 0.0 };
+            let read = age_when_read(asked, now, age, held);
+            let in_touch = follower.came(now, to, life, change, read);
+            contact.freshen(now, read);
+            for item in news {
+                copy.merge_shared(item);
+            }
+            // Nothing that the parent had is lacking, whoever was asked in between.
+            for item in mine.all(Tables::all()) {
+                let had = copy.version(Table::Tenants, &item.key.name);
+                assert!(had >= item.version, "seed {seed}: {} of {}", had, item.version);
+            }
+            // Its contact is never younger than that of whom it rests on.
+            assert!(contact.age(now) <= read + 1e-6 && read >= age, "seed {seed}");
+            assert!(!frozen || read >= 20_000.0, "seed {seed}: what stood still counts");
+            now += if in_touch { 5.0 } else { PAUSE };
+            if frozen {
+                sound_since.iter_mut().filter(|since| since.is_finite()).for_each(|since| *since = now);
+            }
+        }
+        turns += 1;
+        fresh += u32::from(contact.age(now) < OLD);
+        if sound_since.iter().any(|since| now > since + OLDEST) {
+            assert!(contact.age(now) < OLDEST, "seed {seed}: {} at {now}", contact.age(now));
+        }
+    }
+    (fresh, turns)
+}
+
+#[test]
+fn given_parents_in_any_trouble_when_one_is_sound_then_the_follower_lacks_nothing_it_had_and_is_soon_in_touch(
+) {
+    let (mut fresh, mut turns) = (0, 0);
+    for seed in 0..300 {
+        let (of, all) = play(seed);
+        (fresh, turns) = (fresh + of, turns + all);
+    }
+    assert!(fresh > turns / 2 && fresh < turns, "both happen: {fresh} of {turns}");
+}
