Shares: quotas hold over changes of the keeper, late reports and other lives

Read and then brought about by a model of keepers and proxies (messages lost, doubled, late, reordered; freezes, cuts, restarts, keepers that change while the one before does not know it; clocks 2 in 100 apart):

- A new keeper counted an even part for a proxy that it had not heard of.
One with most of a quota that was cut off made 1.23 of 1.1.
Now what those that were heard did not have is counted as in use, until all that were known are proven to live, or dead for 30 s.
- A report told the number of a grant, not its epoch: a lost grant with the same number freed what was in use (1.39).
Reports carry both.
- A quiet proxy rose from its small part to an even one under a new keeper that nobody had told of the tenant (1.19).
What is named counts as asked.
- A report of an ended life, read late, replaced the living one (1.21).
Another life gets what it says it has, and counts beside the known one until it says that it uses that answer: only one that lives can.
- A lapsed proxy told its whole part to a new keeper, which renewed what the one before had given away; and a keeper halved a silent proxy that another may have renewed.
Reports tell what is in force; a lease counts as over when the keeper was in touch with the core after its end.
- A proxy took the answer to a report before its last; it does not now.
- The keeper was thrown away at each loss of touch.
Its successor under the same epoch counted from 1, and proxies refused all it gave until it was past the old number.
It is kept while the epoch stays.
- A tenant's entry was forgotten by the proxy after 30 s and fell back to the even slice while its part was lower; what others have of tenants that are not named was not summed up.

Ruled out: a pause of one lease at each change (half quotas for 2 s), a longer lease at the keeper (starves restarted proxies).

--- a/crates/hutbook/examples/slopes.rs
+++ b/crates/hutbook/examples/slopes.rs
@@ -98,10 +98,10 @@
     }
     let told = rations.report(20.0);
     for name in known.keys() {
-        keeper.report(6_000.0, name, &told, &known, |_| 100.0);
+        keeper.report(6_000.0, 0.0, name, &told, &known, |_| 100.0);
     }
-    let spent = time(|| keeper.report(6_100.0, &node(0).name(), &told, &known, |_| 100.0));
-    let grant = keeper.report(6_200.0, &node(0).name(), &told, &known, |_| 100.0);
+    let spent = time(|| keeper.report(6_100.0, 0.0, &node(0).name(), &told, &known, |_| 100.0));
+    let grant = keeper.report(6_200.0, 0.0, &node(0).name(), &told, &known, |_| 100.0);
     let bytes =
         serde_json::to_vec(&told).map_or(0, |b| b.len()) + serde_json::to_vec(&grant).map_or(0, |b| b.len());
     (spent, bytes as f64)
--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -50,6 +50,8 @@
 const STORE: Duration = Duration::from_millis(3_000);
 /// One that was in touch with the core longer ago than this gives no shares out, in milliseconds.
 const FRESH: f64 = 3_500.0;
+/// By then a registry has heard of all nodes since its start, in milliseconds: a heartbeat and a comparison, each twice.
+const HEARD: f64 = 2_500.0;
 /// How long a client holds an answer, in seconds, where the rules allow as much.
 const TTL: f64 = 1.5;
 
@@ -412,11 +414,16 @@
     /// Gives shares of quotas out, while that is its duty and it is in touch with the core.
     fn grant(&self, asking: &Asking) -> Result<Grant, Fault> {
         let items = self.news.items();
-        if !self.book.borrow().holds(&items) || self.news.age() > FRESH {
-            self.keeper.replace(None);
-            return Err(Fault::new(Kind::Unready, "another registry gives shares out, or none can"));
+        let (now, age, epoch) = (self.now(), self.news.age(), self.book.borrow().epoch());
+        let unready = || Fault::new(Kind::Unready, "another registry gives shares out, or none can");
+        // What was given out under this epoch is remembered while it is out of touch: it gives on from there.
+        if !self.book.borrow().holds(&items) || age > FRESH {
+            return Err(unready());
+        }
+        // Before it has heard who is there, it can't tell who has a share of an earlier epoch.
+        if epoch > 1 && now < HEARD {
+            return Err(unready());
         }
-        let (now, epoch) = (self.now(), self.book.borrow().epoch());
         let mut keeper = self.keeper.borrow_mut();
         let keeper = match &mut *keeper {
             Some(keeper) if keeper.epoch() == epoch => keeper,
@@ -427,7 +434,7 @@
             let rate = items.body(Table::Tenants, tenant).and_then(|body| body.get("ratePerS"));
             rate.and_then(serde_json::Value::as_f64).unwrap_or(0.0)
         };
-        Ok(keeper.report(now, &asking.from, &asking.report, &known, rate))
+        keeper.report(now, age, &asking.from, &asking.report, &known, rate).ok_or_else(unready)
     }
 
     fn lookup(&self, query: &str) -> Result<serde_json::Value, Fault> {
--- a/crates/larder/src/lib.rs
+++ b/crates/larder/src/lib.rs
@@ -36,9 +36,12 @@
 pub struct Report {
     /// Differs between lives of the proxy.
     pub life: u64,
-    /// The last grant that it uses; 0 for none.
+    /// The epoch of the last grant that it uses; 0 for none.
+    #[serde(default)]
+    pub epoch: u64,
+    /// The number of that grant in its epoch; 0 for none.
     pub number: u64,
-    /// The part that it uses of every tenant that it names no part of.
+    /// The part that it uses of every tenant that it names no part of, as it is in force now.
     pub other: f64,
     /// By tenant: requests asked a second, sent on a second, and the part in use.
     pub tenants: BTreeMap<String, (f64, f64, f64)>,
--- a/crates/larder/src/rations.rs
+++ b/crates/larder/src/rations.rs
@@ -91,10 +91,14 @@
     /// The part of a tenant's quota in force now.
     pub fn part(&self, now: Millis, tenant: &str) -> f64 {
         let part = self.tenants.get(tenant).and_then(|ration| ration.part).unwrap_or(self.other);
+        part * self.in_force(now)
+    }
+
+    /// How much of what was granted may be used now: half when the lease has run out.
+    fn in_force(&self, now: Millis) -> f64 {
         match self.granted {
-            Some(at) if now <= at + LEASE => part,
-            Some(_) => part * LAPSED,
-            None => START,
+            Some(at) if now > at + LEASE => LAPSED,
+            _ => 1.0,
         }
     }
 
@@ -188,8 +192,10 @@
 
     /// What is told to the keeper now.
     pub fn report(&mut self, now: Millis) -> Report {
+        let in_force = self.in_force(now);
         let passed = self.reported.replace(now).map_or(500.0, |at| (now - at).max(1.0)) / 1000.0;
-        self.tenants.retain(|_, r| now < r.seen + FORGET);
+        // One with a part of its own would fall back to what all others have: only a grant may drop it.
+        self.tenants.retain(|_, r| r.part.is_some() || now < r.seen + FORGET);
         let weight = 1.0 - (-passed / MEMORY).exp();
         let mut tenants = BTreeMap::new();
         for (name, ration) in &mut self.tenants {
@@ -205,14 +211,20 @@
             }
             ration.sent_per_s += weight * (sent - ration.sent_per_s);
             let round = |v: f64| (v * 100.0).round() / 100.0;
-            let part = ration.part.unwrap_or(self.other);
+            // A keeper that knows nothing of it yet must not renew what another may have given away meanwhile.
+            let part = ration.part.unwrap_or(self.other) * in_force;
             tenants.insert(name.clone(), (round(ration.asked_per_s), round(ration.sent_per_s), part));
         }
-        Report { life: self.life, number: self.number, other: self.other, tenants }
+        let other = self.other * in_force;
+        Report { life: self.life, epoch: self.epoch, number: self.number, other, tenants }
     }
 
-    /// A grant has come, which was asked for at `asked`.
+    /// A grant has come, for the report that was made at `asked`. Only the answer to the last report counts: what was
+    /// told since, perhaps to another keeper, rests on what was in use then.
     pub fn granted(&mut self, asked: Millis, grant: Grant) {
+        if self.reported != Some(asked) {
+            return;
+        }
         let newer = grant.epoch > self.epoch || (grant.epoch == self.epoch && grant.number > self.number);
         if !newer {
             return;
--- a/crates/larder/tests/shares.rs
+++ b/crates/larder/tests/shares.rs
@@ -2,7 +2,7 @@
 //! adds up to more than the whole.
 
 use arbtest::arbtest;
-use larder::{Keeper, Rations, LEASE, WHOLE};
+use larder::{Grant, Keeper, Rations, LEASE, WHOLE};
 use std::collections::BTreeMap;
 
 const PROXIES: usize = 6;
@@ -38,7 +38,9 @@
                         let _ = rations[proxy].take(now, "t", 100.0, 100.0);
                     }
                     let report = rations[proxy].report(now);
-                    let grant = keeper.report(now, &name(proxy), &report, &known, |_| 100.0);
+                    let grant = keeper.report(now, 0.0, &name(proxy), &report, &known, |_| 100.0);
+                    // A life that has ended gets none.
+                    let Some(grant) = grant else { continue };
                     match act {
                         2 => {}
                         3 => late.push((proxy, now, grant)),
@@ -70,7 +72,10 @@
         }
         for (proxy, ration) in rations.iter_mut().enumerate() {
             let report = ration.report(now);
-            ration.granted(now, keeper.report(now, &name(proxy), &report, &known, |_| 100.0));
+            ration.granted(
+                now,
+                keeper.report(now, 0.0, &name(proxy), &report, &known, |_| 100.0).expect("it lives"),
+            );
         }
     }
     assert!(rations[0].part(9_500.0, "t") > 0.85, "{}", rations[0].part(9_500.0, "t"));
@@ -87,7 +92,10 @@
                 let _ = rations[*proxy].take(now, "t", 100.0, 100.0);
             }
             let report = rations[*proxy].report(now);
-            rations[*proxy].granted(now, keeper.report(now, &name(*proxy), &report, &known, |_| 100.0));
+            rations[*proxy].granted(
+                now,
+                keeper.report(now, 0.0, &name(*proxy), &report, &known, |_| 100.0).expect("it lives"),
+            );
         }
     };
     for step in 0..10 {
@@ -110,7 +118,10 @@
     let mut rations = Rations::new(7);
     for other in [0.0, 10.0] {
         let report = rations.report(other);
-        rations.granted(other, keeper.report(other, &name(0), &report, &known, |_| 100.0));
+        rations.granted(
+            other,
+            keeper.report(other, 0.0, &name(0), &report, &known, |_| 100.0).expect("it lives"),
+        );
     }
     for tenant in 0..500 {
         let now = 20.0 + f64::from(tenant);
@@ -133,7 +144,10 @@
         let now = f64::from(step);
         if step % 500 == 0 {
             let report = rations.report(now);
-            rations.granted(now, keeper.report(now, &name(0), &report, &known, |_| 100.0));
+            rations.granted(
+                now,
+                keeper.report(now, 0.0, &name(0), &report, &known, |_| 100.0).expect("it lives"),
+            );
         }
         if let Err(wait) = rations.take(now, "t", 100.0, 100.0) {
             told = wait;
@@ -141,3 +155,66 @@
     }
     assert!(told > 2_000.0, "asked ten times what may pass, it is told {told} ms");
 }
+
+/// One proxy's report and its answer.
+fn ask(keeper: &mut Keeper, now: f64, proxy: usize, rations: &mut Rations, count: usize) -> Option<Grant> {
+    let known: BTreeMap<String, bool> = (0..count).map(|n| (name(n), true)).collect();
+    for _ in 0..20 {
+        let _ = rations.take(now, "t", 100.0, 100.0);
+    }
+    let report = rations.report(now);
+    keeper.report(now, 0.0, &name(proxy), &report, &known, |_| 100.0)
+}
+
+#[test]
+fn given_a_proxy_with_most_of_a_quota_that_is_cut_off_when_the_keeper_changes_then_that_stays_with_it() {
+    let (mut first, mut rations) = (Keeper::new(0.0, 1), [Rations::new(1), Rations::new(2)]);
+    // Both are known; nearly all is asked at the first.
+    for turn in 0..30 {
+        let now = 500.0 * f64::from(turn);
+        for _ in 0..60 {
+            let _ = rations[0].take(now, "t", 100.0, 100.0);
+        }
+        for (n, one) in rations.iter_mut().enumerate() {
+            if let Some(grant) = ask(&mut first, now, n, one, 2) {
+                one.granted(now, grant);
+            }
+        }
+    }
+    let before = rations[0].part(14_500.0, "t");
+    assert!(before > 0.7, "{before}");
+    // The first is cut off; another keeper hears only of the second, until the first's lease has long run out.
+    let mut second = Keeper::new(15_000.0, 2);
+    for turn in 0..30 {
+        let now = 15_000.0 + 500.0 * f64::from(turn);
+        if let Some(grant) = ask(&mut second, now, 1, &mut rations[1], 2) {
+            rations[1].granted(now, grant);
+        }
+        let sum = rations[0].part(now, "t") + rations[1].part(now, "t");
+        assert!(sum <= WHOLE + 1e-6, "{sum} at {now}");
+    }
+}
+
+#[test]
+fn given_a_grant_of_an_earlier_epoch_with_the_same_number_when_it_is_reported_then_it_is_not_taken_for_this_one(
+) {
+    let mut rations = [Rations::new(1), Rations::new(2)];
+    let mut first = Keeper::new(0.0, 1);
+    // The first proxy uses grant 1 of epoch 1: most of the quota, since only it is known then.
+    let grant = ask(&mut first, 0.0, 0, &mut rations[0], 1);
+    rations[0].granted(0.0, grant.expect("it lives"));
+    let (had, mut second) = (rations[0].part(100.0, "t"), Keeper::new(100.0, 2));
+    assert!(had > 0.9, "{had}");
+    // Grant 1 of epoch 2 is lost on its way; the proxy reports on that it uses grant 1, that of epoch 1.
+    let mut now = 100.0;
+    let _lost = ask(&mut second, now, 0, &mut rations[0], 2);
+    for _ in 0..12 {
+        now += 300.0;
+        let _lost = ask(&mut second, now, 0, &mut rations[0], 2);
+        if let Some(grant) = ask(&mut second, now, 1, &mut rations[1], 2) {
+            rations[1].granted(now, grant);
+        }
+        let sum = rations[0].part(now, "t") + rations[1].part(now, "t");
+        assert!(sum <= WHOLE + 0.02, "{sum} at {now}");
+    }
+}
