Store: an order without a number that is judged again takes effect once

Cause, read: a drain whose round was lost after others had accepted it waits for the next round. Another store may carry its items on meanwhile, and an operator take them back: judged again, it saw a zone that is not emptied and emptied it a second time, after 'finish' had been acknowledged and with no order since.

Change: the call keeps the version that it first aimed at. A zone's versions alternate, so once that one is reached the zone stood as wanted while the call was under way: it is answered, and nothing is put. For that it is judged only in rounds that began after it came: one that joined an earlier round would take for its own what others did before it.

Ruled out: answering such a call as unclear, which costs an operator's repeat at each outbid round.

--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -94,6 +94,9 @@
     id: CallId,
     change: Change,
     since: Millis,
+    /// The version that an order without a number had when it was first judged: nothing else tells whether it came into
+    /// force.
+    first: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -306,7 +309,7 @@
         if self.calls.len() >= CALLS_MOST {
             return self.answer(id, Err(Fault::new(Kind::Late, "too many calls wait")));
         }
-        self.calls.push_back(Waiting { id, change, since: now });
+        self.calls.push_back(Waiting { id, change, since: now, first: None });
         self.begin(now);
         let waits = !matches!(&self.round, Round::Preparing { since, .. } if *since == now);
         if waits && now >= self.probed_at + PROBE {
@@ -661,7 +664,7 @@
             self.round = Round::Preparing { ballot, since, group, next: Some(carried), promises };
             return self.prepare(now, ballot, newcomers);
         }
-        let calls = self.verdicts(&mut copy, &mut items);
+        let calls = self.verdicts(since, &mut copy, &mut items);
         if items.is_empty() && !carries {
             // A round that ends on promises alone says what stood when they were given: a call that came after it began
             // may have come after that, and waits for the next.
@@ -697,18 +700,24 @@
     /// Judges the calls that wait, in order, against a copy that they change; their items come on top of others.
     fn verdicts(
         &mut self,
+        begun: Millis,
         copy: &mut Items,
         items: &mut Vec<Arc<Item>>,
     ) -> Vec<(Waiting, Result<Outcome, Fault>)> {
-        let mut calls = Vec::new();
+        let (mut calls, mut later) = (Vec::new(), Vec::new());
         // A change of the group is chosen alone: what comes after it is accepted by the new one.
         let regroups = |items: &[Arc<Item>]| items.iter().any(|item| item.key.table == Table::Group);
-        while let Some(waiting) = self.calls.pop_front() {
+        while let Some(mut waiting) = self.calls.pop_front() {
             let alone = matches!(waiting.change, Change::Regroup { .. }) && !items.is_empty();
             if alone || regroups(items) {
                 self.calls.push_front(waiting);
                 break;
             }
+            if matches!(waiting.change, Change::Drain { .. }) && waiting.since > begun {
+                // The promises may be older than it: what came into force in between would be taken for its own.
+                later.push(waiting);
+                continue;
+            }
             let mut put = |copy: &mut Items, item: Item| {
                 let item = Arc::new(item);
                 copy.merge_shared(item.clone());
@@ -722,8 +731,13 @@
                     Outcome::Applied
                 }),
                 Change::Drain { zone, on } => {
-                    if copy.body(Table::Drains, zone).is_some() != *on {
-                        let version = copy.version(Table::Drains, zone) + 1;
+                    let held = copy.version(Table::Drains, zone);
+                    // Guards against an order that others carried on, and that was taken back since: only a change has a
+                    // version, so they alternate, and under its first the zone stood as wanted after the call came.
+                    let was = waiting.first.is_some_and(|first| held >= first);
+                    if !was && copy.body(Table::Drains, zone).is_some() != *on {
+                        let version = held + 1;
+                        waiting.first = Some(version);
                         put(copy, Item::new(Table::Drains, zone, version, on.then(|| json!({}))));
                     }
                     Ok(Outcome::Applied)
@@ -743,6 +757,9 @@
             };
             calls.push((waiting, verdict));
         }
+        for waiting in later.into_iter().rev() {
+            self.calls.push_front(waiting);
+        }
         calls
     }
 
@@ -934,7 +951,12 @@
             _ => return,
         };
         self.regroup_at = now + REGROUP;
-        self.calls.push_back(Waiting { id: 0, change: Change::Regroup { goes, comes }, since: now });
+        self.calls.push_back(Waiting {
+            id: 0,
+            change: Change::Regroup { goes, comes },
+            since: now,
+            first: None,
+        });
     }
 
     /// At the first start of the whole system.
--- a/crates/cairn/tests/fleet/main.rs
+++ b/crates/cairn/tests/fleet/main.rs
@@ -414,6 +414,67 @@
     }
 }
 
+#[test]
+fn given_an_order_that_others_carried_on_and_one_that_took_it_back_when_it_is_judged_again_then_it_does_nothing(
+) {
+    let (mut carried, drained) = (0, |world: &World, n| world.items(n).body(Table::Drains, "z").is_some());
+    for seed in 0..60 {
+        let mut world = World::founded(seed, Defect::None);
+        let begin = world.call(0, Change::Drain { zone: "z".into(), on: true });
+        while !(1..6).any(|n| world.has_accepted(n)) {
+            world.pass(1.0);
+        }
+        // It hears nothing of its round, and others carry that on.
+        world.cut.extend((1..6).map(|n| (n, 0)));
+        let until = world.now + 1_400.0;
+        while !drained(&world, 3) && world.now < until {
+            world.pass(10.0);
+        }
+        let seen = drained(&world, 3);
+        let finish = world.call(3, Change::Drain { zone: "z".into(), on: false });
+        while !world.acknowledged(finish) && world.now < until + 1_000.0 {
+            world.pass(10.0);
+        }
+        let taken_back = world.acknowledged(finish);
+        world.cut.clear();
+        world.pass(4_000.0);
+        if seen && taken_back {
+            carried += 1;
+            assert!((0..6).all(|n| !drained(&world, n)), "seed {seed}: {:?}", world.answers.get(&begin));
+        }
+    }
+    assert!(carried > 10, "others carried it on {carried} times");
+}
+
+#[test]
+fn given_an_order_that_joins_a_round_of_before_when_that_is_outbid_then_what_others_did_before_is_not_its_own(
+) {
+    let mut joined = 0;
+    for seed in 0..60 {
+        let mut world = World::founded(seed, Defect::None);
+        let drain = |on| Change::Drain { zone: "z".into(), on };
+        // Its round is promised, which it reads only after others have emptied the zone and taken it back.
+        world.call(0, routes(2, &[("a", "/a/", 1.0)]));
+        let begun = world.now;
+        world.pass(2.0);
+        world.freeze(0, 850.0 - 2.0);
+        world.pass(60.0);
+        for on in [true, false] {
+            let id = world.call(3, drain(on));
+            while !world.acknowledged(id) && world.now < begun + 845.0 {
+                world.pass(1.0);
+            }
+            joined += usize::from(!on && world.acknowledged(id));
+        }
+        world.pass(begun + 850.0 - world.now);
+        let late = world.call(0, drain(true));
+        world.pass(3_000.0);
+        let drained = world.items(3).body(Table::Drains, "z").is_some();
+        assert!(drained || !world.acknowledged(late), "seed {seed}");
+    }
+    assert!(joined > 10, "the others were done {joined} times");
+}
+
 /// Plays hours of losses; gives what is wrong in the end, if anything.
 fn play(seed: u64, defect: Defect) -> Result<(), String> {
     let mut rng = fastrand::Rng::with_seed(seed);
