Store: one that is ahead has one that is behind catch up

Cause, read: a member asks those of the group that it knows, and learns from whoever is ahead; one that is ahead took no notice of an answer from behind. After a change of the group that a member did not hear to be chosen, and the loss of the one that told, all whom it asks may be gone: calls at it were refused for ever, though more than half of the new group were there, until somebody happened to call at another.

Change: a ping tells the highest round that the asker knows to be chosen; who is behind asks it for what it lacks.

--- a/crates/cairn/src/messages.rs
+++ b/crates/cairn/src/messages.rs
@@ -68,7 +68,10 @@
         items: Vec<Arc<Item>>,
     },
     /// For the highest round that it knows to be chosen, which also tells that it is there.
-    Ping,
+    Ping {
+        /// The highest that the asker knows.
+        chosen: Ballot,
+    },
     /// For all that was chosen after a round.
     CatchUp {
         /// The round.
--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -340,6 +340,10 @@
 
     /// Another store asks. What must be saved before the answer goes out is among the outputs.
     pub fn asked(&mut self, now: Millis, from: Ipv4Addr, ask: Ask) -> Reply {
+        if matches!(ask, Ask::Ping { chosen } if chosen > self.kept.chosen) {
+            // Whom it asks itself may all be gone.
+            self.catch_up(now, from);
+        }
         let answer = match ask {
             // Whoever is asked as this incarnation has a place by some group, known here or not.
             Ask::Prepare { incarnation, .. } | Ask::Accept { incarnation, .. }
@@ -360,7 +364,7 @@
                 }
                 Answer::Learned
             }
-            Ask::Ping => Answer::Pong { chosen: self.kept.chosen },
+            Ask::Ping { .. } => Answer::Pong { chosen: self.kept.chosen },
             Ask::CatchUp { chosen } => self.snapshot(chosen),
         };
         let placed = self.standing() == Standing::Member;
@@ -882,8 +886,9 @@
         self.probed_at = now;
         let mut members = self.members();
         members.retain(|member| *member != self.me);
+        let chosen = self.kept.chosen;
         for member in members {
-            self.ask(now, member, Ballot::NONE, Ask::Ping);
+            self.ask(now, member, Ballot::NONE, Ask::Ping { chosen });
         }
     }
 
--- a/crates/cairn/tests/fleet/main.rs
+++ b/crates/cairn/tests/fleet/main.rs
@@ -321,6 +321,27 @@
     assert!(slowest < 1_000.0, "the slowest took {slowest} ms");
 }
 
+#[test]
+fn given_a_member_that_did_not_hear_of_a_change_of_the_group_when_who_told_is_lost_then_another_tells_it() {
+    for seed in 0..40 {
+        let mut world = World::founded_of(3, seed, Defect::None);
+        world.kill(2);
+        let new = world.add();
+        while world.group(0).is_some_and(|group| group.version == 1) {
+            world.pass(1.0);
+        }
+        world.cut.insert((0, 1));
+        while world.standing(new) != Some(Standing::Member) {
+            world.pass(1.0);
+        }
+        // Of the new group two are left, and only the new one knows it.
+        world.kill(0);
+        world.cut.clear();
+        world.pass(4_000.0);
+        assert_eq!(world.answer(1, routes(2, &[("a", "/a/", 1.0)])), Ok(()), "seed {seed}");
+    }
+}
+
 #[test]
 fn given_a_group_that_has_changed_when_all_lose_power_and_one_its_disk_then_the_new_group_goes_on() {
     // Found by the checker: the change was chosen, and on no disk as chosen, so the old group was needed for ever.
