Store: a leaver is relieved by those who have the new group on disk, and by no others

Cause, read: 'learned' was also the answer of one that lacked what the change builds on and would only ask for it, of the leaver, which then said that it has no place; answers to earlier lessons counted as well. And where another store carried the change on, the leaver was relieved the moment it heard of that. With the leaver's disk gone one loss more left two of three with the old group, or with the change as accepted only: nothing could be chosen any more, for ever.

Change: whoever answers as a member of the new group, or of a later one, counts; learning a group is a saved step. That begins when the place is lost, by whose round it may be. Meanwhile a leaver asks the new group who has it, and tells those that lag what they lack.

--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -189,7 +189,7 @@
     regroup_at: Millis,
     /// It is about to end, and gives its place to one that waits.
     leaving: bool,
-    /// The group that took its place from it, and which of that are known to have learnt so.
+    /// The group that took its place from it, and which of that are known to have learnt it.
     relief: Option<(Group, BTreeSet<(Ipv4Addr, u64)>)>,
     /// Since when it has run without standing still.
     awake: Millis,
@@ -323,7 +323,11 @@
         self.leaving = true;
         self.regroup(now);
         self.begin(now);
-        self.standing() == Standing::Member && self.fit(now).is_some()
+        match self.standing() {
+            Standing::Founding => false,
+            Standing::Learner => !self.is_relieved(),
+            Standing::Member => self.fit(now).is_some(),
+        }
     }
 
     /// Whether nothing rests on it any more: another has its place, and more than half of the group know.
@@ -357,6 +361,8 @@
             }
             Ask::Learn { ballot, base, items } => self.learn(now, from, ballot, base, items),
             Ask::Hello { incarnation } => self.hello(now, from, incarnation),
+            // Of those who took its place, some may know of that from nobody else.
+            Ask::CatchUp { chosen } if self.relief.is_some() => self.snapshot(chosen),
             _ if self.standing() != Standing::Member => Answer::Blank,
             Ask::Join(candidate) => {
                 if self.candidates.len() < GROUP_MOST || self.candidates.contains_key(&from) {
@@ -441,12 +447,17 @@
             self.orphaned_at = None;
         }
         if regroups {
+            let placed = self.standing() == Standing::Member || self.relief.is_some();
             // Until more than half of the new group have it on disk, more than half of the old one are needed.
             self.outputs.push(Output::Save);
             self.group = self.kept.group();
             let group = self.group.as_ref();
             self.heard
                 .retain(|(machine, incarnation), _| group.is_some_and(|g| g.has(*machine, *incarnation)));
+            self.relief = match self.standing() {
+                Standing::Learner if placed => self.group.clone().map(|group| (group, BTreeSet::new())),
+                _ => None,
+            };
         }
     }
 
@@ -507,6 +518,12 @@
     pub fn replied(&mut self, now: Millis, number: u64, reply: Option<Reply>) {
         let Some(Asked { to, ballot, at }) = self.asked.remove(&number) else { return };
         let Some(reply) = reply else { return };
+        if let Some((group, learnt)) = &mut self.relief {
+            // Whoever says so has it on disk.
+            if reply.group.is_some_and(|version| version >= group.version) {
+                learnt.insert((to, reply.incarnation));
+            }
+        }
         // One that has lost its place, or knows a newer group, is no contact with this one.
         let member = self.group.as_ref().is_some_and(|group| {
             group.has(to, reply.incarnation) && reply.group.is_some_and(|version| version <= group.version)
@@ -547,12 +564,7 @@
                     self.catch_up(now, from);
                 }
             }
-            Answer::Learned => {
-                if let Some((_, learnt)) = &mut self.relief {
-                    learnt.insert(who);
-                }
-            }
-            Answer::Blank => {}
+            Answer::Learned | Answer::Blank => {}
         }
     }
 
@@ -789,9 +801,6 @@
         let Round::Accepting(proposal) = std::mem::replace(&mut self.round, Round::Idle) else { return };
         let Proposal { ballot, items, groups: (old, new), calls, .. } = *proposal;
         let base = self.kept.chosen;
-        if !new.has(self.me, self.kept.incarnation) {
-            self.relief = Some((new.clone(), BTreeSet::new()));
-        }
         self.adopt(ballot, items.clone());
         let mut members: BTreeSet<Ipv4Addr> =
             old.members.into_keys().chain(new.members.into_keys()).collect();
@@ -860,6 +869,10 @@
                 self.question_at = now + QUESTION;
                 self.wait(now);
             }
+            Standing::Learner if now >= self.question_at && !self.is_relieved() => {
+                self.question_at = now + QUESTION;
+                self.ping(now);
+            }
             _ => {}
         }
     }
--- a/crates/cairn/tests/fleet/main.rs
+++ b/crates/cairn/tests/fleet/main.rs
@@ -321,6 +321,79 @@
     assert!(slowest < 1_000.0, "the slowest took {slowest} ms");
 }
 
+#[test]
+fn given_a_member_that_leaves_when_one_of_the_others_could_not_learn_then_it_stays_until_more_than_half_know()
+{
+    for seed in 0..40 {
+        let mut world = World::founded_of(3, seed, Defect::None);
+        let new = world.add();
+        world.pass(2_000.0);
+        // Store 2 lags by a round.
+        world.cut.extend([(0, 2), (1, 2)]);
+        let id = world.call(0, routes(2, &[("a", "/a/", 1.0)]));
+        world.pass(1_500.0);
+        assert!(world.acknowledged(id) && world.leave(0), "seed {seed}");
+        while world.standing(0) == Some(Standing::Member) {
+            world.pass(1.0);
+        }
+        // Of what the leaver tells, nothing reaches the new one; store 2 lacks what it builds on.
+        world.cut.remove(&(0, 2));
+        world.cut.insert((0, new));
+        let begun = world.now;
+        while !world.is_relieved(0) && world.now < begun + 2_000.0 {
+            world.pass(1.0);
+        }
+        assert!(world.is_relieved(0), "seed {seed}");
+        world.kill(0);
+        world.kill(1);
+        world.cut.clear();
+        world.pass(4_000.0);
+        assert_eq!(world.answer(new, routes(3, &[("b", "/b/", 2.0)])), Ok(()), "seed {seed}");
+        assert_eq!(world.timeout_of(new, "a"), Some(1.0), "seed {seed}");
+    }
+}
+
+#[test]
+fn given_a_member_that_leaves_when_another_carries_its_change_on_then_it_still_waits_until_more_than_half_know(
+) {
+    let mut carried = 0;
+    for seed in 0..60 {
+        let mut world = World::founded_of(3, seed, Defect::None);
+        let new = world.add();
+        world.pass(2_000.0);
+        assert!(world.leave(0), "seed {seed}");
+        while !world.has_accepted(1) {
+            world.pass(1.0);
+        }
+        // It hears nothing of its round; store 1 or 2 ends it, and tells it, and nobody else.
+        world.cut.extend([(1, 0), (2, 0), (new, 0)]);
+        while world.standing(1) != Some(Standing::Member) || world.group(1).is_some_and(|g| g.version == 1) {
+            if world.group(2).is_some_and(|group| group.version > 1) {
+                break;
+            }
+            world.pass(1.0);
+        }
+        let by = if world.group(1).is_some_and(|group| group.version > 1) { 1 } else { 2 };
+        let other = 3 - by;
+        world.cut.clear();
+        world.cut.extend([(by, other), (by, new)]);
+        let begun = world.now;
+        while !world.is_relieved(0) && world.now < begun + 700.0 {
+            world.pass(1.0);
+        }
+        if !world.is_relieved(0) {
+            continue;
+        }
+        carried += 1;
+        world.kill(0);
+        world.kill(by);
+        world.cut.clear();
+        world.pass(6_000.0);
+        assert_eq!(world.answer(new, Change::Read), Ok(()), "seed {seed}");
+    }
+    assert!(carried > 5, "it was relieved {carried} times");
+}
+
 #[test]
 fn given_a_member_that_did_not_hear_of_a_change_of_the_group_when_who_told_is_lost_then_another_tells_it() {
     for seed in 0..40 {
