Own calls through a link that breaks, repeats and misplaces answers: 20 seeds

100 calls a seed, five at a time, through a relay that loses calls and answers, cuts them, repeats them or puts the one before in their place, to a server on a thread and runtime of its own: each caller gets its own answer or none, and no call comes twice.

--- a/crates/footbridge/tests/calls.rs
+++ b/crates/footbridge/tests/calls.rs
@@ -310,3 +310,115 @@
     let wanted = ["1", "2", "3"].map(|id| (id.to_owned(), format!("\"/{id}\"")));
     assert_eq!(told, wanted);
 }
+
+/// Draws of a seed, each below a bound.
+struct Draws(u64);
+
+impl Draws {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
+
+/// What a link does to one call and its answer.
+fn pass(link: &mut BufReader<TcpStream>, behind: SocketAddr, draws: &mut Draws) -> Option<()> {
+    let mut server = BufReader::new(TcpStream::connect(behind).expect("it listens"));
+    let mut last = Vec::new();
+    loop {
+        let call = read_message(link)?;
+        let path = call.start.split(' ').nth(1)?;
+        let id = call.header("call-id")?;
+        let what = draws.below(12);
+        if what == 0 {
+            // Read, and never passed on.
+            reset(link.get_ref());
+            return None;
+        }
+        let text = format!("POST {path} HTTP/1.1\r\nhost: h\r\ncall-id: {id}\r\ncontent-length: 0\r\n\r\n");
+        write(&mut server, text.as_bytes());
+        let body = read_message(&mut server)?.body;
+        let answer = answered(&call, &String::from_utf8(body).ok()?);
+        match what {
+            1 => reset(link.get_ref()),
+            2 => write(link, &answer[..answer.len() / 2]),
+            3 => write(link, &answer[..answer.len() - 1]),
+            // The one before takes the place of this one.
+            4 if !last.is_empty() => {
+                write(link, &last);
+                continue;
+            }
+            5 => write(link, &[&answer[..], &answer].concat()),
+            6 => write(link, &[&answer[..], &last].concat()),
+            _ => {
+                write(link, &answer);
+                last = answer;
+                continue;
+            }
+        }
+        return None;
+    }
+}
+
+#[test]
+fn given_a_link_that_breaks_repeats_and_misplaces_when_many_call_through_it_then_each_gets_its_own_or_none() {
+    for seed in 1..=20 {
+        let runs: Arc<Mutex<Vec<String>>> = Arc::default();
+        let ran = runs.clone();
+        let (address_of, address) = channel();
+        let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+        // The server has a thread and a runtime of its own, as a process would.
+        let server = std::thread::spawn(move || {
+            run(async {
+                let handler: Handler = Rc::new(move |incoming| {
+                    ran.lock().expect("no panic").push(incoming.path.clone());
+                    Box::pin(async move { answer_of(Ok(incoming.path)) })
+                });
+                let at = SocketAddr::from(([127, 0, 0, 1], 0));
+                let listener = std::net::TcpListener::bind(at).expect("a port");
+                let at = listener.local_addr().expect("an address");
+                drop(listener);
+                let _server = serve(at, handler).expect("it listens");
+                address_of.send(at).expect("the test waits");
+                let _ = stopped.await;
+            });
+        });
+        let behind = address.recv().expect("it listens");
+        let link = Scripted::start(move |stream, number| {
+            // What it does depends on the seed and the connection alone.
+            pass(stream, behind, &mut Draws(seed * 1_000 + number as u64));
+        });
+        let (to, mut own, mut none) = (link.address, 0, 0);
+        run(async {
+            let calls = Calls::default();
+            for round in 0..20 {
+                let asked: Vec<_> = (0..5)
+                    .map(|number| {
+                        let (calls, path) = (calls.clone(), format!("/{round}/{number}"));
+                        tokio::task::spawn_local(async move {
+                            let answer: Result<String, Fault> = call(&calls, to, &path).await;
+                            (path, answer)
+                        })
+                    })
+                    .collect();
+                for asked in asked {
+                    match asked.await.expect("no panic") {
+                        (path, Ok(answer)) => {
+                            assert_eq!(answer, path, "seed {seed}");
+                            own += 1;
+                        }
+                        (_, Err(_)) => none += 1,
+                    }
+                }
+            }
+        });
+        let _ = stop.send(());
+        server.join().expect("no panic");
+        let mut runs = runs.lock().expect("no panic").clone();
+        let all = runs.len();
+        runs.sort_unstable();
+        runs.dedup();
+        assert_eq!(runs.len(), all, "seed {seed}: none is sent again");
+        assert!(own > 20 && none > 5, "seed {seed}: {own} answered, {none} not");
+    }
+}
