Registry: fenced writes, a duty that is told, and nobody lost by one cut off

- The list: a holder that stood still could write over a later holder's word when it had heard that word but not of its epoch (version + 1 of whatever it held), and could write rows read 20 s ago.
What stands under a later epoch is left; a `Reading` in which a step took over 1.2 s, that began under another epoch, or ends without the duty writes nothing.
Versions within an epoch count up with each writing, so that a server which was forgotten here and is listed again is above what others hold.
- The duty is an enum (without, asking, held), one function a change.
- A node of which both watchers died with it was never called lost: only who was heard here was watched.
Whoever stands in the table is now watched by those that the ring names, from when they came to be named.
- A registry that was cut off called everybody lost, and told that to all when it came back: every proxy was out of the look-ups until its next heartbeat.
It must have been in touch 0.7 s after the last heartbeat, and begins to hear anew when it was away for 2 s; meanwhile it names no watchers in its answers.
- A proxy whose watchers were both gone went on beating to them for ever.
- A node and its watchers used different rings where it shares a machine with a registry, or a seed is dead: both call `Node::watchers`.
- What was forgotten after 60 s came back from copies that forgot a moment later, again and again, and old entries from one cut off for longer.
Its version is remembered for an hour; a node that begins anew is told it.

The story of the node that another watches let the others be silent too, who are now lost by right: there they beat on, the claim is the same.

--- a/crates/hutbook/examples/slopes.rs
+++ b/crates/hutbook/examples/slopes.rs
@@ -173,11 +173,11 @@
     });
     slope("a tick of a registry, a node that it watches", "us", [50, 100, 200], [150, 400], 160, |n| {
         let (mut book, items) = watched(n);
-        time(|| book.tick(100.0, &items))
+        time(|| book.tick(100.0, 0.0, &items))
     });
     slope("the same, a node of the system", "us", [50, 100, 200], [150, 400], 530, |n| {
         let items = watched(n).1;
-        time(|| Book::new(Ipv4Addr::new(10, 0, 0, 1)).tick(100.0, &items))
+        time(|| Book::new(Ipv4Addr::new(10, 0, 0, 1)).tick(100.0, 0.0, &items))
     });
     slope("a look-up, a proxy", "us", [50, 100, 200], [150, 400], 523, |n| {
         let items = watched(n).1;
--- a/crates/hutbook/src/book.rs
+++ b/crates/hutbook/src/book.rs
@@ -1,8 +1,9 @@
 //! One registry's part, as a state machine: heartbeats, what is lost, and the warden's duty.
 
-use crate::listing::{Row, Server};
-use ropeteam::{watchers, Node, Role};
+use crate::listing::{Reading, Server};
+use ropeteam::{Node, Role};
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -19,6 +20,12 @@
 const LOST: Millis = 1_900.0;
 /// A tick that comes this late tells that the process stood still: what it did not hear is no sign.
 const STILL: Millis = 600.0;
+/// Out of touch with the core for this long it is cut off itself, and what it does not hear is no sign either.
+const AWAY: Millis = 2_000.0;
+/// It must have been in touch since this long after a node was last heard: the first heartbeat that is missing, and some.
+const MISSING: Millis = 700.0;
+/// Period in which it looks for nodes that it was only told of.
+const LOOK: Millis = 1_000.0;
 /// After its start a registry hears for this long before it takes a duty.
 const HEAR: Millis = 1_800.0;
 /// A try to take it that was not answered by then never will be.
@@ -27,6 +34,10 @@
 const ASK_AGAIN: Millis = 300.0;
 /// What was dropped is forgotten after this time: no news is under way for longer.
 const FORGET: Millis = 60_000.0;
+/// Versions of what was forgotten are remembered: whoever was cut off for longer may still hold older ones.
+const REMEMBER: Millis = 3_600_000.0;
+/// Most of them.
+const REMEMBERED_MOST: usize = 20_000;
 /// Where an epoch stands in the version of what a duty's holder writes.
 const EPOCH: u32 = 32;
 
@@ -42,22 +53,38 @@
 pub struct Beaten {
     /// The version under which the node is known; one that differs from its own, with other words, is to be exceeded.
     pub version: u64,
-    /// Registries that are up, of which the node finds its watchers.
+    /// Registries that are up, of which the node finds its watchers; none where the one that answers is cut off itself.
     pub registries: Vec<Ipv4Addr>,
 }
 
+/// How it stands with the warden's duty.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Duty {
+    /// It does not have it, and does not ask for it before this time.
+    Without { until: Millis },
+    /// It has asked for it, and was not answered yet.
+    Asking { since: Millis },
+    /// It was told that it has it under this epoch; and how often it has written under it.
+    Held { epoch: u64, written: u32 },
+}
+
 /// One registry.
 pub struct Book {
     me: Ipv4Addr,
     started: Option<Millis>,
     ticked: Option<Millis>,
-    /// When it last asked for the duty, and the epoch under which it has it.
-    asked_duty: Millis,
-    taken: Option<u64>,
-    /// When each node was last heard here.
+    /// Whether it was out of touch with the core at its last tick.
+    away: bool,
+    looked: Millis,
+    duty: Duty,
+    /// The registries that were up when watchers were last found.
+    ring: Vec<Ipv4Addr>,
+    /// When each node was last heard here, or came to be watched here without being heard.
     heard: BTreeMap<String, Millis>,
     /// When each dropped entry was first seen.
     dropped: BTreeMap<Key, Millis>,
+    /// Versions of what was forgotten, and when.
+    forgotten: BTreeMap<Key, (u64, Millis)>,
 }
 
 impl Book {
@@ -67,10 +94,13 @@
             me,
             started: None,
             ticked: None,
-            asked_duty: f64::NEG_INFINITY,
-            taken: None,
+            away: true,
+            looked: f64::NEG_INFINITY,
+            duty: Duty::Without { until: f64::NEG_INFINITY },
+            ring: Vec::new(),
             heard: BTreeMap::new(),
             dropped: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
         }
     }
 
@@ -78,8 +108,12 @@
     pub fn beat(&mut self, now: Millis, items: &Items, beat: Beat) -> (Option<Item>, Beaten) {
         let entry = beat.entry;
         let known = items.get(Table::Nodes, &entry.key.name);
-        let registries = self.registries(items);
+        // What it knows of others may be old: the node is to ask more of them.
+        let registries = if self.away { Vec::new() } else { self.registries(items) };
+        let forgotten = self.forgotten.get(&entry.key).map_or(0, |(version, _)| *version);
         let (news, version) = match known {
+            // Copies that forget nothing may hold more: it goes above that.
+            None if forgotten >= entry.version => (None, forgotten),
             Some(known) if known.version > entry.version => (None, known.version),
             Some(known) if known.version == entry.version && known.body == entry.body => {
                 (None, known.version)
@@ -101,75 +135,141 @@
         all
     }
 
-    /// Time has passed: gives what is news by that.
-    pub fn tick(&mut self, now: Millis, items: &Items) -> Vec<Item> {
-        if self.ticked.replace(now).is_some_and(|ticked| now > ticked + STILL) {
+    /// Time has passed: gives what is news by that. `age` tells how long ago it was surely in touch with the core: one that
+    /// is cut off itself hears nobody, and calls nobody lost.
+    pub fn tick(&mut self, now: Millis, age: Millis, items: &Items) -> Vec<Item> {
+        let still = self.ticked.replace(now).is_some_and(|ticked| now > ticked + STILL);
+        self.away = age > AWAY;
+        if still || self.away {
             self.heard.values_mut().for_each(|heard| *heard = now);
         }
-        let registries = self.registries(items);
+        self.look(now, items);
         let mut news = Vec::new();
-        let silent: Vec<String> = self
+        let silent: Vec<(String, Millis)> = self
             .heard
             .iter()
             .filter(|(_, heard)| now > **heard + LOST)
-            .map(|(name, _)| name.clone())
+            .map(|(name, heard)| (name.clone(), *heard))
             .collect();
-        for name in silent {
-            self.heard.remove(&name);
-            let Some(item) = items.get(Table::Nodes, &name) else { continue };
-            let Some(node) = item.body.as_ref().and_then(Node::read) else { continue };
+        for (name, heard) in silent {
+            let entry = items.get(Table::Nodes, &name);
+            let node = entry.and_then(|item| Some((item.version, item.body.as_ref().and_then(Node::read)?)));
             // One that beats to others now is theirs to watch.
-            if !node.lost && watchers(&name, node.ip, &registries, WATCHERS).contains(&self.me) {
-                news.push(Node { lost: true, ready: false, ..node }.item(item.version + 1));
+            match node.filter(|(_, node)| !node.lost && self.watches(node, &self.ring)) {
+                Some(_) if now - age < heard + MISSING => {}
+                Some((version, node)) => {
+                    self.heard.remove(&name);
+                    news.push(Node { lost: true, ready: false, ..node }.item(version.saturating_add(1)));
+                }
+                None => {
+                    self.heard.remove(&name);
+                }
             }
         }
         news
     }
 
+    fn watches(&self, node: &Node, registries: &[Ipv4Addr]) -> bool {
+        node.watchers(registries, WATCHERS).contains(&self.me)
+    }
+
+    /// Finds nodes that it must watch though it never heard them: those who did may be gone together with them.
+    fn look(&mut self, now: Millis, items: &Items) {
+        let registries = self.registries(items);
+        let turned = registries != self.ring;
+        if !turned && now < self.looked + LOOK {
+            return;
+        }
+        self.looked = now;
+        for (name, body) in items.standing(Table::Nodes) {
+            if !turned && self.heard.contains_key(name) {
+                continue;
+            }
+            let Some(node) = Node::read(body).filter(|node| !node.lost) else { continue };
+            // The node has yet to hear that it is to beat here.
+            if turned && self.watches(&node, &registries) && !self.watches(&node, &self.ring) {
+                self.heard.insert(name.to_owned(), now);
+            }
+            self.heard.entry(name.to_owned()).or_insert(now);
+        }
+        self.ring = registries;
+    }
+
     /// The first registry in order does the duty, under an epoch above all before, also where it is one that it had in
-    /// an earlier life: tells whether to take it now. `group` names all machines of the core.
+    /// an earlier life: tells whether to ask for it now. `group` names all machines of the core.
     pub fn wants_duty(&mut self, now: Millis, items: &Items, group: &[Ipv4Addr]) -> bool {
         let started = *self.started.get_or_insert(now);
         let first = self.registries(items).first() == Some(&self.me);
         // Before it has heard who is there, only the first of all knows that it is.
         let knows =
             now > started + HEAR || (group.contains(&self.me) && group.iter().all(|ip| *ip >= self.me));
-        let wants = first && knows && !self.holds(items) && now > self.asked_duty + ASK;
+        let due = match self.duty {
+            Duty::Without { until } => now > until,
+            Duty::Asking { since } => now > since + ASK,
+            Duty::Held { .. } => !self.holds(items),
+        };
+        let wants = first && knows && due;
         if wants {
-            self.asked_duty = now;
+            self.duty = Duty::Asking { since: now };
         }
         wants
     }
 
-    /// This registry has taken the duty under this epoch.
-    pub fn took_duty(&mut self, epoch: u64) {
-        self.taken = Some(epoch);
+    /// Its question of `asked` was answered: it has the duty under this epoch. An answer that is read later than any is
+    /// waited for counts for nothing: others may have had the duty since.
+    pub fn took_duty(&mut self, asked: Millis, now: Millis, epoch: u64) {
+        if self.duty == (Duty::Asking { since: asked }) {
+            self.duty = if now <= asked + ASK {
+                Duty::Held { epoch, written: 0 }
+            } else {
+                Duty::Without { until: now }
+            };
+        }
     }
 
-    /// It could not be taken.
-    pub fn missed_duty(&mut self, now: Millis) {
-        self.asked_duty = now + ASK_AGAIN - ASK;
+    /// Its question of `asked` was answered by a no, or not at all.
+    pub fn missed_duty(&mut self, asked: Millis, now: Millis) {
+        if self.duty == (Duty::Asking { since: asked }) {
+            self.duty = Duty::Without { until: now + ASK_AGAIN };
+        }
     }
 
-    /// The epoch under which it last had the duty.
+    /// The epoch under which it has the duty, or last had it; 0 for none.
     pub fn epoch(&self) -> u64 {
-        self.taken.unwrap_or(0)
+        match self.duty {
+            Duty::Held { epoch, .. } => epoch,
+            _ => 0,
+        }
     }
 
-    /// Whether this registry has the duty.
+    /// Whether this registry has the duty, as far as it can know.
     pub fn holds(&self, items: &Items) -> bool {
-        self.taken.is_some_and(|taken| taken >= items.version(Table::Duties, WARDEN))
+        let Duty::Held { epoch, .. } = self.duty else { return false };
+        match items.version(Table::Duties, WARDEN).cmp(&epoch) {
+            Ordering::Less => true,
+            Ordering::Greater => false,
+            // Two that were told one epoch would be a fault of the stores: only the one that stands there acts.
+            Ordering::Equal => items
+                .body(Table::Duties, WARDEN)
+                .and_then(|body| body.get("holder"))
+                .and_then(|holder| Ipv4Addr::deserialize(holder).ok())
+                .is_some_and(|holder| holder == self.me),
+        }
     }
 
-    /// The platform's list was read whole under this epoch: gives what is news by it. What is written under an epoch
-    /// loses against anything written under a higher one.
-    pub fn listed(&self, epoch: u64, items: &Items, rows: Vec<Row>) -> Vec<Item> {
-        let least = epoch.min(u64::from(u32::MAX)) << EPOCH;
+    /// The platform's list was read whole: gives what is news by it; nothing where the duty was lost meanwhile, or where
+    /// the reading is an old one. What is written under an epoch loses against anything written under a higher one, and
+    /// each writing is above all before it under the same one, also what was forgotten since.
+    pub fn listed(&mut self, now: Millis, items: &Items, reading: Reading) -> Vec<Item> {
+        let Duty::Held { epoch, written } = self.duty else { return Vec::new() };
+        let Some(rows) = reading.rows(now, epoch).filter(|_| self.holds(items)) else { return Vec::new() };
+        let epoch = epoch.min(u64::from(u32::MAX));
+        let version = epoch << EPOCH | u64::from(written.saturating_add(1));
         let mut news = Vec::new();
         let mut put = |name: &str, body: Option<serde_json::Value>| {
             let held = items.get(Table::Servers, name);
-            if held.map(|held| &held.body) != Some(&body) {
-                let version = held.map_or(0, |held| held.version + 1).max(least);
+            let later = held.is_some_and(|held| held.version >> EPOCH > epoch);
+            if !later && held.map(|held| &held.body) != Some(&body) {
                 news.push(Item::new(Table::Servers, name, version, body));
             }
         };
@@ -190,6 +290,9 @@
         for name in gone {
             put(&name, None);
         }
+        if !news.is_empty() {
+            self.duty = Duty::Held { epoch, written: written.saturating_add(1) };
+        }
         news
     }
 
@@ -203,12 +306,22 @@
         let gone: Vec<Key> =
             items.all(trailmap::Tables::TOLD).filter(gone).map(|item| item.key.clone()).collect();
         self.dropped.retain(|key, _| gone.contains(key));
+        self.forgotten.retain(|_, (_, at)| now < *at + REMEMBER);
         let mut over = Vec::new();
         for key in gone {
             if now > *self.dropped.entry(key.clone()).or_insert(now) + FORGET {
+                if self.forgotten.len() < REMEMBERED_MOST {
+                    let version = items.version(key.table, &key.name);
+                    self.forgotten.insert(key.clone(), (version, now));
+                }
                 over.push(key);
             }
         }
         over
     }
+
+    /// Whether an item that another tells was dropped and forgotten here, or is older than what was.
+    pub fn is_forgotten(&self, item: &Item) -> bool {
+        self.forgotten.get(&item.key).is_some_and(|(version, _)| item.version <= *version)
+    }
 }
--- a/crates/hutbook/src/lib.rs
+++ b/crates/hutbook/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use book::{Beat, Beaten, Book, WARDEN, WATCHERS};
 pub use directory::addresses;
-pub use listing::{Page, Row, Server};
+pub use listing::{Page, Reading, Row, Server};
--- a/crates/hutbook/src/listing.rs
+++ b/crates/hutbook/src/listing.rs
@@ -46,6 +46,44 @@
     1.0
 }
 
+/// A step of a reading that takes longer tells that the process stood still: each page is waited for less long.
+const STEP: f64 = 1_200.0;
+
+/// A reading of the whole list, page by page, under the epoch in which it began. Times are the caller's, in milliseconds.
+#[derive(Clone, Debug)]
+pub struct Reading {
+    epoch: u64,
+    /// When the last page came, or it began.
+    at: f64,
+    /// Whether no step took too long.
+    fresh: bool,
+    rows: Vec<Row>,
+}
+
+impl Reading {
+    /// It begins now, under this epoch.
+    pub fn new(now: f64, epoch: u64) -> Self {
+        Self { epoch, at: now, fresh: true, rows: Vec::new() }
+    }
+
+    /// A page has come.
+    pub fn page(&mut self, now: f64, rows: Vec<Row>) {
+        self.step(now);
+        self.rows.extend(rows);
+    }
+
+    fn step(&mut self, now: f64) {
+        self.fresh &= now <= self.at + STEP;
+        self.at = now;
+    }
+
+    /// What was read, if that is no older than its pages took and the epoch is still this one.
+    pub(crate) fn rows(mut self, now: f64, epoch: u64) -> Option<Vec<Row>> {
+        self.step(now);
+        (self.fresh && self.epoch == epoch).then_some(self.rows)
+    }
+}
+
 /// A server as the system's own table names it, by the id of its life.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Server {
--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -5,10 +5,10 @@
 
 use argh::FromArgs;
 use footbridge::{answer_of, serve, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
-use hutbook::{addresses, Beat, Beaten, Book, Page, Row, WARDEN, WATCHERS};
+use hutbook::{addresses, Beat, Beaten, Book, Page, Reading, WARDEN, WATCHERS};
 use hyper::{Method, StatusCode};
 use larder::{Grant, Keeper, Report};
-use ropeteam::{follow, watchers, News, Node, Pull, Role, Source};
+use ropeteam::{follow, News, Node, Pull, Role, Source};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -202,7 +202,10 @@
         let node = self.entry();
         let item = node.item(self.version.get());
         self.spread(vec![item.clone()]);
-        for watcher in watchers(&node.name(), node.ip, &self.others(), WATCHERS) {
+        let up = self.book.borrow().registries(&self.news.items());
+        // Alone, it may not know yet who is there.
+        let to = if up.len() > WATCHERS { node.watchers(&up, WATCHERS) } else { self.others() };
+        for watcher in to {
             let (hutbook, beat) = (self.clone(), Beat { entry: item.clone() });
             tokio::task::spawn_local(async move {
                 let to = hutbook.registry(watcher);
@@ -221,6 +224,13 @@
         }
     }
 
+    /// Takes in what another registry tells.
+    fn told(&self, items: Vec<Arc<Item>>) {
+        let book = self.book.borrow();
+        let told = |item: &Arc<Item>| Tables::TOLD.contains(item.key.table.set()) && !book.is_forgotten(item);
+        self.news.merge(items.into_iter().filter(told));
+    }
+
     /// Compares what was told with one other registry now and then.
     async fn compares(self: Rc<Self>) {
         loop {
@@ -241,7 +251,7 @@
                 }
                 self.news.items().lacking_in(&copy, Tables::TOLD)
             };
-            self.news.merge(theirs);
+            self.told(theirs);
             let told = Told { items: lacking, digest: None };
             let _: Result<Vec<Arc<Item>>, Fault> =
                 self.calls.post(self.registry(other), "/told", &told, ANSWER).await;
@@ -263,9 +273,9 @@
             };
             let begun = Instant::now();
             let mut pages = 0;
-            match self.read(cloud.address, &mut pages).await {
-                Ok(rows) => {
-                    let news = self.book.borrow().listed(epoch, &self.news.items(), rows);
+            match self.read(cloud.address, &mut pages, Reading::new(self.now(), epoch)).await {
+                Ok(reading) => {
+                    let news = self.book.borrow_mut().listed(self.now(), &self.news.items(), reading);
                     self.spread(news);
                 }
                 Err(fault) => tracing::debug!("the platform's list can't be read: {fault}"),
@@ -275,14 +285,18 @@
         }
     }
 
-    async fn read(&self, address: SocketAddr, pages: &mut usize) -> Result<Vec<Row>, Fault> {
-        let mut rows = Vec::new();
+    async fn read(
+        &self,
+        address: SocketAddr,
+        pages: &mut usize,
+        mut reading: Reading,
+    ) -> Result<Reading, Fault> {
         let mut path = "/instances".to_owned();
         for _ in 0..PAGES_MOST {
             *pages += 1;
             let page: Page = self.calls.get(address, &path, ANSWER).await?;
-            rows.extend(page.rows());
-            let Some(cursor) = page.next_cursor else { return Ok(rows) };
+            reading.page(self.now(), page.rows());
+            let Some(cursor) = page.next_cursor else { return Ok(reading) };
             let query =
                 form_urlencoded::Serializer::new(String::new()).append_pair("pageToken", &cursor).finish();
             path = format!("/instances?{query}");
@@ -299,7 +313,7 @@
             let (news, over) = {
                 let items = self.news.items();
                 let mut book = self.book.borrow_mut();
-                (book.tick(now, &items), book.forgettable(now, &items))
+                (book.tick(now, self.news.age(), &items), book.forgettable(now, &items))
             };
             for item in &news {
                 tracing::info!("{} is lost", item.key.name);
@@ -307,7 +321,7 @@
             self.spread(news);
             let wants = self.book.borrow_mut().wants_duty(now, &self.news.items(), &self.group());
             if wants {
-                tokio::task::spawn_local(self.clone().take_duty());
+                tokio::task::spawn_local(self.clone().take_duty(now));
             }
             if !over.is_empty() {
                 self.news.forget(&over);
@@ -324,19 +338,20 @@
         group.and_then(|group| serde_json::from_value(group).ok()).unwrap_or_default()
     }
 
-    /// Has the stores write down that it takes the duty, so that no epoch is ever used twice.
-    async fn take_duty(self: Rc<Self>) {
+    /// Has the stores write down that it takes the duty, so that no epoch is ever used twice: the answer names the epoch
+    /// of this very call.
+    async fn take_duty(self: Rc<Self>, asked: f64) {
         let to = SocketAddr::from((self.boot.ip, self.boot.ports().store));
         let taking = json!({ "name": WARDEN, "holder": self.boot.ip});
         let answer: Result<u64, Fault> = self.calls.post(to, "/duty", &taking, STORE).await;
         match answer {
             Ok(epoch) => {
                 tracing::info!("takes the duty '{WARDEN}' under epoch {epoch}");
-                self.book.borrow_mut().took_duty(epoch);
+                self.book.borrow_mut().took_duty(asked, self.now(), epoch);
             }
             Err(fault) => {
                 tracing::debug!("can't take the duty '{WARDEN}': {fault}");
-                self.book.borrow_mut().missed_duty(self.now());
+                self.book.borrow_mut().missed_duty(asked, self.now());
             }
         }
     }
@@ -367,8 +382,7 @@
             },
             Call::Told => match serde_json::from_slice::<Told>(&body) {
                 Ok(told) => {
-                    let told_tables = |item: &Arc<Item>| Tables::TOLD.contains(item.key.table.set());
-                    self.news.merge(told.items.into_iter().filter(told_tables));
+                    self.told(told.items);
                     let items = self.news.items();
                     let differs = told.digest.is_some_and(|digest| digest != items.digest(Tables::TOLD));
                     let all: Vec<Arc<Item>> =
--- a/crates/hutbook/tests/registry.rs
+++ b/crates/hutbook/tests/registry.rs
@@ -1,6 +1,6 @@
 //! Stories of registries that watch, take the warden's duty and read the platform's list.
 
-use hutbook::{addresses, Beat, Book, Page, WARDEN};
+use hutbook::{addresses, Beat, Book, Page, Reading, Row, WARDEN};
 use ropeteam::{watchers, Node, Role};
 use serde_json::json;
 use std::net::Ipv4Addr;
@@ -15,12 +15,17 @@
     Node { ip: ip(last), role, zone: zone.into(), region, http, ready: true, leaving: false, lost: false }
 }
 
-/// Passes time in the steps of a registry that is not held up.
+/// Passes time in the steps of a registry that is not held up and is in touch with the core.
 fn pass(book: &mut Book, items: &mut Items, from: f64, until: f64) -> Vec<Item> {
+    pass_cut(book, items, from, until, f64::INFINITY)
+}
+
+/// The same for one that is cut off at some time.
+fn pass_cut(book: &mut Book, items: &mut Items, from: f64, until: f64, cut: f64) -> Vec<Item> {
     let mut news = Vec::new();
     let mut now = from;
     while now <= until {
-        for item in book.tick(now, items) {
+        for item in book.tick(now, 100.0_f64.max(now - cut), items) {
             items.merge(item.clone());
             news.push(item);
         }
@@ -51,7 +56,7 @@
     items.merge(node(9, Role::Proxy, "r1").item(1));
     let _ = book.beat(0.0, &items, Beat { entry: node(9, Role::Proxy, "r1").item(1) });
     pass(&mut book, &mut items, 0.0, 500.0);
-    assert!(book.tick(9_000.0, &items).is_empty());
+    assert!(book.tick(9_000.0, 0.0, &items).is_empty());
     assert_eq!(pass(&mut book, &mut items, 9_100.0, 10_500.0).len(), 0);
 }
 
@@ -63,12 +68,22 @@
     items.merge(proxy.item(1));
     let all: Vec<Ipv4Addr> = (1..=8).map(ip).collect();
     let chosen = watchers(&proxy.name(), proxy.ip, &all, 2);
-    // Those that the ring names are up, and this one is not among them.
-    for watcher in chosen.iter().filter(|w| **w != ip(1)) {
-        items.merge(node(watcher.octets()[3], Role::Registry, "r1").item(1));
+    // Those that the ring names are up and beat on, and this one is not among them.
+    let others: Vec<Node> =
+        chosen.iter().filter(|w| **w != ip(1)).map(|w| node(w.octets()[3], Role::Registry, "r1")).collect();
+    for other in &others {
+        items.merge(other.item(1));
     }
     let watches = watchers(&proxy.name(), proxy.ip, &book.registries(&items), 2).contains(&ip(1));
-    let lost = !pass(&mut book, &mut items, 0.0, 3_000.0).is_empty();
+    let mut news = Vec::new();
+    for turn in 0..6 {
+        let now = 500.0 * f64::from(turn);
+        for other in &others {
+            let _ = book.beat(now, &items, Beat { entry: other.item(1) });
+        }
+        news.extend(pass(&mut book, &mut items, now, now + 400.0));
+    }
+    let lost = !news.is_empty();
     assert_eq!(lost, watches);
 }
 
@@ -86,12 +101,12 @@
     // The first need not hear who else is there; the others wait.
     assert_eq!(wants(&mut books, &items, 0.0), [true, false, false]);
     items.merge(Item::new(Table::Duties, WARDEN, 1, Some(json!({ "holder": ip(1) }))));
-    books[0].took_duty(1);
+    books[0].took_duty(0.0, 100.0, 1);
     assert_eq!(wants(&mut books, &items, 4_000.0), [false, false, false]);
     items.merge(Node { lost: true, ..node(1, Role::Registry, "r1") }.item(2));
     assert_eq!(wants(&mut books, &items, 5_000.0)[1..], [true, false]);
     items.merge(Item::new(Table::Duties, WARDEN, 2, Some(json!({ "holder": ip(2) }))));
-    books[1].took_duty(2);
+    books[1].took_duty(5_000.0, 5_100.0, 2);
     assert!(!books[0].holds(&items) && books[1].holds(&items));
 }
 
@@ -111,40 +126,87 @@
     serde_json::from_str(&text).expect("a page")
 }
 
+/// A registry that was told that it has the duty under this epoch.
+fn holder(last: u8, epoch: u64) -> Book {
+    let mut book = Book::new(ip(last));
+    assert!(book.wants_duty(0.0, &Items::default(), &[ip(last)]));
+    book.took_duty(0.0, 100.0, epoch);
+    book
+}
+
+/// A reading that took no time.
+fn reading(epoch: u64, rows: Vec<Row>) -> Reading {
+    let mut reading = Reading::new(1_000.0, epoch);
+    reading.page(1_000.0, rows);
+    reading
+}
+
+fn merge(items: &mut Items, news: Vec<Item>) -> usize {
+    news.into_iter().filter(|item| items.merge(item.clone())).count()
+}
+
 #[test]
 fn given_a_holder_that_stood_still_when_it_writes_under_its_old_epoch_then_the_later_holder_s_word_stands() {
     let ready = page(r#"["b","10.9.0.1:80","r1","v1",2,"ready",0,"i-1"]"#).rows();
     let draining = page(r#"["b","10.9.0.1:80","r1","v1",2,"draining",0,"i-1"]"#).rows();
     let mut items = Items::default();
-    let old = Book::new(ip(1));
-    for item in old.listed(1, &Items::default(), ready.clone()) {
-        items.merge(item);
-    }
+    let mut old = holder(1, 1);
+    let news = old.listed(1_000.0, &Items::default(), reading(1, ready.clone()));
+    merge(&mut items, news);
     // It reads on and on under epoch 1, and then stands still while another holds epoch 2.
-    let late = old.listed(1, &items, ready);
+    let late = old.listed(1_000.0, &items, reading(1, ready.clone()));
     assert!(late.is_empty(), "what has not changed is no news");
-    for item in Book::new(ip(2)).listed(2, &items, draining) {
-        items.merge(item);
-    }
-    for item in
-        old.listed(1, &Items::default(), page(r#"["b","10.9.0.1:80","r1","v1",2,"ready",0,"i-1"]"#).rows())
-    {
-        assert!(!items.merge(item));
+    let before = items.clone();
+    let news = holder(2, 2).listed(1_000.0, &items, reading(2, draining));
+    assert_eq!(merge(&mut items, news), 1);
+    // Whether it has heard the later one's word already, but not of its epoch, or neither.
+    for known in [&items.clone(), &before, &Items::default()] {
+        let news = old.listed(1_000.0, known, reading(1, ready.clone()));
+        assert_eq!(merge(&mut items, news), 0);
     }
     assert_eq!(items.body(Table::Servers, "i-1").map(|b| b["draining"].clone()), Some(json!(true)));
 }
 
+#[test]
+fn given_a_reading_in_which_the_process_stood_still_when_it_ends_then_nothing_is_written_by_it() {
+    let rows = || page(r#"["b","10.9.0.1:80","r1","v1",2,"ready",0,"i-1"]"#).rows();
+    let (mut book, items) = (holder(1, 1), Items::default());
+    let mut in_page = Reading::new(1_000.0, 1);
+    in_page.page(1_100.0, rows());
+    in_page.page(21_100.0, Vec::new());
+    assert!(book.listed(21_100.0, &items, in_page).is_empty());
+    let mut behind = Reading::new(1_000.0, 1);
+    behind.page(1_100.0, rows());
+    assert!(book.listed(21_100.0, &items, behind.clone()).is_empty());
+    assert_eq!(book.listed(1_200.0, &items, behind).len(), 1);
+    // Nor by one that began under another epoch, or when the duty is another's by now.
+    assert!(book.listed(1_000.0, &items, reading(0, rows())).is_empty());
+    let mut later = Items::default();
+    later.merge(Item::new(Table::Duties, WARDEN, 2, Some(json!({ "holder": ip(2) }))));
+    assert!(book.listed(1_000.0, &later, reading(1, rows())).is_empty());
+}
+
+#[test]
+fn given_a_server_that_was_forgotten_when_it_is_listed_again_then_that_is_above_what_others_remember() {
+    let rows = || page(r#"["b","10.9.0.1:80","r1","v1",2,"ready",0,"i-1"]"#).rows();
+    let (mut book, mut other) = (holder(1, 1), Items::default());
+    for rows in [rows(), Vec::new()] {
+        let news = book.listed(1_000.0, &other, reading(1, rows));
+        merge(&mut other, news);
+    }
+    // Here it was dropped and forgotten; a proxy still holds that it was dropped.
+    let news = book.listed(1_000.0, &Items::default(), reading(1, rows()));
+    assert_eq!(merge(&mut other, news), 1);
+}
+
 #[test]
 fn given_a_time_that_runs_down_when_the_list_is_read_again_then_that_is_no_news_but_a_new_coldness_is() {
     let rows = |left: &str| page(&format!(r#"["b","10.9.0.1:80","r1","v1",2,"ready",{left},"i-1"]"#)).rows();
-    let book = Book::new(ip(1));
+    let mut book = holder(1, 1);
     let mut items = Items::default();
     let mut read = |left: &str| {
-        let news = book.listed(1, &items, rows(left));
-        news.iter().for_each(|item| {
-            items.merge(item.clone());
-        });
-        news.len()
+        let news = book.listed(1_000.0, &items, reading(1, rows(left)));
+        merge(&mut items, news)
     };
     assert_eq!(
         [read("3.0"), read("2.4"), read("1.0"), read("0"), read("0"), read("2.9")],
@@ -152,6 +214,88 @@
     );
 }
 
+#[test]
+fn given_an_answer_about_the_duty_when_it_is_read_late_or_twice_then_only_a_fresh_one_to_the_last_question_counts(
+) {
+    let (mut book, mut items) = (Book::new(ip(1)), Items::default());
+    assert!(book.wants_duty(0.0, &items, &[ip(1)]));
+    // It stood still; its own clock has asked once more before the old answer is read.
+    assert!(book.wants_duty(20_000.0, &items, &[ip(1)]));
+    book.took_duty(0.0, 20_000.0, 5);
+    assert!(!book.holds(&items));
+    book.missed_duty(0.0, 20_000.0);
+    book.took_duty(20_000.0, 20_100.0, 6);
+    assert!(book.holds(&items) && book.epoch() == 6);
+    book.took_duty(20_000.0, 20_200.0, 7);
+    assert_eq!(book.epoch(), 6, "one answer to a question");
+    // Another was told the same epoch, or a higher one is known.
+    items.merge(Item::new(Table::Duties, WARDEN, 6, Some(json!({ "holder": ip(2) }))));
+    assert!(!book.holds(&items));
+    let mut late = Book::new(ip(1));
+    assert!(late.wants_duty(0.0, &Items::default(), &[ip(1)]));
+    late.took_duty(0.0, 20_000.0, 5);
+    assert!(!late.holds(&Items::default()), "an answer read 20 s late");
+}
+
+#[test]
+fn given_a_node_whose_watchers_die_with_it_when_others_watch_in_their_place_then_they_call_it_lost() {
+    let (mut book, mut items) = (Book::new(ip(1)), Items::default());
+    for last in 1..=4 {
+        items.merge(node(last, Role::Registry, "r1").item(1));
+    }
+    items.merge(node(9, Role::Proxy, "r1").item(1));
+    // This one never heard the proxy; all other registries and the proxy fall silent for good.
+    for last in 2..=4 {
+        let _ = book.beat(0.0, &items, Beat { entry: node(last, Role::Registry, "r1").item(1) });
+    }
+    pass(&mut book, &mut items, 0.0, 8_000.0);
+    assert!(Node::all(&items, Role::Proxy)[0].lost);
+    // Nor one that told another once that it is there, and was never heard again.
+    items.merge(node(8, Role::Proxy, "r1").item(1));
+    pass(&mut book, &mut items, 8_100.0, 12_000.0);
+    assert!(Node::all(&items, Role::Proxy).iter().all(|node| node.lost));
+}
+
+#[test]
+fn given_a_registry_that_is_cut_off_when_it_hears_nobody_then_it_calls_nobody_lost_nor_when_it_is_back() {
+    let (mut book, mut items) = (Book::new(ip(1)), Items::default());
+    for last in 1..=3 {
+        items.merge(node(last, Role::Registry, "r1").item(1));
+    }
+    let nodes = || [node(2, Role::Registry, "r1"), node(3, Role::Registry, "r1"), node(9, Role::Proxy, "r1")];
+    for node in nodes() {
+        let _ = book.beat(900.0, &items, Beat { entry: node.item(1) });
+        items.merge(node.item(1));
+    }
+    // The cut comes 500 ms after the last heartbeats, and lasts 20 s.
+    assert_eq!(pass_cut(&mut book, &mut items, 1_000.0, 21_400.0, 1_400.0), []);
+    let (_, beaten) = book.beat(21_400.0, &items, Beat { entry: node(9, Role::Proxy, "r1").item(1) });
+    assert!(beaten.registries.is_empty(), "a node that still reaches it is to ask others");
+    // It is back in touch; the others' heartbeats take their way.
+    assert_eq!(pass(&mut book, &mut items, 21_500.0, 22_500.0), []);
+    // Who stays silent from then on is lost.
+    assert_eq!(pass(&mut book, &mut items, 22_600.0, 25_500.0).len(), 3);
+}
+
+#[test]
+fn given_what_was_dropped_and_forgotten_when_one_that_was_cut_off_tells_it_then_it_does_not_come_back() {
+    let (mut book, mut items) = (Book::new(ip(1)), Items::default());
+    let old = Item::new(Table::Servers, "i-1", 1 << 32, Some(json!({})));
+    items.merge(Item::new(Table::Servers, "i-1", 1 << 32 | 1, None));
+    items.merge(Node { lost: true, ..node(9, Role::Proxy, "r1") }.item(3));
+    assert!(book.forgettable(0.0, &items).is_empty());
+    let over = book.forgettable(61_000.0, &items);
+    assert_eq!(over.len(), 2);
+    items.forget(&over);
+    assert!(book.is_forgotten(&old));
+    assert!(!book.is_forgotten(&Item::new(Table::Servers, "i-1", 2 << 32, Some(json!({})))));
+    // A node that begins anew goes above what copies that forget nothing may hold of it.
+    let (news, answer) = book.beat(62_000.0, &items, Beat { entry: node(9, Role::Proxy, "r1").item(1) });
+    assert!(news.is_none() && answer.version == 3);
+    let (news, _) = book.beat(62_100.0, &items, Beat { entry: node(9, Role::Proxy, "r1").item(4) });
+    assert!(news.is_some());
+}
+
 #[test]
 fn given_rows_that_cannot_be_read_or_columns_in_another_order_when_a_page_comes_then_the_others_count() {
     let text = r#"{"instances":{"cols":["id","state","backend","address","more"],"rows":[
--- a/crates/ropeteam/src/lib.rs
+++ b/crates/ropeteam/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod contact;
 mod follower;
+mod heartbeats;
 mod news;
 mod node;
 mod ring;
 
 pub use contact::{age_when_read, Contact};
 pub use follower::Follower;
+pub use heartbeats::Heartbeats;
 pub use news::{follow, News, Pull, Pulled, Source};
 pub use node::{Node, Role};
 pub use ring::{place, watchers};
--- a/crates/ropeteam/src/node.rs
+++ b/crates/ropeteam/src/node.rs
@@ -1,5 +1,6 @@
 //! What a process tells of itself.
 
+use crate::ring::watchers;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -60,6 +61,16 @@
         Item::new(Table::Nodes, self.name(), version, serde_json::to_value(self).ok())
     }
 
+    /// Who watches it, of these registries: the same for itself and for all registries that know the same others. A
+    /// registry is not watched from its own machine.
+    pub fn watchers(&self, registries: &[Ipv4Addr], count: usize) -> Vec<Ipv4Addr> {
+        let own = match self.role {
+            Role::Registry => self.ip,
+            Role::Proxy => Ipv4Addr::UNSPECIFIED,
+        };
+        watchers(&self.name(), own, registries, count)
+    }
+
     /// Whether it is there and stays.
     pub fn is_up(&self) -> bool {
         !self.lost && !self.leaving
--- a/crates/waymark/src/team.rs
+++ b/crates/waymark/src/team.rs
@@ -3,7 +3,7 @@
 use footbridge::{answer_of, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
 use hutbook::{Beat, Beaten, WARDEN, WATCHERS};
 use larder::{Grant, Rations};
-use ropeteam::{watchers, News, Node, Pull, Role, Source};
+use ropeteam::{Heartbeats, News, Node, Pull, Role, Source};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -37,8 +37,8 @@
     told: RefCell<Option<Node>>,
     ready: Cell<bool>,
     leaving: Cell<bool>,
-    /// Registries, by the last answer to a heartbeat.
-    registries: RefCell<Vec<Ipv4Addr>>,
+    start: Instant,
+    heartbeats: RefCell<Heartbeats>,
     sooner: Notify,
     wanting: Notify,
     /// What is done with news.
@@ -79,7 +79,8 @@
     /// A proxy that nobody knows yet.
     pub fn new(boot: Boot, calls: Calls) -> Rc<Self> {
         Rc::new(Self {
-            registries: RefCell::new(boot.seed_machines()),
+            start: Instant::now(),
+            heartbeats: RefCell::new(Heartbeats::new(boot.seed_machines())),
             boot,
             calls,
             news: News::new(fastrand::u64(1..)),
@@ -118,6 +119,10 @@
         self.sooner.notify_one();
     }
 
+    fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
     fn node(&self) -> Node {
         Node {
             ip: self.boot.ip,
@@ -139,11 +144,8 @@
                 self.version.set(self.version.get() + 1);
             }
             self.told.replace(Some(node.clone()));
-            let mut registries = self.registries.borrow().clone();
-            if registries.len() < WATCHERS {
-                registries.extend(self.boot.seed_machines());
-            }
-            for watcher in watchers(&node.name(), Ipv4Addr::UNSPECIFIED, &registries, WATCHERS) {
+            let to = self.heartbeats.borrow().to(self.now(), &node, WATCHERS);
+            for watcher in to {
                 let (team, beat) = (self.clone(), Beat { entry: node.item(self.version.get()) });
                 tokio::task::spawn_local(async move { team.beat(watcher, beat).await });
             }
@@ -155,6 +157,7 @@
 
     async fn beat(&self, watcher: Ipv4Addr, beat: Beat) {
         let to = SocketAddr::from((watcher, self.boot.ports().registry));
+        let asked = self.now();
         let answer: Result<Beaten, Fault> = self.calls.post(to, "/beat", &beat, ANSWER).await;
         match answer {
             Ok(beaten) => {
@@ -162,7 +165,7 @@
                     self.version.set(beaten.version + 1);
                     self.sooner.notify_one();
                 }
-                self.registries.replace(beaten.registries);
+                self.heartbeats.borrow_mut().answered(asked, beaten.registries);
             }
             Err(fault) => tracing::debug!("the watcher {watcher} did not hear: {fault}"),
         }
