An operator's call that the own store can't carry out goes on to another

A registry asked only its own machine's store: one that rebuilt its state, was founded late or down refused all orders there, though the others had a majority. An `Errand` decides now whether a call goes on, by what is known of it: after `unready` nothing was begun, so all do; after an answer that leaves it open only reads and amends do, which are the same done twice; drains carry no version, and a late one would undo what came after it.

Ruled out: 307 to another machine (the caller may not reach it, and learns no more than that), asking several at once (rounds outbid each other).

--- a/crates/hutbook/src/lib.rs
+++ b/crates/hutbook/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod book;
 mod directory;
+mod errand;
 mod listing;
 
 pub use book::{Beat, Beaten, Book, WARDEN, WATCHERS};
 pub use directory::addresses;
+pub use errand::{Errand, Order, Other};
 pub use listing::{Page, Reading, Row, Server};
--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -5,7 +5,7 @@
 
 use argh::FromArgs;
 use footbridge::{answer_of, serve, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
-use hutbook::{addresses, Beat, Beaten, Book, Page, Reading, WARDEN, WATCHERS};
+use hutbook::{addresses, Beat, Beaten, Book, Errand, Order, Other, Page, Reading, WARDEN, WATCHERS};
 use hyper::{Method, StatusCode};
 use larder::{Grant, Keeper, Report};
 use ropeteam::{follow, News, Node, Pull, Role, Source};
@@ -52,6 +52,8 @@
 const FRESH: f64 = 3_500.0;
 /// By then a registry has heard of all nodes since its start, in milliseconds: a heartbeat and a comparison, each twice.
 const HEARD: f64 = 2_500.0;
+/// Answers of other machines are remembered this long, in milliseconds.
+const ANSWERED: f64 = 60_000.0;
 /// How long a client holds an answer, in seconds, where the rules allow as much.
 const TTL: f64 = 1.5;
 
@@ -62,7 +64,7 @@
     Told,
     Lookup,
     Shares,
-    Stored,
+    Stored(Order),
     Status,
 }
 
@@ -76,13 +78,16 @@
         At("shares", vec![End("POST", Call::Shares)]),
         At(
             "config",
-            vec![At("amend", vec![End("POST", Call::Stored)]), At("read", vec![End("GET", Call::Stored)])],
+            vec![
+                At("amend", vec![End("POST", Call::Stored(Order::Amend))]),
+                At("read", vec![End("GET", Call::Stored(Order::Read))]),
+            ],
         ),
         At(
             "drain",
             vec![Any(vec![
-                At("begin", vec![End("POST", Call::Stored)]),
-                At("finish", vec![End("POST", Call::Stored)]),
+                At("begin", vec![End("POST", Call::Stored(Order::Drain))]),
+                At("finish", vec![End("POST", Call::Stored(Order::Drain))]),
             ])],
         ),
         At("status", vec![End("GET", Call::Status)]),
@@ -116,6 +121,8 @@
     leaving: Cell<bool>,
     /// While the warden's duty is held here.
     keeper: RefCell<Option<Keeper>>,
+    /// When each other machine last answered, counted from when it was asked.
+    answered: RefCell<HashMap<Ipv4Addr, f64>>,
     seeds: Vec<Ipv4Addr>,
 }
 
@@ -208,9 +215,10 @@
         for watcher in to {
             let (hutbook, beat) = (self.clone(), Beat { entry: item.clone() });
             tokio::task::spawn_local(async move {
-                let to = hutbook.registry(watcher);
+                let (to, asked) = (hutbook.registry(watcher), hutbook.now());
                 let answer: Result<Beaten, Fault> = hutbook.calls.post(to, "/beat", &beat, ANSWER).await;
                 if let Ok(beaten) = answer {
+                    hutbook.heard(watcher, asked);
                     hutbook.known_as(beaten.version);
                 }
             });
@@ -237,10 +245,12 @@
             sleep(COMPARE.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
             let Some(other) = fastrand::choice(self.others()) else { continue };
             let digest = Some(self.news.items().digest(Tables::TOLD));
+            let asked = self.now();
             let told = Told { items: Vec::new(), digest };
             let answer: Result<Vec<Arc<Item>>, Fault> =
                 self.calls.post(self.registry(other), "/told", &told, ANSWER).await;
             let Ok(theirs) = answer else { continue };
+            self.heard(other, asked);
             if theirs.is_empty() {
                 continue;
             }
@@ -396,16 +406,9 @@
                 Ok(asking) => answer_of(self.grant(&asking)),
                 Err(error) => answer_of::<()>(Err(malformed(error))),
             },
-            Call::Stored => {
-                let to = SocketAddr::from((self.boot.ip, self.boot.ports().store));
+            Call::Stored(order) => {
                 let method = if method == "GET" { Method::GET } else { Method::POST };
-                match self.calls.raw(to, method, &path, body, STORE).await {
-                    Ok((status, body)) => Outgoing {
-                        status: StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY),
-                        body: body.to_vec(),
-                    },
-                    Err(fault) => answer_of::<()>(Err(fault)),
-                }
+                self.stored(order, method, &path, body).await
             }
             Call::Status => {
                 let to = SocketAddr::from((self.boot.ip, self.boot.ports().store));
@@ -425,6 +428,53 @@
         }
     }
 
+    /// The stores on other machines of the group.
+    fn other_stores(&self) -> Vec<Other> {
+        let (items, answered) = (self.news.items(), self.answered.borrow());
+        let other = |ip: &Ipv4Addr| {
+            let node = Node { ip: *ip, ..self.entry() };
+            let node = items.body(Table::Nodes, &node.name()).and_then(Node::read);
+            Other {
+                at: SocketAddr::from((*ip, self.boot.ports().store)),
+                near: node.is_some_and(|node| node.region == self.boot.region),
+                answered: answered.get(ip).copied(),
+            }
+        };
+        self.group().iter().filter(|ip| **ip != self.boot.ip).map(other).collect()
+    }
+
+    /// Another machine answered what it was asked at `asked`.
+    fn heard(&self, ip: Ipv4Addr, asked: f64) {
+        let mut answered = self.answered.borrow_mut();
+        answered.retain(|_, at| asked < *at + ANSWERED);
+        answered.insert(ip, asked);
+    }
+
+    /// Has an operator's call carried out by a store, the own machine's if that can.
+    async fn stored(&self, order: Order, method: Method, path: &str, body: bytes::Bytes) -> Outgoing {
+        let mut errand = Errand::new(self.now(), order, self.other_stores());
+        let own = SocketAddr::from((self.boot.ip, self.boot.ports().store));
+        let (mut to, mut wait) = (own, STORE);
+        loop {
+            let answer = self.calls.raw(to, method.clone(), path, body.clone(), wait).await;
+            let (answer, kind) = match answer {
+                Ok((status, body)) => {
+                    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+                    let fault = || serde_json::from_slice(&body).ok().map(|fault: Fault| fault.kind);
+                    let kind = if status == StatusCode::OK { None } else { fault() };
+                    (Outgoing { status, body: body.to_vec() }, kind)
+                }
+                Err(fault) => {
+                    let kind = fault.kind;
+                    (answer_of::<()>(Err(fault)), Some(kind))
+                }
+            };
+            let Some(next) = kind.and_then(|kind| errand.failed(self.now(), kind)) else { return answer };
+            tracing::debug!("{to} can't act, the call goes on to {}", next.0);
+            (to, wait) = (next.0, Duration::from_secs_f64(next.1 / 1000.0));
+        }
+    }
+
     /// Gives shares of quotas out, while that is its duty and it is in touch with the core.
     fn grant(&self, asking: &Asking) -> Result<Grant, Fault> {
         let items = self.news.items();
@@ -489,6 +539,7 @@
         version: Cell::new(1),
         leaving: Cell::new(false),
         keeper: RefCell::default(),
+        answered: RefCell::default(),
         seeds: boot.seed_machines(),
         boot,
     });
