--- /dev/null
+++ b/crates/avalanche/src/adapter.rs
@@ -0,0 +1,248 @@
+//! All that touches the store's messages, disks and answers from the inside: the rest takes them as they come.
+
+use crate::defects::Defect;
+use cairn::{Ask, Ballot, Change, Kept, Reply, Standing, Store};
+use serde_json::json;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use trailmap::{Amended, Item, Items, Key, Table};
+
+/// The address of a machine.
+pub fn ip(machine: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, machine as u8 + 1, 0, 5)
+}
+
+/// The machine of an address.
+pub fn machine(ip: Ipv4Addr) -> usize {
+    usize::from(ip.octets()[1]) - 1
+}
+
+/// The machines that are known to all.
+pub fn seeds(stores: usize) -> Vec<Ipv4Addr> {
+    (0..stores.min(3)).map(ip).collect()
+}
+
+/// A store that starts with what its disk held.
+pub fn start(machine: usize, stores: usize, first: bool, kept: Kept, seed: u64) -> Store {
+    Store::new(ip(machine), seeds(stores), first, kept, seed)
+}
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Op {
+    /// A route at a number.
+    Put {
+        /// Its name.
+        name: String,
+        /// Where it is.
+        place: String,
+        /// Its number.
+        number: u64,
+        /// What tells its contents apart.
+        content: u64,
+    },
+    /// A route is dropped at a number.
+    Remove {
+        /// Its name.
+        name: String,
+        /// The number.
+        number: u64,
+    },
+    /// A zone is emptied or taken back.
+    Drain {
+        /// The zone.
+        zone: String,
+        /// Emptied.
+        on: bool,
+    },
+    /// A duty is taken.
+    Duty {
+        /// The duty.
+        name: String,
+        /// By whom: another at each call.
+        holder: Ipv4Addr,
+    },
+    /// All is read.
+    Read,
+}
+
+impl Op {
+    /// The call that the store takes.
+    pub fn change(&self) -> Change {
+        match self {
+            Self::Put { name, place, number, content } => {
+                let route = json!({ "vhost": "h", "pathPrefix": place, "kind": "idempotent", "backend": "b",
+                    "timeoutS": *content as f64, "gen": format!("r{number}") });
+                let mut routes = serde_json::Map::new();
+                routes.insert(name.clone(), route);
+                amended(&json!({ "upsert": { "routes": routes, "backends": { "b": { "gen": "r1" } } } }))
+            }
+            Self::Remove { name, number } => {
+                amended(&json!({ "remove": { "routes": [{ "name": name, "gen": format!("r{number}") }] } }))
+            }
+            Self::Drain { zone, on } => Change::Drain { zone: zone.clone(), on: *on },
+            Self::Duty { name, holder } => Change::Duty { name: name.clone(), holder: *holder },
+            Self::Read => Change::Read,
+        }
+    }
+
+    /// The item that it is about.
+    pub fn key(&self) -> Option<Key> {
+        let (table, name) = match self {
+            Self::Put { name, .. } | Self::Remove { name, .. } => (Table::Routes, name),
+            Self::Drain { zone, .. } => (Table::Drains, zone),
+            Self::Duty { name, .. } => (Table::Duties, name),
+            Self::Read => return None,
+        };
+        Some(Key { table, name: name.clone() })
+    }
+}
+
+fn amended(call: &serde_json::Value) -> Change {
+    Change::Amend(Amended::read(call.to_string().as_bytes()).unwrap_or_default())
+}
+
+/// What tells a route's contents apart; 0 for one that was dropped.
+pub fn content(item: &Item) -> u64 {
+    let told = item.body.as_ref().and_then(|body| body.get("timeoutS")).and_then(serde_json::Value::as_f64);
+    told.map_or(0, |told| told as u64)
+}
+
+/// The holder that a duty's item names.
+pub fn holder(item: &Item) -> Option<Ipv4Addr> {
+    item.body.as_ref()?.get("holder")?.as_str()?.parse().ok()
+}
+
+/// The machines that a group's item names, as they stand in it.
+pub fn named(group: &Item) -> Vec<Ipv4Addr> {
+    let members = group.body.as_ref().and_then(|body| body.get("members")).cloned().unwrap_or_default();
+    serde_json::from_value(members).unwrap_or_default()
+}
+
+/// The group's item.
+pub fn group(items: &Items) -> Option<&Arc<Item>> {
+    items.get(Table::Group, "core")
+}
+
+/// Items that a question says to stand.
+pub fn standing_in_ask(ask: &Ask) -> &[Arc<Item>] {
+    match ask {
+        Ask::Write { missing, .. } => missing,
+        Ask::Settle { items, .. } => items,
+        _ => &[],
+    }
+}
+
+/// Items that an answer says to stand.
+pub fn standing_in_reply(reply: &Reply) -> &[Arc<Item>] {
+    match reply {
+        Reply::Reserved { items: Some(items), .. } | Reply::Stands { items } => items,
+        Reply::Copied(copied) => &copied.items,
+        _ => &[],
+    }
+}
+
+/// A round's items, where a question has them written down.
+pub fn proposal(ask: &Ask) -> Option<(Ballot, &[Arc<Item>])> {
+    match ask {
+        Ask::Write { ballot, items, .. } => Some((*ballot, items)),
+        _ => None,
+    }
+}
+
+/// A round that has come to stand, where a question says so.
+pub fn settled(ask: &Ask) -> Option<Ballot> {
+    match ask {
+        Ask::Settle { ballot, .. } => Some(*ballot),
+        _ => None,
+    }
+}
+
+/// Whether an answer says that items are written down.
+pub fn is_written(reply: &Reply) -> bool {
+    matches!(reply, Reply::Written)
+}
+
+/// Whether an answer is one of a member: it counts as contact.
+pub fn is_contact(answerer: &Store, reply: &Reply) -> bool {
+    answerer.standing() == Standing::Member && !matches!(reply, Reply::Blank)
+}
+
+/// Questions that come again and again, without which nothing is wrong but late.
+pub fn is_routine(ask: &Ask) -> bool {
+    matches!(ask, Ask::Compare { .. })
+}
+
+/// What a store has written down and not heard to stand: its group, if it is one.
+pub fn pending_group(kept: &Kept) -> Option<&Arc<Item>> {
+    kept.pending.as_ref()?.items.iter().find(|item| item.key.table == Table::Group)
+}
+
+/// Begins a planned leave, if stores know of it.
+pub fn leave(_store: &mut Store, _now: f64) -> bool {
+    false
+}
+
+/// The epoch that a duty's call was answered with; `None` if the answer tells none and it is read from what stands.
+pub fn epoch(_done: &()) -> Option<u64> {
+    None
+}
+
+/// What a disk holds that was lost: nothing, and a life of its own.
+pub fn lost(before: &Kept, life: u64, defect: Option<Defect>) -> Kept {
+    if defect == Some(Defect::OldLife) {
+        // It goes on as if it had only lost what it knows.
+        let mut kept = Kept::new(before.life);
+        kept.whole = before.whole;
+        if let Some(group) = group(&before.items) {
+            kept.items.merge_shared(group.clone());
+        }
+        return kept;
+    }
+    Kept::new(life)
+}
+
+/// What a store starts with, from a disk.
+pub fn loaded(mut kept: Kept, defect: Option<Defect>) -> Kept {
+    match defect {
+        Some(Defect::PromiseLost) => {
+            kept.promised = Ballot::NONE;
+            kept.pending = None;
+        }
+        Some(Defect::NoStandingBallot) => {}
+        _ => {}
+    }
+    kept
+}
+
+/// A question as it arrives, with a defect.
+pub fn tampered_ask(ask: Ask, _defect: Option<Defect>) -> Ask {
+    ask
+}
+
+/// An answer as it arrives, with a defect.
+pub fn tampered_reply(mut reply: Reply, defect: Option<Defect>) -> Reply {
+    if let (Some(Defect::MemberBeforeAll), Reply::Copied(copied)) = (defect, &mut reply) {
+        copied.pending = None;
+        copied.items.retain(|item| item.key.table == Table::Group);
+    }
+    reply
+}
+
+/// What a call is answered with.
+pub type Result = std::result::Result<(), footbridge::Fault>;
+
+/// The sides of a group's item: each must bear its losses.
+pub fn sides(group: &Item) -> Vec<Vec<Ipv4Addr>> {
+    vec![named(group)]
+}
+
+/// Whether the group's item is more than a proposal; of one that is written down nobody may know yet.
+pub fn group_stands(_group: &Item) -> bool {
+    true
+}
+
+/// Whether a store that is no member waits for a place.
+pub fn waits(store: &Store) -> bool {
+    matches!(store.standing(), Standing::Rebuilding | Standing::Outside)
+}
--- /dev/null
+++ b/crates/avalanche/src/judge.rs
@@ -0,0 +1,439 @@
+//! The invariants, by name, and what is known of a play to judge it by.
+
+use crate::adapter::{self, Op};
+use crate::linear::{search, Act, Entry, Found, Told};
+use cairn::{Ballot, CallId, Store};
+use footbridge::{Fault, Kind};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use trailmap::{check, Item, Items, Key, Table, Tables};
+
+/// What must hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Invariant {
+    /// Two contents of one item and number never both stand, anywhere, over all time.
+    Agreement,
+    /// What was acknowledged is in each read that begins after.
+    AcknowledgedStays,
+    /// What stands in a copy is sound as a whole.
+    Soundness,
+    /// Two calls for a duty are never told one epoch, nor one of another's holder, nor a lower one later.
+    EpochsNeverShared,
+    /// A store is in touch only as long as more than half could have answered what it asked within that time.
+    NoServingWithoutContact,
+    /// One machine has one place in a group.
+    OnePlaceEach,
+    /// After a loss within what the group bears all take part again and calls are carried out.
+    LossIsBorne,
+    /// What nobody owes any more never comes to stand.
+    NothingReturns,
+    /// No two contents are confirmed under one number.
+    OneContentANumber,
+    /// Each item's history is linearizable.
+    Linearizable,
+}
+
+impl Invariant {
+    /// All, with their names.
+    pub const ALL: [(&'static str, Self); 10] = [
+        ("agreement", Self::Agreement),
+        ("acknowledged-stays", Self::AcknowledgedStays),
+        ("soundness", Self::Soundness),
+        ("epochs-never-shared", Self::EpochsNeverShared),
+        ("no-serving-without-contact", Self::NoServingWithoutContact),
+        ("one-place-each", Self::OnePlaceEach),
+        ("loss-is-borne", Self::LossIsBorne),
+        ("nothing-returns", Self::NothingReturns),
+        ("one-content-a-number", Self::OneContentANumber),
+        ("linearizable", Self::Linearizable),
+    ];
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        Self::ALL.iter().find(|(_, known)| *known == self).map_or("", |(name, _)| name)
+    }
+}
+
+/// An invariant that did not hold.
+#[derive(Clone, Debug)]
+pub struct Break {
+    /// Which.
+    pub invariant: Invariant,
+    /// What was seen.
+    pub what: String,
+    /// When, in milliseconds of the play.
+    pub at: f64,
+}
+
+/// A call of an operator or a registry.
+#[derive(Clone, Debug)]
+pub struct Called {
+    /// The store that was called.
+    pub store: usize,
+    /// What for.
+    pub op: Op,
+    /// When it began.
+    pub begin: f64,
+    /// When it was answered.
+    pub end: f64,
+    /// What it was told; `None` if nothing was.
+    pub told: Option<Result<(), Kind>>,
+    /// What a read gave.
+    read: Option<Items>,
+    /// What was acknowledged when it began.
+    floor: BTreeMap<Key, u64>,
+    /// The highest epochs that were told when it began.
+    epochs: BTreeMap<String, u64>,
+}
+
+/// What is known of an item at a version that a round was to write down.
+#[derive(Clone, Debug)]
+struct Proposed {
+    body: Arc<Item>,
+    last: Ballot,
+    dead: bool,
+}
+
+/// Judges a play, step by step.
+#[derive(Clone, Debug, Default)]
+pub struct Judge {
+    /// The first invariant that did not hold.
+    pub broken: Option<Break>,
+    /// Invariants that are looked past.
+    pub but: BTreeSet<Invariant>,
+    /// Histories that the search could not decide.
+    pub undecided: u64,
+    stood: BTreeMap<(Key, u64), Arc<Item>>,
+    seen: BTreeMap<usize, u64>,
+    sound: BTreeSet<u64>,
+    /// The calls.
+    pub calls: BTreeMap<CallId, Called>,
+    acknowledged: BTreeMap<Key, u64>,
+    confirmed: BTreeMap<(Key, u64), u64>,
+    epochs: BTreeMap<(String, u64), CallId>,
+    highest: BTreeMap<String, u64>,
+    proposed: BTreeMap<(Key, u64), Vec<Proposed>>,
+    /// When the last question went out that a member answered: of asker and answerer.
+    contact: BTreeMap<(usize, usize), f64>,
+}
+
+impl Judge {
+    /// One that looks past some invariants.
+    pub fn but(but: &BTreeSet<Invariant>) -> Self {
+        Self { but: but.clone(), ..Self::default() }
+    }
+
+    fn breaks(&mut self, now: f64, invariant: Invariant, what: String) {
+        if self.broken.is_none() && !self.but.contains(&invariant) {
+            self.broken = Some(Break { invariant, what, at: now });
+        }
+    }
+
+    /// Items stand somewhere, or are said to.
+    pub fn stands(&mut self, now: f64, place: &str, items: &[Arc<Item>]) {
+        for item in items {
+            let known = self.stood.entry((item.key.clone(), item.version)).or_insert_with(|| item.clone());
+            if known.body != item.body {
+                let what = format!(
+                    "{:?} '{}' at {}: {:?} at {place}, and {:?} stood before",
+                    item.key.table, item.key.name, item.version, item.body, known.body
+                );
+                self.breaks(now, Invariant::Agreement, what);
+            }
+            if item.key.table == Table::Group {
+                let members = adapter::named(item);
+                if members.iter().collect::<BTreeSet<_>>().len() < members.len() {
+                    self.breaks(now, Invariant::OnePlaceEach, format!("{members:?} at {place}"));
+                }
+            }
+            if let Some(proposed) = self.proposed.get(&(item.key.clone(), item.version)) {
+                if proposed.iter().any(|p| p.dead && p.body.body == item.body) {
+                    let what = format!(
+                        "{:?} '{}' at {} stands at {place}, though a round stood that excludes it and nobody asked again",
+                        item.key.table, item.key.name, item.version
+                    );
+                    self.breaks(now, Invariant::NothingReturns, what);
+                }
+            }
+        }
+    }
+
+    /// A store has started: nothing of it is known.
+    pub fn started(&mut self, n: usize) {
+        self.seen.remove(&n);
+        self.contact.retain(|(asker, _), _| *asker != n);
+    }
+
+    /// A store has taken a step.
+    pub fn stepped(&mut self, now: f64, n: usize, store: &Store) {
+        let items = &store.kept().items;
+        let seen = self.seen.entry(n).or_insert(0);
+        if *seen == items.changes() {
+            return;
+        }
+        let since = if *seen > items.changes() { 0 } else { *seen };
+        *seen = items.changes();
+        let newer = items.since(since, Tables::KEPT);
+        self.stands(now, &format!("store {n}"), &newer);
+        if newer.iter().any(|item| Tables::CONFIG.contains(item.key.table.set()))
+            && self.sound.insert(items.digest(Tables::CONFIG))
+        {
+            if let Err(fault) = check(items) {
+                self.breaks(now, Invariant::Soundness, format!("store {n} holds: {fault}"));
+            }
+        }
+    }
+
+    /// A round's items are to be written down, by a store that judged them.
+    pub fn proposes(&mut self, now: f64, n: usize, ballot: Ballot, items: &[Arc<Item>]) {
+        for item in items {
+            let owed = self.calls.values().any(|call| {
+                call.store == n && call.told.is_none() && call.op.key().as_ref() == Some(&item.key)
+            }) || matches!(item.key.table, Table::Group | Table::Backends);
+            let all = self.proposed.entry((item.key.clone(), item.version)).or_default();
+            match all.iter_mut().find(|known| known.body.body == item.body) {
+                None => all.push(Proposed { body: item.clone(), last: ballot, dead: false }),
+                Some(known) if !known.dead || owed || known.last >= ballot => {
+                    if known.last < ballot {
+                        known.last = ballot;
+                        known.dead = false;
+                    }
+                }
+                Some(_) => {
+                    let what = format!(
+                        "store {n} writes {:?} '{}' at {} down in {ballot:?}, though a round stood that excludes it \
+                         and nobody asked again",
+                        item.key.table, item.key.name, item.version
+                    );
+                    self.breaks(now, Invariant::NothingReturns, what);
+                }
+            }
+        }
+    }
+
+    /// A round has come to stand, with all that its store holds.
+    pub fn settles(&mut self, ballot: Ballot, items: &Items) {
+        for ((key, version), all) in &mut self.proposed {
+            for known in all.iter_mut().filter(|known| known.last < ballot) {
+                if items.version(key.table, &key.name) < *version {
+                    known.dead = true;
+                }
+            }
+        }
+    }
+
+    /// A question of a store was answered by a member, and the answer has come.
+    pub fn contact(&mut self, asker: usize, answerer: usize, asked: f64) {
+        let last = self.contact.entry((asker, answerer)).or_insert(asked);
+        *last = last.max(asked);
+    }
+
+    /// A store says how long ago it was in touch.
+    pub fn in_touch(&mut self, now: f64, n: usize, members: &[usize], age: Option<f64>) {
+        let Some(age) = age else { return };
+        let mut ages: Vec<f64> =
+            members
+                .iter()
+                .map(|m| {
+                    if *m == n {
+                        0.0
+                    } else {
+                        self.contact.get(&(n, *m)).map_or(f64::INFINITY, |at| now - at)
+                    }
+                })
+                .collect();
+        ages.sort_unstable_by(f64::total_cmp);
+        let truth = ages.get(members.len() / 2).copied().unwrap_or(f64::INFINITY);
+        if truth > age + 1.0 {
+            let what = format!(
+                "store {n} says it was in touch {age:.0} ms ago; more than half can have answered what it asked \
+                 {truth:.0} ms ago at best"
+            );
+            self.breaks(now, Invariant::NoServingWithoutContact, what);
+        }
+    }
+
+    /// A call begins.
+    pub fn called(&mut self, now: f64, id: CallId, store: usize, op: Op) {
+        let called = Called {
+            store,
+            op,
+            begin: now,
+            end: f64::INFINITY,
+            told: None,
+            read: None,
+            floor: self.acknowledged.clone(),
+            epochs: self.highest.clone(),
+        };
+        self.calls.insert(id, called);
+    }
+
+    /// A call that no answer can come to any more.
+    pub fn dropped(&mut self, store: usize) {
+        for call in self.calls.values_mut().filter(|call| call.store == store && call.told.is_none()) {
+            call.told = Some(Err(Kind::Unreachable));
+        }
+    }
+
+    /// A call is answered, while its store holds these items.
+    pub fn answered(&mut self, now: f64, id: CallId, result: &Result<(), Fault>, items: &Items) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if call.told.is_some() {
+            return;
+        }
+        call.end = now;
+        call.told = Some(result.clone().map_err(|fault| fault.kind));
+        if result.is_err() {
+            return;
+        }
+        let call = call.clone();
+        if call.op == Op::Read {
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.read = Some(items.clone());
+            }
+        }
+        for (key, version) in &call.floor {
+            if items.version(key.table, &key.name) < *version {
+                let what = format!(
+                    "call {id} at store {} began at {:.0} ms and is confirmed without {:?} '{}' at {version}, which was \
+                     acknowledged before; it holds {}",
+                    call.store, call.begin, key.table, key.name, items.version(key.table, &key.name)
+                );
+                self.breaks(now, Invariant::AcknowledgedStays, what);
+            }
+        }
+        let number = match &call.op {
+            Op::Put { number, content, .. } => Some((*number, *content)),
+            Op::Remove { number, .. } => Some((*number, 0)),
+            _ => None,
+        };
+        if let (Some((number, content)), Some(key)) = (number, call.op.key()) {
+            let before = *self.confirmed.entry((key.clone(), number)).or_insert(content);
+            if before != content {
+                let what =
+                    format!("'{}' at {number} is confirmed with {before} and with {content}", key.name);
+                self.breaks(now, Invariant::OneContentANumber, what);
+            }
+            let floor = self.acknowledged.entry(key).or_insert(0);
+            *floor = (*floor).max(number);
+        } else if let (Op::Drain { .. }, Some(key)) = (&call.op, call.op.key()) {
+            // Its version is what stands: at least that was acknowledged.
+            let version = items.version(key.table, &key.name);
+            let floor = self.acknowledged.entry(key).or_insert(0);
+            *floor = (*floor).max(version);
+        }
+    }
+
+    /// A registry is told the epoch of a duty.
+    pub fn told_epoch(&mut self, now: f64, id: CallId, epoch: u64) {
+        let Some(call) = self.calls.get(&id).cloned() else { return };
+        let Op::Duty { name, holder } = &call.op else { return };
+        if let Some(other) = self.epochs.insert((name.clone(), epoch), id) {
+            if other != id {
+                let what = format!("calls {other} and {id} are both told epoch {epoch} of '{name}'");
+                self.breaks(now, Invariant::EpochsNeverShared, what);
+            }
+        }
+        if call.epochs.get(name).is_some_and(|before| *before >= epoch) {
+            let what = format!("call {id} is told epoch {epoch} of '{name}', after a higher one was told");
+            self.breaks(now, Invariant::EpochsNeverShared, what);
+        }
+        let key = Key { table: Table::Duties, name: name.clone() };
+        if let Some(item) = self.stood.get(&(key.clone(), epoch)) {
+            if adapter::holder(item) != Some(*holder) {
+                let what = format!(
+                    "call {id} of {holder} is told epoch {epoch} of '{name}', which is {:?}",
+                    item.body
+                );
+                self.breaks(now, Invariant::EpochsNeverShared, what);
+            }
+        }
+        let highest = self.highest.entry(name.clone()).or_insert(0);
+        *highest = (*highest).max(epoch);
+        let floor = self.acknowledged.entry(key).or_insert(0);
+        *floor = (*floor).max(epoch);
+    }
+
+    /// Whether a copy holds all that was acknowledged.
+    pub fn holds_all(&self, items: &Items) -> bool {
+        self.acknowledged.iter().all(|(key, version)| items.version(key.table, &key.name) >= *version)
+    }
+
+    /// What was acknowledged and a copy lacks.
+    pub fn lacks(&self, items: &Items) -> Vec<String> {
+        self.acknowledged
+            .iter()
+            .filter(|(key, version)| items.version(key.table, &key.name) < **version)
+            .map(|(key, version)| format!("{:?} '{}' at {version}", key.table, key.name))
+            .collect()
+    }
+
+    /// A loss was not borne.
+    pub fn not_borne(&mut self, now: f64, what: String) {
+        self.breaks(now, Invariant::LossIsBorne, what);
+    }
+
+    /// An end at which all must hold what was acknowledged.
+    pub fn lost(&mut self, now: f64, what: String) {
+        self.breaks(now, Invariant::AcknowledgedStays, what);
+    }
+
+    /// The play is over: each item's history is searched for an order that explains it.
+    pub fn ended(&mut self, now: f64, steps: usize) {
+        let mut histories: BTreeMap<Key, Vec<Entry>> = BTreeMap::new();
+        for call in self.calls.values() {
+            if let Some(key) = call.op.key().filter(|key| key.table != Table::Duties) {
+                histories.entry(key).or_default();
+            }
+        }
+        for call in self.calls.values() {
+            if let Some(read) = &call.read {
+                for (key, history) in &mut histories {
+                    let item = read.get(key.table, &key.name);
+                    let act = match key.table {
+                        Table::Drains => Act::ReadSwitch(item.is_some_and(|item| item.body.is_some())),
+                        _ => Act::Read(
+                            item.map_or(0, |item| item.version),
+                            item.map_or(0, |item| adapter::content(item)),
+                        ),
+                    };
+                    history.push(Entry { begin: call.begin, end: call.end, act });
+                }
+                continue;
+            }
+            let Some(key) = call.op.key() else { continue };
+            let told = match &call.told {
+                Some(Ok(())) => Told::Confirmed,
+                Some(Err(Kind::Conflict)) => Told::Refused,
+                // Refused as unsound: it took nowhere.
+                Some(Err(Kind::Invalid | Kind::Malformed)) => continue,
+                _ => Told::Unclear,
+            };
+            let act = match &call.op {
+                Op::Put { number, content, .. } => Act::Put(*number, *content, told),
+                Op::Remove { number, .. } => Act::Put(*number, 0, told),
+                Op::Drain { on, .. } => Act::Switch(*on, told),
+                Op::Duty { .. } | Op::Read => continue,
+            };
+            if let Some(history) = histories.get_mut(&key) {
+                history.push(Entry { begin: call.begin, end: call.end, act });
+            }
+        }
+        for (key, history) in histories {
+            match search(&history, steps) {
+                Found::Order => {}
+                Found::Undecided => self.undecided += 1,
+                Found::None => {
+                    let mut lines: Vec<_> = history
+                        .iter()
+                        .map(|e| format!("[{:.0}, {:.0}] {:?}", e.begin, e.end, e.act))
+                        .collect();
+                    lines.truncate(40);
+                    let what =
+                        format!("no order explains {:?} '{}': {}", key.table, key.name, lines.join("; "));
+                    self.breaks(now, Invariant::Linearizable, what);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/avalanche/src/main.rs
@@ -0,0 +1,234 @@
+//! Hunts for plays that break an invariant of the store, through random worlds and all ways of small ones.
+//!
+//! Started by people and by tests of the store. Must never be shipped.
+
+use argh::FromArgs;
+use avalanche::defects::Defect;
+use avalanche::judge::Invariant;
+use avalanche::shrink::shrink;
+use avalanche::story::Story;
+use avalanche::world::play;
+use std::collections::BTreeSet;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// The model checker of the store.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Hunt(Hunt),
+    Replay(Replay),
+}
+
+/// Plays random worlds until one breaks an invariant, or the time is over.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hunt")]
+struct Hunt {
+    /// how long, in minutes (1)
+    #[argh(option, default = "1.0")]
+    minutes: f64,
+    /// how many stores: one number or a range as 3..7
+    #[argh(option, default = "String::from(\"3..7\")")]
+    stores: String,
+    /// the first seed (1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// threads (1)
+    #[argh(option, default = "1")]
+    threads: u64,
+    /// a planted defect
+    #[argh(option)]
+    defect: Option<String>,
+    /// an invariant to look past, which is said in the report; may come again
+    #[argh(option)]
+    but: Vec<String>,
+    /// only judge by this one; may come again
+    #[argh(option)]
+    only: Vec<String>,
+    /// how many breaks are looked for (1)
+    #[argh(option, default = "1")]
+    breaks: usize,
+}
+
+/// Plays one seed, shrinks its story if it breaks, and tells it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+struct Replay {
+    /// the seed
+    #[argh(positional)]
+    seed: u64,
+    /// how many stores
+    #[argh(option)]
+    stores: usize,
+    /// a planted defect
+    #[argh(option)]
+    defect: Option<String>,
+    /// an invariant to look past; may come again
+    #[argh(option)]
+    but: Vec<String>,
+    /// only judge by this one; may come again
+    #[argh(option)]
+    only: Vec<String>,
+    /// tell each step of the shrunk story
+    #[argh(switch)]
+    trace: bool,
+    /// do not shrink
+    #[argh(switch)]
+    whole: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let done = match arguments.command {
+        Command::Hunt(hunt) => run_hunt(&hunt),
+        Command::Replay(replay) => run_replay(&replay),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(misuse) => {
+            eprintln!("avalanche: {misuse}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn defect(name: Option<&String>) -> Result<Option<Defect>, String> {
+    let Some(name) = name else { return Ok(None) };
+    let known = || Defect::ALL.map(|(name, _)| name).join(", ");
+    Defect::named(name).map(Some).ok_or_else(|| format!("'{name}' is none of {}", known()))
+}
+
+fn invariants(names: &[String]) -> Result<BTreeSet<Invariant>, String> {
+    let find = |name: &String| {
+        let known = || Invariant::ALL.map(|(name, _)| name).join(", ");
+        let found = Invariant::ALL.iter().find(|(known, _)| known == name);
+        found.map(|(_, invariant)| *invariant).ok_or_else(|| format!("'{name}' is none of {}", known()))
+    };
+    names.iter().map(find).collect()
+}
+
+fn looked_past(but: &[String], only: &[String]) -> Result<BTreeSet<Invariant>, String> {
+    let (mut but, only) = (invariants(but)?, invariants(only)?);
+    if !only.is_empty() {
+        but.extend(Invariant::ALL.iter().map(|(_, known)| *known).filter(|known| !only.contains(known)));
+    }
+    Ok(but)
+}
+
+fn range(text: &str) -> Result<(usize, usize), String> {
+    let (from, to) = text.split_once("..").unwrap_or((text, text));
+    let read =
+        |text: &str| text.trim_start_matches('=').parse::<usize>().ok().filter(|n| (3..=9).contains(n));
+    match (read(from), read(to)) {
+        (Some(from), Some(to)) if from <= to => Ok((from, to)),
+        _ => Err(format!("'{text}' is no number of stores from 3 to 9, nor a range of them")),
+    }
+}
+
+#[derive(Default)]
+struct Sums {
+    plays: AtomicU64,
+    steps: AtomicU64,
+    calls: AtomicU64,
+    confirmed: AtomicU64,
+    blows: AtomicU64,
+    undecided: AtomicU64,
+}
+
+fn run_hunt(hunt: &Hunt) -> Result<bool, String> {
+    let (least, most) = range(&hunt.stores)?;
+    let defect = defect(hunt.defect.as_ref())?;
+    let but = looked_past(&hunt.but, &hunt.only)?;
+    let begin = Instant::now();
+    let end = begin + Duration::from_secs_f64(hunt.minutes * 60.0);
+    let (next, sums, stop) = (AtomicU64::new(hunt.seed), Sums::default(), AtomicBool::new(false));
+    let found: Mutex<Vec<(u64, Story)>> = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..hunt.threads.clamp(1, 12) {
+            scope.spawn(|| {
+                while !stop.load(Ordering::Relaxed) && Instant::now() < end {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    let stores = least + (seed as usize) % (most - least + 1);
+                    let story = Story::drawn(seed, stores);
+                    let played = play(&story, defect, &but, false);
+                    let plays = sums.plays.fetch_add(1, Ordering::Relaxed) + 1;
+                    sums.steps.fetch_add(played.steps, Ordering::Relaxed);
+                    sums.calls.fetch_add(played.calls.0, Ordering::Relaxed);
+                    sums.confirmed.fetch_add(played.calls.1, Ordering::Relaxed);
+                    sums.blows.fetch_add(played.blows, Ordering::Relaxed);
+                    sums.undecided.fetch_add(played.undecided, Ordering::Relaxed);
+                    if let Some(broken) = played.broken {
+                        println!(
+                            "seed {seed} ({stores} stores), play {plays}: {} at {:.0} ms: {}",
+                            broken.invariant.name(),
+                            broken.at,
+                            broken.what
+                        );
+                        if let Ok(mut found) = found.lock() {
+                            found.push((plays, story));
+                            if found.len() >= hunt.breaks {
+                                stop.store(true, Ordering::Relaxed);
+                            }
+                        }
+                    }
+                }
+            });
+        }
+    });
+    let time = begin.elapsed().as_secs_f64();
+    let of = |sum: &AtomicU64| sum.load(Ordering::Relaxed);
+    println!(
+        "{} plays, {} steps ({:.2} million a minute), {} calls of which {} confirmed, {} blows, {} histories undecided, \
+         {time:.0} s, seeds from {}; looked past: {:?}",
+        of(&sums.plays), of(&sums.steps), of(&sums.steps) as f64 / time * 60.0 / 1e6, of(&sums.calls),
+        of(&sums.confirmed), of(&sums.blows), of(&sums.undecided), hunt.seed,
+        but.iter().map(|invariant| invariant.name()).collect::<Vec<_>>()
+    );
+    let mut found = found.into_inner().unwrap_or_default();
+    found.sort_by_key(|(plays, _)| *plays);
+    for (_, story) in found.iter().take(3) {
+        tell(story, defect, &but, false);
+    }
+    Ok(found.is_empty())
+}
+
+fn tell(story: &Story, defect: Option<Defect>, but: &BTreeSet<Invariant>, trace: bool) -> bool {
+    let Some((short, played, plays)) = shrink(story, defect, but) else {
+        println!("seed {} breaks nothing", story.seed);
+        return true;
+    };
+    println!("\nShrunk in {plays} plays, from {} events to {}:", story.events.len(), short.events.len());
+    println!("{short}");
+    if let Some(broken) = &played.broken {
+        println!("  at {:>6.0} ms: broken: {}: {}", broken.at, broken.invariant.name(), broken.what);
+    }
+    if trace {
+        played.log.iter().for_each(|line| println!("{line}"));
+    }
+    false
+}
+
+fn run_replay(replay: &Replay) -> Result<bool, String> {
+    let defect = defect(replay.defect.as_ref())?;
+    let but = looked_past(&replay.but, &replay.only)?;
+    let story = Story::drawn(replay.seed, replay.stores);
+    if replay.whole {
+        let played = play(&story, defect, &but, replay.trace);
+        println!("{story}");
+        played.log.iter().for_each(|line| println!("{line}"));
+        if let Some(broken) = &played.broken {
+            println!("  at {:>6.0} ms: broken: {}: {}", broken.at, broken.invariant.name(), broken.what);
+        }
+        return Ok(played.broken.is_none());
+    }
+    Ok(tell(&story, defect, &but, replay.trace))
+}
--- /dev/null
+++ b/crates/avalanche/src/small.rs
@@ -0,0 +1,1 @@
+//! Every way that a small world can take.
--- /dev/null
+++ b/crates/avalanche/src/story.rs
@@ -0,0 +1,366 @@
+//! Stories: what befalls a fleet and what is asked of it, each at its time; drawn from a seed, and told in lines.
+
+use crate::adapter::{ip, Op};
+use fastrand::Rng;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Which ways of a machine's links are meant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// To it and from it.
+    Both,
+    /// To it.
+    In,
+    /// From it.
+    Out,
+}
+
+/// What befalls a machine at the moment it is waited for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Blow {
+    /// It is cut off for a time.
+    CutOff(Way, f64),
+    /// It loses power for a time.
+    Crash(f64),
+    /// It stands still for a time.
+    Freeze(f64),
+    /// It loses its disk and starts again after a time.
+    Wipe(f64),
+}
+
+/// What a blow waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trigger {
+    /// Nothing.
+    Now,
+    /// The machine is about to save; it has not happened.
+    BeforeSave,
+    /// The machine has saved; nothing that follows goes out.
+    AfterSave,
+    /// The machine has sent a question that writes items down.
+    Writes,
+    /// The machine has sent the answer that items are written down.
+    Written,
+    /// The machine has sent the first answer to a call.
+    Answers,
+}
+
+/// One thing that happens. Machines are numbers; times are milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Somebody calls a store.
+    Call(usize, Op),
+    /// A machine is struck when the trigger comes.
+    Blow(usize, Trigger, Blow),
+    /// Nothing passes in one direction for a time.
+    Cut(usize, usize, f64),
+    /// What passes in one direction within a time comes so much later.
+    Slow(usize, usize, f64, f64),
+    /// The machines in a set are cut off from all others for a time.
+    Split(u32, f64),
+    /// All lose power for a time; disks are kept.
+    Power(f64),
+    /// All lose power and some machines their disks; all start again after a time.
+    PowerAndDisks(u32, f64),
+    /// A new empty machine comes at an address that nobody knows.
+    Comes,
+    /// A machine is gone with its disk, for good.
+    Vanishes(usize),
+    /// A machine leaves by plan.
+    Leaves(usize),
+    /// All questions of a machine that are out are known to be lost.
+    Reset(usize),
+    /// Messages are lost, doubled, late and reset: parts in a thousand, the longest delay, and for how long.
+    Weather {
+        /// Lost.
+        lost: u32,
+        /// Doubled.
+        doubled: u32,
+        /// Late.
+        late: u32,
+        /// The longest delay.
+        longest: f64,
+        /// Known to be lost, though they may arrive.
+        reset: u32,
+        /// For how long.
+        time: f64,
+    },
+}
+
+/// What befalls one message.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mishap {
+    /// It is lost.
+    Lost,
+    /// It comes twice, the second so much later.
+    Doubled(f64),
+    /// It comes so much later.
+    Late(f64),
+    /// It comes so much later, and its sender is told at once that no answer will come.
+    Reset(f64),
+}
+
+/// A message, by its direction and its number in that.
+pub type Which = (usize, usize, u64);
+
+/// A play of a fleet, the same at each run.
+#[derive(Clone, Debug)]
+pub struct Story {
+    /// What all else is drawn from.
+    pub seed: u64,
+    /// How many machines found the group.
+    pub stores: usize,
+    /// How far they are from each other: 0 near, 1 in regions of two, 2 up to 60 ms, 3 up to 200 ms.
+    pub links: u8,
+    /// Whether a question that is not answered within a second counts as lost, as in the program.
+    pub impatient: bool,
+    /// What happens, by time.
+    pub events: Vec<(f64, Event)>,
+    /// What befalls single messages; `None` while it is drawn from the weather.
+    pub mishaps: Option<BTreeMap<Which, Mishap>>,
+    /// When the faults are over.
+    pub end: f64,
+}
+
+/// When the group is founded and trouble begins.
+pub const BEGIN: f64 = 4_000.0;
+
+impl Story {
+    /// The story of a seed.
+    pub fn drawn(seed: u64, stores: usize) -> Self {
+        let mut rng = Rng::with_seed(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ stores as u64);
+        let length = [4_000.0, 8_000.0, 14_000.0, 25_000.0][rng.usize(..4)];
+        let mut story = Self {
+            seed,
+            stores,
+            links: rng.u8(..4),
+            impatient: rng.bool(),
+            events: Vec::new(),
+            mishaps: None,
+            end: BEGIN + length + 1_000.0,
+        };
+        let mut draw = Draw { rng, stores, length, next: 1, done: Vec::new(), events: Vec::new() };
+        draw.all();
+        story.events = draw.events;
+        story.events.sort_by(|a, b| a.0.total_cmp(&b.0));
+        story
+    }
+}
+
+struct Draw {
+    rng: Rng,
+    stores: usize,
+    length: f64,
+    next: u64,
+    done: Vec<Op>,
+    events: Vec<(f64, Event)>,
+}
+
+impl Draw {
+    fn at(&mut self) -> f64 {
+        (BEGIN + self.rng.f64() * self.length).round()
+    }
+
+    fn time(&mut self, least: f64, most: f64) -> f64 {
+        (least * (most / least).powf(self.rng.f64())).round()
+    }
+
+    fn machine(&mut self) -> usize {
+        // Now and then one that has come.
+        let more = usize::from(self.rng.u8(..8) == 0);
+        self.rng.usize(..self.stores + more)
+    }
+
+    fn op(&mut self) -> Op {
+        let rng = &mut self.rng;
+        if !self.done.is_empty() && rng.u8(..5) == 0 {
+            return self.done[rng.usize(..self.done.len())].clone();
+        }
+        let name = ["a", "b", "c"][rng.usize(..3)].to_owned();
+        let place = if rng.u8(..4) == 0 { "/same/".to_owned() } else { format!("/{name}/") };
+        self.next += 1;
+        let number = match rng.u8(..4) {
+            0 => rng.u64(1..self.next + 2),
+            _ => self.next,
+        };
+        let op = match rng.u8(..20) {
+            0..=8 => Op::Put { name, place, number, content: self.next },
+            9..=10 => Op::Remove { name, number },
+            11..=13 => Op::Drain { zone: "z".to_owned(), on: rng.bool() },
+            14..=15 => Op::Duty { name: "d".to_owned(), holder: ip(100 + (self.next % 100) as usize) },
+            _ => return Op::Read,
+        };
+        self.done.push(op.clone());
+        op
+    }
+
+    fn way(&mut self) -> Way {
+        [Way::Both, Way::Both, Way::In, Way::Out][self.rng.usize(..4)]
+    }
+
+    fn blow(&mut self) -> Blow {
+        match self.rng.u8(..8) {
+            0..=2 => Blow::CutOff(self.way(), self.time(300.0, 12_000.0)),
+            3..=4 => Blow::Crash(self.time(20.0, 12_000.0)),
+            5 => Blow::Freeze(self.time(200.0, 20_000.0)),
+            _ => Blow::Wipe(self.time(10.0, 6_000.0)),
+        }
+    }
+
+    fn some(&mut self) -> u32 {
+        self.rng.u32(1..(1 << self.stores) - 1)
+    }
+
+    fn all(&mut self) {
+        for _ in 0..self.rng.usize(2..16) {
+            let (at, store, op) = (self.at(), self.machine(), self.op());
+            self.events.push((at, Event::Call(store, op)));
+        }
+        for _ in 0..self.rng.usize(1..7) {
+            self.trouble();
+        }
+    }
+
+    fn trouble(&mut self) {
+        let at = self.at();
+        let n = self.machine();
+        let trigger = match self.rng.u8(..8) {
+            0..=1 => Trigger::Now,
+            2 => Trigger::BeforeSave,
+            3 => Trigger::AfterSave,
+            4..=5 => Trigger::Writes,
+            6 => Trigger::Written,
+            _ => Trigger::Answers,
+        };
+        let event = match self.rng.u8(..24) {
+            0..=7 => {
+                // Something has to be asked for that the blow can meet.
+                let op = self.op();
+                let on = self.machine();
+                self.events.push((at + 5.0, Event::Call(if self.rng.bool() { n } else { on }, op)));
+                if trigger == Trigger::Written && self.rng.bool() {
+                    for _ in 0..self.rng.usize(1..4) {
+                        let (a, b) = (self.machine(), self.machine());
+                        let (late, time) = (self.time(100.0, 2_000.0), self.time(200.0, 2_000.0));
+                        self.events.push((at, Event::Slow(a, b, late, time)));
+                    }
+                }
+                Event::Blow(n, trigger, self.blow())
+            }
+            8..=9 => Event::Cut(n, self.machine(), self.time(200.0, 15_000.0)),
+            10 => Event::Slow(n, self.machine(), self.time(50.0, 20_000.0), self.time(100.0, 8_000.0)),
+            11..=12 => Event::Split(self.some(), self.time(300.0, 15_000.0)),
+            13 => Event::Power(self.time(10.0, 3_000.0)),
+            14 => Event::PowerAndDisks(self.some(), self.time(10.0, 3_000.0)),
+            15 => Event::Comes,
+            16 => {
+                let comes = at + self.time(10.0, 8_000.0);
+                self.events.push((comes, Event::Comes));
+                Event::Vanishes(n)
+            }
+            17 => {
+                let comes = at + self.time(10.0, 2_000.0) - 1_000.0;
+                self.events.push((comes.max(BEGIN), Event::Comes));
+                Event::Leaves(n)
+            }
+            18 => Event::Reset(n),
+            // Two at one number, or at one place.
+            19 => {
+                let (a, b) = (self.machine(), self.machine());
+                let name = if self.rng.bool() { "a" } else { "b" }.to_owned();
+                self.next += 2;
+                let (number, content) = (self.next, self.next);
+                let one = Op::Put { name: "a".to_owned(), place: "/same/".to_owned(), number, content };
+                let two = Op::Put { name, place: "/same/".to_owned(), number, content: content + 1 };
+                self.done.extend([one.clone(), two.clone()]);
+                let apart = self.time(1.0, 1_000.0);
+                self.events.push((at + 1.0, Event::Call(a, one)));
+                self.events.push((at + apart, Event::Call(b, two)));
+                Event::Blow(a, trigger, self.blow())
+            }
+            _ => Event::Weather {
+                lost: [0, 20, 100, 300][self.rng.usize(..4)],
+                doubled: [0, 20, 100][self.rng.usize(..3)],
+                late: [0, 20, 100, 300][self.rng.usize(..4)],
+                longest: self.time(100.0, 25_000.0),
+                reset: [0, 0, 20, 100][self.rng.usize(..4)],
+                time: self.time(500.0, 20_000.0),
+            },
+        };
+        self.events.push((at, event));
+    }
+}
+
+fn set(set: u32) -> Vec<usize> {
+    (0..32).filter(|n| set & (1 << n) != 0).collect()
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Call(store, op) => write!(f, "store {store} is called: {op:?}"),
+            Self::Blow(n, trigger, blow) => {
+                let when = match trigger {
+                    Trigger::Now => "at once",
+                    Trigger::BeforeSave => "before its next save",
+                    Trigger::AfterSave => "right after its next save, with nothing said",
+                    Trigger::Writes => "when it next asks another to write items down",
+                    Trigger::Written => "when it has next answered that items are written down",
+                    Trigger::Answers => "when it has next answered a call",
+                };
+                match blow {
+                    Blow::CutOff(way, time) => {
+                        write!(f, "store {n} is cut off ({way:?}) for {time} ms, {when}")
+                    }
+                    Blow::Crash(time) => write!(f, "store {n} loses power for {time} ms, {when}"),
+                    Blow::Freeze(time) => write!(f, "store {n} stands still for {time} ms, {when}"),
+                    Blow::Wipe(time) => {
+                        write!(f, "store {n} loses its disk and starts {time} ms later, {when}")
+                    }
+                }
+            }
+            Self::Cut(from, to, time) => write!(f, "nothing passes from {from} to {to} for {time} ms"),
+            Self::Slow(from, to, late, time) => {
+                write!(f, "for {time} ms all that is sent from {from} to {to} comes {late} ms later")
+            }
+            Self::Split(side, time) => {
+                write!(f, "stores {:?} are cut off from all others for {time} ms", set(*side))
+            }
+            Self::Power(time) => write!(f, "all lose power for {time} ms"),
+            Self::PowerAndDisks(lost, time) => {
+                write!(f, "all lose power for {time} ms, and stores {:?} their disks", set(*lost))
+            }
+            Self::Comes => write!(f, "a new empty machine comes"),
+            Self::Vanishes(n) => write!(f, "store {n} is gone with its disk for good"),
+            Self::Leaves(n) => write!(f, "store {n} leaves by plan"),
+            Self::Reset(n) => write!(f, "all questions of store {n} that are out are known to be lost"),
+            Self::Weather { lost, doubled, late, longest, reset, time } => write!(
+                f,
+                "for {time} ms of 1,000 messages {lost} are lost, {doubled} doubled, {late} late by up to {longest} ms, \
+                 {reset} reset"
+            ),
+        }
+    }
+}
+
+impl fmt::Display for Story {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let links = ["near", "regions of two, 55 ms apart", "up to 60 ms", "up to 200 ms"];
+        let patience = if self.impatient { "after a second counts as lost" } else { "is waited for" };
+        writeln!(
+            f,
+            "seed {}, {} stores, links: {}; an answer {patience}",
+            self.seed,
+            self.stores,
+            links[usize::from(self.links & 3)]
+        )?;
+        for (at, event) in &self.events {
+            writeln!(f, "  at {at:>6} ms: {event}")?;
+        }
+        for ((from, to, number), mishap) in self.mishaps.iter().flatten() {
+            writeln!(f, "  message {number} from {from} to {to}: {mishap:?}")?;
+        }
+        write!(f, "  at {:>6} ms: the faults are over", self.end)
+    }
+}
