--- a/crates/avalanche/src/adapter.rs
+++ b/crates/avalanche/src/adapter.rs
@@ -1,7 +1,8 @@
 //! All that touches the store's messages, disks and answers from the inside: the rest takes them as they come.
 
 use crate::defects::Defect;
-use cairn::{Ask, Ballot, Change, Kept, Reply, Standing, Store};
+use cairn::{Answer, Ask, Ballot, Change, Kept, Outcome, Reply, Standing, Store};
+use footbridge::Fault;
 use serde_json::json;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -124,114 +125,166 @@
     items.get(Table::Group, "core")
 }
 
-/// Items that a question says to stand.
+/// Items that a question says to be chosen.
 pub fn standing_in_ask(ask: &Ask) -> &[Arc<Item>] {
     match ask {
-        Ask::Write { missing, .. } => missing,
-        Ask::Settle { items, .. } => items,
+        Ask::Accept { missing, .. } => missing,
+        Ask::Learn { items, .. } => items,
         _ => &[],
     }
 }
 
-/// Items that an answer says to stand.
+/// Items that an answer says to be chosen.
 pub fn standing_in_reply(reply: &Reply) -> &[Arc<Item>] {
-    match reply {
-        Reply::Reserved { items: Some(items), .. } | Reply::Stands { items } => items,
-        Reply::Copied(copied) => &copied.items,
+    match &reply.answer {
+        Answer::Promised { items, .. } | Answer::Snapshot { items, .. } => items,
         _ => &[],
     }
 }
 
-/// A round's items, where a question has them written down.
+/// A round's items, where a question has them accepted.
 pub fn proposal(ask: &Ask) -> Option<(Ballot, &[Arc<Item>])> {
     match ask {
-        Ask::Write { ballot, items, .. } => Some((*ballot, items)),
+        Ask::Accept { ballot, items, .. } => Some((*ballot, items)),
         _ => None,
     }
 }
 
-/// A round that has come to stand, where a question says so.
+/// A round that is chosen, where a question says so.
 pub fn settled(ask: &Ask) -> Option<Ballot> {
     match ask {
-        Ask::Settle { ballot, .. } => Some(*ballot),
+        Ask::Learn { ballot, .. } => Some(*ballot),
         _ => None,
     }
 }
 
-/// Whether an answer says that items are written down.
+/// Whether an answer says that items are accepted.
 pub fn is_written(reply: &Reply) -> bool {
-    matches!(reply, Reply::Written)
+    matches!(reply.answer, Answer::Accepted)
 }
 
-/// Whether an answer is one of a member: it counts as contact.
-pub fn is_contact(answerer: &Store, reply: &Reply) -> bool {
-    answerer.standing() == Standing::Member && !matches!(reply, Reply::Blank)
+/// Which group an answer tells of contact with: any, if who answers has a place in its own; that version, if it waits to
+/// learn of its place; none, if it has no say.
+pub fn contact_of(answerer: &Store, reply: &Reply) -> Option<u64> {
+    let version = group(&answerer.kept().items).map_or(0, |group| group.version);
+    match (&reply.answer, answerer.standing()) {
+        (Answer::Blank, _) => None,
+        (_, Standing::Member) => Some(0),
+        _ => Some(version + 1),
+    }
+}
+
+/// Whether an answer is contact to an asker: a machine that lost its place to another in a later group is none.
+pub fn is_contact(asker: &Store, least: Option<u64>) -> bool {
+    let version = group(&asker.kept().items).map_or(0, |group| group.version);
+    least.is_some_and(|least| least <= version)
 }
 
 /// Questions that come again and again, without which nothing is wrong but late.
 pub fn is_routine(ask: &Ask) -> bool {
-    matches!(ask, Ask::Compare { .. })
+    matches!(ask, Ask::CatchUp { .. })
 }
 
-/// What a store has written down and not heard to stand: its group, if it is one.
+/// What a store has accepted and does not know to be chosen: its group, if it is one.
 pub fn pending_group(kept: &Kept) -> Option<&Arc<Item>> {
-    kept.pending.as_ref()?.items.iter().find(|item| item.key.table == Table::Group)
+    kept.accepted.as_ref()?.items.iter().find(|item| item.key.table == Table::Group)
 }
 
-/// Begins a planned leave, if stores know of it.
-pub fn leave(_store: &mut Store, _now: f64) -> bool {
-    false
+/// Which disk it is.
+pub fn incarnation(kept: &Kept) -> u64 {
+    kept.incarnation
 }
 
-/// The epoch that a duty's call was answered with; `None` if the answer tells none and it is read from what stands.
-pub fn epoch(_done: &()) -> Option<u64> {
-    None
+/// How long ago a store was in contact with more than half.
+pub fn contact(store: &Store, now: f64) -> Option<f64> {
+    store.contact(now)
 }
 
-/// What a disk holds that was lost: nothing, and a life of its own.
-pub fn lost(before: &Kept, life: u64, defect: Option<Defect>) -> Kept {
-    if defect == Some(Defect::OldLife) {
-        // It goes on as if it had only lost what it knows.
-        let mut kept = Kept::new(before.life);
-        kept.whole = before.whole;
-        if let Some(group) = group(&before.items) {
-            kept.items.merge_shared(group.clone());
-        }
-        return kept;
+/// Begins a planned leave; tells whether it is worth waiting for.
+pub fn leave(store: &mut Store, now: f64) -> bool {
+    store.leave(now)
+}
+
+/// What a call is answered with.
+pub type Result = std::result::Result<Outcome, Fault>;
+
+/// The epoch that a duty's call was answered with.
+pub fn epoch(done: &Outcome) -> Option<u64> {
+    match done {
+        Outcome::Epoch(epoch) => Some(*epoch),
+        _ => None,
+    }
+}
+
+/// What a read was answered with.
+pub fn read(done: &Outcome) -> Option<&Items> {
+    match done {
+        Outcome::Read(items) => Some(items),
+        _ => None,
     }
-    Kept::new(life)
+}
+
+/// What a disk holds that was lost: nothing, and an incarnation of its own.
+pub fn lost(before: &Kept, incarnation: u64, defect: Option<Defect>) -> Kept {
+    match defect {
+        Some(Defect::OldLife) => Kept::new(before.incarnation),
+        _ => Kept::new(incarnation),
+    }
+}
+
+/// A disk of which the items were saved, and the rest was not.
+pub fn torn(before: &Kept, now: &Kept) -> Kept {
+    Kept { items: now.items.clone(), ..before.clone() }
 }
 
 /// What a store starts with, from a disk.
 pub fn loaded(mut kept: Kept, defect: Option<Defect>) -> Kept {
+    // It is not saved.
+    kept.marks.clear();
     match defect {
         Some(Defect::PromiseLost) => {
             kept.promised = Ballot::NONE;
-            kept.pending = None;
+            kept.accepted = None;
         }
-        Some(Defect::NoStandingBallot) => {}
+        Some(Defect::NoStandingBallot) => kept.chosen = Ballot::NONE,
         _ => {}
     }
     kept
 }
 
 /// A question as it arrives, with a defect.
-pub fn tampered_ask(ask: Ask, _defect: Option<Defect>) -> Ask {
+pub fn tampered_ask(mut ask: Ask, defect: Option<Defect>) -> Ask {
+    if defect == Some(Defect::NoStandingBallot) {
+        match &mut ask {
+            // Nobody learns of a round that it is chosen, but what it brought.
+            Ask::Learn { ballot, base, .. } => (*ballot, *base) = (Ballot::NONE, Ballot::NONE),
+            Ask::Accept { base, .. } => *base = Ballot::NONE,
+            Ask::Prepare { chosen, .. } | Ask::CatchUp { chosen } => *chosen = Ballot::NONE,
+            _ => {}
+        }
+    }
     ask
 }
 
 /// An answer as it arrives, with a defect.
-pub fn tampered_reply(mut reply: Reply, defect: Option<Defect>) -> Reply {
-    if let (Some(Defect::MemberBeforeAll), Reply::Copied(copied)) = (defect, &mut reply) {
-        copied.pending = None;
-        copied.items.retain(|item| item.key.table == Table::Group);
+pub fn tampered_reply(asker: &Store, mut reply: Reply, defect: Option<Defect>) -> Reply {
+    match (defect, &mut reply.answer) {
+        (Some(Defect::MemberBeforeAll), Answer::Snapshot { items, .. })
+            if asker.standing() == Standing::Learner =>
+        {
+            items.retain(|item| item.key.table == Table::Group);
+        }
+        (
+            Some(Defect::NoStandingBallot),
+            Answer::Promised { chosen, .. } | Answer::Snapshot { chosen, .. },
+        ) => {
+            *chosen = Ballot::NONE;
+        }
+        _ => {}
     }
     reply
 }
 
-/// What a call is answered with.
-pub type Result = std::result::Result<(), footbridge::Fault>;
-
 /// The sides of a group's item: each must bear its losses.
 pub fn sides(group: &Item) -> Vec<Vec<Ipv4Addr>> {
     vec![named(group)]
@@ -244,5 +297,5 @@
 
 /// Whether a store that is no member waits for a place.
 pub fn waits(store: &Store) -> bool {
-    matches!(store.standing(), Standing::Rebuilding | Standing::Outside)
+    store.standing() == Standing::Learner
 }
--- a/crates/avalanche/src/judge.rs
+++ b/crates/avalanche/src/judge.rs
@@ -275,8 +275,15 @@
         }
     }
 
-    /// A call is answered, while its store holds these items.
-    pub fn answered(&mut self, now: f64, id: CallId, result: &Result<(), Fault>, items: &Items) {
+    /// A call is answered, with what was read, while its store holds these items.
+    pub fn answered(
+        &mut self,
+        now: f64,
+        id: CallId,
+        result: &Result<(), Fault>,
+        read: Option<&Items>,
+        items: &Items,
+    ) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         if call.told.is_some() {
             return;
@@ -289,9 +296,10 @@
         let call = call.clone();
         if call.op == Op::Read {
             if let Some(call) = self.calls.get_mut(&id) {
-                call.read = Some(items.clone());
+                call.read = read.cloned();
             }
         }
+        let items = read.unwrap_or(items);
         for (key, version) in &call.floor {
             if items.version(key.table, &key.name) < *version {
                 let what = format!(
--- a/crates/avalanche/src/story.rs
+++ b/crates/avalanche/src/story.rs
@@ -36,6 +36,8 @@
     Now,
     /// The machine is about to save; it has not happened.
     BeforeSave,
+    /// The machine has saved its items and not the rest.
+    WithinSave,
     /// The machine has saved; nothing that follows goes out.
     AfterSave,
     /// The machine has sent a question that writes items down.
@@ -227,6 +229,7 @@
         let n = self.machine();
         let trigger = match self.rng.u8(..8) {
             0..=1 => Trigger::Now,
+            2 if self.rng.bool() => Trigger::WithinSave,
             2 => Trigger::BeforeSave,
             3 => Trigger::AfterSave,
             4..=5 => Trigger::Writes,
@@ -304,6 +307,7 @@
                 let when = match trigger {
                     Trigger::Now => "at once",
                     Trigger::BeforeSave => "before its next save",
+                    Trigger::WithinSave => "in the middle of its next save",
                     Trigger::AfterSave => "right after its next save, with nothing said",
                     Trigger::Writes => "when it next asks another to write items down",
                     Trigger::Written => "when it has next answered that items are written down",
