--- a/crates/avalanche/src/adapter.rs
+++ b/crates/avalanche/src/adapter.rs
@@ -299,3 +299,8 @@
 pub fn waits(store: &Store) -> bool {
     store.standing() == Standing::Learner
 }
+
+/// Whether an answer changes nothing but contact.
+pub fn is_idle(reply: &Reply) -> bool {
+    matches!(reply.answer, Answer::Learned)
+}
--- a/crates/avalanche/src/judge.rs
+++ b/crates/avalanche/src/judge.rs
@@ -5,6 +5,7 @@
 use cairn::{Ballot, CallId, Store};
 use footbridge::{Fault, Kind};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::sync::Arc;
 use trailmap::{check, Item, Items, Key, Table, Tables};
 
@@ -362,6 +363,25 @@
         *floor = (*floor).max(epoch);
     }
 
+    /// What tells two plays apart to which the same may still happen.
+    pub fn facts(&self) -> impl fmt::Debug + '_ {
+        let digest = |items: &Items| items.digest(Tables::KEPT);
+        let calls: Vec<_> = self
+            .calls
+            .values()
+            .map(|call| (&call.told, call.read.as_ref().map(digest), &call.floor, &call.epochs))
+            .collect();
+        let proposed: Vec<_> = self
+            .proposed
+            .iter()
+            .flat_map(|(key, all)| {
+                all.iter().map(move |known| (key, &known.body.body, known.last, known.dead))
+            })
+            .collect();
+        let stood: Vec<_> = self.stood.iter().map(|(key, item)| (key, &item.body)).collect();
+        (calls, proposed, stood, &self.epochs, &self.contact)
+    }
+
     /// Whether a copy holds all that was acknowledged.
     pub fn holds_all(&self, items: &Items) -> bool {
         self.acknowledged.iter().all(|(key, version)| items.version(key.table, &key.name) >= *version)
--- a/crates/avalanche/src/main.rs
+++ b/crates/avalanche/src/main.rs
@@ -6,6 +6,7 @@
 use avalanche::defects::Defect;
 use avalanche::judge::Invariant;
 use avalanche::shrink::shrink;
+use avalanche::small::{explore, worlds};
 use avalanche::story::Story;
 use avalanche::world::play;
 use std::collections::BTreeSet;
@@ -26,6 +27,7 @@
 enum Command {
     Hunt(Hunt),
     Replay(Replay),
+    Small(Small),
 }
 
 /// Plays random worlds until one breaks an invariant, or the time is over.
@@ -85,11 +87,39 @@
     whole: bool,
 }
 
+/// Goes through all ways of small worlds.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "small")]
+struct Small {
+    /// only worlds whose names begin so
+    #[argh(positional, default = "String::new()")]
+    world: String,
+    /// longest time for each, in seconds (60)
+    #[argh(option, default = "60")]
+    seconds: u64,
+    /// most states of each (10000000)
+    #[argh(option, default = "10_000_000")]
+    states: u64,
+    /// threads (1)
+    #[argh(option, default = "1")]
+    threads: usize,
+    /// a planted defect
+    #[argh(option)]
+    defect: Option<String>,
+    /// an invariant to look past; may come again
+    #[argh(option)]
+    but: Vec<String>,
+    /// only judge by this one; may come again
+    #[argh(option)]
+    only: Vec<String>,
+}
+
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let done = match arguments.command {
         Command::Hunt(hunt) => run_hunt(&hunt),
         Command::Replay(replay) => run_replay(&replay),
+        Command::Small(small) => run_small(&small),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -232,3 +262,29 @@
     }
     Ok(tell(&story, defect, &but, replay.trace))
 }
+
+fn run_small(small: &Small) -> Result<bool, String> {
+    let defect = defect(small.defect.as_ref())?;
+    let but = looked_past(&small.but, &small.only)?;
+    let mut sound = true;
+    for bounds in worlds().iter().filter(|bounds| bounds.name.starts_with(&small.world)) {
+        let begin = Instant::now();
+        let time = Duration::from_secs(small.seconds);
+        let explored = explore(bounds, defect, &but, small.states, time, small.threads);
+        println!(
+            "{}: {} states, {} steps, ways of up to {} actions, {}, {:.1} s",
+            bounds.name,
+            explored.states,
+            explored.steps,
+            explored.depth,
+            if explored.whole { "whole" } else { "not whole" },
+            begin.elapsed().as_secs_f64()
+        );
+        if let Some((broken, way)) = explored.broken {
+            sound = false;
+            way.iter().for_each(|line| println!("  {line}"));
+            println!("  broken: {}: {}", broken.invariant.name(), broken.what);
+        }
+    }
+    Ok(sound)
+}
--- a/crates/avalanche/src/small.rs
+++ b/crates/avalanche/src/small.rs
@@ -1,1 +1,602 @@
-//! Every way that a small world can take.
+//! Every way that a small world can take: some stores, some calls, and a bounded number of faults, in any order.
+//!
+//! A message may be delivered at any later step or never, so that it is lost, late or passed by others without a fault
+//! that counts. Time is coarse: it stands still while messages are delivered, and passes by a second at a time (in which
+//! nothing is delivered) or by a calm of some seconds (in which all that is newly sent comes at once, but for one machine
+//! that may be cut off, and what was on its way before stays late). States are told apart by a hash of all that they hold.
+
+use crate::adapter::{self, Op};
+use crate::defects::Defect;
+use crate::judge::{Break, Invariant, Judge};
+use cairn::{Ask, CallId, Kept, Output, Reply, Standing, Store};
+use std::collections::{BTreeSet, HashSet, VecDeque};
+use std::fmt::{self, Write};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// A second, in which each store looks at its clock once.
+const SECOND: f64 = 1_000.0;
+/// Length of a calm.
+const CALM: f64 = 4_000.0;
+/// Period of the clocks in a calm.
+const TICK: f64 = 50.0;
+/// Parts of the set of states that were seen.
+const SHARDS: usize = 64;
+/// Steps of one search for an order.
+const SEARCH: usize = 10_000;
+
+/// What bounds a small world.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Its name.
+    pub name: &'static str,
+    /// How many stores.
+    pub stores: usize,
+    /// The calls: at which store, and what for. Each may come at any step.
+    pub calls: Vec<(usize, Op)>,
+    /// How often a store may lose power: before a save, after it, or between steps.
+    pub crashes: u8,
+    /// How many disks may be lost.
+    pub wipes: u8,
+    /// Seconds that may pass.
+    pub seconds: u8,
+    /// Calms that may pass.
+    pub calms: u8,
+    /// Messages that may come twice.
+    pub doubled: u8,
+}
+
+/// How a world was explored.
+#[derive(Clone, Debug)]
+pub struct Explored {
+    /// States that differ.
+    pub states: u64,
+    /// Steps that were taken.
+    pub steps: u64,
+    /// The longest way, in steps.
+    pub depth: usize,
+    /// Whether all of it was seen.
+    pub whole: bool,
+    /// The first invariant that did not hold, and the shortest way there.
+    pub broken: Option<(Break, Vec<String>)>,
+}
+
+#[derive(Clone, Debug)]
+struct Message {
+    from: usize,
+    to: usize,
+    run: u64,
+    number: u64,
+    asked: f64,
+    body: Body,
+    /// Of all that it is.
+    print: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Body {
+    Ask(Ask),
+    Reply(Reply, Option<u64>),
+}
+
+#[derive(Clone, Debug)]
+struct Machine {
+    store: Store,
+    disk: Kept,
+    run: u64,
+    /// Of all that it is, once it has taken a step.
+    print: u64,
+}
+
+/// When a store loses power in a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Crash {
+    Never,
+    BeforeSave,
+    AfterSave,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Action {
+    Call(usize),
+    Deliver(usize, Crash),
+    Double(usize),
+    Restart(usize),
+    Wipe(usize),
+    Second,
+    Calm(Option<usize>),
+}
+
+/// The way to a state, newest step first.
+#[derive(Debug)]
+struct Way {
+    told: String,
+    before: Option<Arc<Way>>,
+    length: usize,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    machines: Vec<Machine>,
+    messages: Vec<Message>,
+    now: f64,
+    called: Vec<bool>,
+    left: [u8; 5],
+    judge: Judge,
+    defect: Option<Defect>,
+    steps: u64,
+    way: Option<Arc<Way>>,
+}
+
+/// Feeds text to a hash as it is written.
+struct Hashed(u64);
+
+impl Write for Hashed {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        for part in text.as_bytes().chunks(8) {
+            let mut word = [0; 8];
+            word[..part.len()].copy_from_slice(part);
+            self.0 = (self.0.rotate_left(23) ^ u64::from_le_bytes(word)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        }
+        Ok(())
+    }
+}
+
+fn hash(value: &impl fmt::Debug) -> u64 {
+    let mut hashed = Hashed(0xcbf2_9ce4_8422_2325);
+    // Writing into a hash does not fail.
+    let _ = write!(hashed, "{value:?}");
+    let mixed = (hashed.0 ^ hashed.0 >> 32).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    mixed ^ mixed >> 32
+}
+
+impl World {
+    /// A world whose group is founded, and in which nothing is on its way.
+    fn founded(bounds: &Bounds, defect: Option<Defect>, but: &BTreeSet<Invariant>) -> Self {
+        let machine = |n: usize| {
+            let disk = Kept::new(n as u64 + 1);
+            let store = adapter::start(n, bounds.stores, true, disk.clone(), n as u64);
+            Machine { store, disk, run: 1, print: 0 }
+        };
+        let mut world = Self {
+            machines: (0..bounds.stores).map(machine).collect(),
+            messages: Vec::new(),
+            now: 0.0,
+            called: vec![false; bounds.calls.len()],
+            left: [bounds.crashes, bounds.wipes, bounds.seconds, bounds.calms, bounds.doubled],
+            judge: Judge::but(but),
+            defect,
+            steps: 0,
+            way: None,
+        };
+        world.calm(None, 6_000.0);
+        world.messages.clear();
+        world
+    }
+
+    fn fingerprint(&self) -> u64 {
+        let messages = self.messages.iter().map(|message| message.print).fold(0_u64, u64::wrapping_add);
+        let machines: Vec<_> = self.machines.iter().map(|machine| machine.print).collect();
+        let judged = hash(&self.judge.facts());
+        hash(&(machines, messages, self.now.to_bits(), &self.called, self.left, judged))
+    }
+
+    fn actions(&self, bounds: &Bounds) -> Vec<Action> {
+        let [crashes, wipes, seconds, calms, doubled] = self.left;
+        let mut actions = Vec::new();
+        actions.extend((0..self.called.len()).filter(|n| !self.called[*n]).map(Action::Call));
+        for n in 0..self.messages.len() {
+            actions.push(Action::Deliver(n, Crash::Never));
+            if crashes > 0 {
+                actions.push(Action::Deliver(n, Crash::BeforeSave));
+                actions.push(Action::Deliver(n, Crash::AfterSave));
+            }
+            if doubled > 0 {
+                actions.push(Action::Double(n));
+            }
+        }
+        for n in 0..bounds.stores {
+            if crashes > 0 {
+                actions.push(Action::Restart(n));
+            }
+            if wipes > 0 {
+                actions.push(Action::Wipe(n));
+            }
+            if calms > 0 {
+                actions.push(Action::Calm(Some(n)));
+            }
+        }
+        if seconds > 0 {
+            actions.push(Action::Second);
+        }
+        if calms > 0 {
+            actions.push(Action::Calm(None));
+        }
+        actions
+    }
+
+    /// The world after an action; nothing if that is none here.
+    fn after(&self, bounds: &Bounds, action: Action) -> Option<Self> {
+        let mut next = self.clone();
+        let told = match action {
+            Action::Call(n) => {
+                let (store, op) = &bounds.calls[n];
+                next.called[n] = true;
+                let id = n as CallId + 1;
+                next.judge.called(next.now, id, *store, op.clone());
+                next.machines[*store].store.call(next.now, id, op.change());
+                next.carry_out(*store, Crash::Never, None);
+                format!("store {store} is called: {op:?}")
+            }
+            Action::Deliver(n, crash) => {
+                let message = next.messages.swap_remove(n);
+                let told = told(&message);
+                let to = message.to;
+                if !next.hand(message, crash, None) {
+                    return None;
+                }
+                match crash {
+                    Crash::Never => told,
+                    Crash::BeforeSave => format!("{told}; store {to} loses power before the save"),
+                    Crash::AfterSave => {
+                        format!("{told}; store {to} loses power after the save, with nothing said")
+                    }
+                }
+            }
+            Action::Double(n) => {
+                next.left[4] -= 1;
+                let message = next.messages[n].clone();
+                let told = told(&message);
+                next.hand(message, Crash::Never, None);
+                format!("{told}, and will come again")
+            }
+            Action::Restart(n) => {
+                next.left[0] -= 1;
+                next.restart(n);
+                format!("store {n} loses power and starts")
+            }
+            Action::Wipe(n) => {
+                next.left[1] -= 1;
+                let machine = &mut next.machines[n];
+                let incarnation = 100 * (n as u64 + 1) + machine.run;
+                machine.disk = adapter::lost(&machine.disk, incarnation, self.defect);
+                next.restart(n);
+                format!("store {n} loses its disk and starts")
+            }
+            Action::Second => {
+                next.left[2] -= 1;
+                next.now += SECOND;
+                for n in 0..next.machines.len() {
+                    next.tick(n, None);
+                }
+                // What comes again and again is lost here.
+                next.messages.retain(|message| !is_routine(message));
+                "a second passes in which nothing comes".to_owned()
+            }
+            Action::Calm(cut) => {
+                next.left[3] -= 1;
+                next.calm(cut, CALM);
+                let cut = cut.map_or(String::new(), |n| format!(", but for store {n}, which is cut off"));
+                format!("a calm passes in which all new messages come{cut}")
+            }
+        };
+        let before = self.way.clone();
+        let length = before.as_ref().map_or(0, |way| way.length) + 1;
+        next.way = Some(Arc::new(Way { told, before, length }));
+        Some(next)
+    }
+
+    fn restart(&mut self, n: usize) {
+        let stores = self.machines.len();
+        let machine = &mut self.machines[n];
+        machine.run += 1;
+        let kept = adapter::loaded(machine.disk.clone(), self.defect);
+        machine.store = adapter::start(n, stores, false, kept, 1_000 * machine.run + n as u64);
+        self.judge.started(n);
+        self.judge.dropped(n);
+        // The connections of the life before are gone.
+        let run = self.machines[n].run;
+        self.messages.retain(|m| !(m.to == n && matches!(m.body, Body::Reply(..)) && m.run != run));
+        self.print(n);
+    }
+
+    fn tick(&mut self, n: usize, calm: Option<&mut VecDeque<Message>>) {
+        let now = self.now;
+        self.machines[n].store.tick(now);
+        self.carry_out(n, Crash::Never, calm);
+        let store = &self.machines[n].store;
+        let members: Vec<usize> = store.members().into_iter().map(adapter::machine).collect();
+        let age = adapter::contact(store, now);
+        self.judge.in_touch(now, n, &members, age);
+    }
+
+    /// Carries out what a store wants; tells whether it still runs. What it sends is late, or comes in a calm.
+    fn carry_out(&mut self, n: usize, crash: Crash, mut calm: Option<&mut VecDeque<Message>>) -> bool {
+        self.steps += 1;
+        let now = self.now;
+        for output in self.machines[n].store.take_outputs() {
+            match output {
+                Output::Save => {
+                    if crash == Crash::BeforeSave {
+                        self.restart(n);
+                        return false;
+                    }
+                    let machine = &mut self.machines[n];
+                    machine.disk = machine.store.kept().clone();
+                    if crash == Crash::AfterSave {
+                        self.restart(n);
+                        return false;
+                    }
+                }
+                Output::Send { to, number, ask } => {
+                    self.judge.stands(now, "what is said", adapter::standing_in_ask(&ask));
+                    if let Some(ballot) = adapter::settled(&ask) {
+                        let items = self.machines[n].store.kept().items.clone();
+                        self.judge.settles(ballot, &items);
+                    }
+                    if let Some((ballot, items)) = adapter::proposal(&ask) {
+                        self.judge.proposes(now, n, ballot, items);
+                    }
+                    let (to, run) = (adapter::machine(to), self.machines[n].run);
+                    let message =
+                        Message { from: n, to, run, number, asked: now, body: Body::Ask(ask), print: 0 };
+                    self.put(message, calm.as_deref_mut());
+                }
+                Output::Answer { call, result } => {
+                    let told = result.as_ref().map(drop).map_err(Clone::clone);
+                    let read = result.as_ref().ok().and_then(adapter::read);
+                    self.judge.answered(now, call, &told, read, &self.machines[n].store.kept().items);
+                    if let Some(epoch) = result.ok().as_ref().and_then(adapter::epoch) {
+                        self.judge.told_epoch(now, call, epoch);
+                    }
+                    self.judge.ended(now, SEARCH);
+                }
+            }
+        }
+        self.judge.stepped(now, n, &self.machines[n].store);
+        if calm.is_none() {
+            self.print(n);
+        }
+        true
+    }
+
+    fn print(&mut self, n: usize) {
+        let machine = &mut self.machines[n];
+        machine.print = hash(&(&machine.store, &machine.disk, machine.run));
+    }
+
+    fn put(&mut self, mut message: Message, calm: Option<&mut VecDeque<Message>>) {
+        match calm {
+            Some(calm) => calm.push_back(message),
+            // Without these nothing is wrong but late: they are lost, but for calms.
+            None if is_routine(&message) => {}
+            None => {
+                message.print = hash(&message);
+                self.messages.push(message);
+            }
+        }
+    }
+
+    /// Hands a message over; tells whether a power loss that was to be in this step was.
+    fn hand(&mut self, message: Message, crash: Crash, mut calm: Option<&mut VecDeque<Message>>) -> bool {
+        let now = self.now;
+        let Message { from, to, run, number, asked, body, .. } = message;
+        let runs = match body {
+            Body::Ask(ask) => {
+                let ask = adapter::tampered_ask(ask, self.defect);
+                let store = &mut self.machines[to].store;
+                let reply = store.asked(now, adapter::ip(from), ask);
+                let contact = adapter::contact_of(store, &reply);
+                let runs = self.carry_out(to, crash, calm.as_deref_mut());
+                if runs {
+                    self.judge.stands(now, "what is said", adapter::standing_in_reply(&reply));
+                    let body = Body::Reply(reply, contact);
+                    let reply = Message { from: to, to: from, run, number, asked, body, print: 0 };
+                    if self.machines[from].run == run {
+                        self.put(reply, calm);
+                    }
+                }
+                runs
+            }
+            Body::Reply(reply, contact) => {
+                let store = &mut self.machines[to].store;
+                if adapter::is_contact(store, contact) {
+                    self.judge.contact(to, from, asked);
+                }
+                let reply = adapter::tampered_reply(store, reply, self.defect);
+                store.replied(now, number, Some(reply));
+                self.carry_out(to, crash, calm)
+            }
+        };
+        if !runs {
+            self.left[0] -= 1;
+        }
+        crash == Crash::Never || !runs
+    }
+
+    fn calm(&mut self, cut: Option<usize>, time: f64) {
+        let mut calm = VecDeque::new();
+        let until = self.now + time;
+        while self.now < until && self.judge.broken.is_none() {
+            self.now += TICK;
+            for n in 0..self.machines.len() {
+                self.tick(n, Some(&mut calm));
+                while let Some(message) = calm.pop_front() {
+                    let ends = [message.from, message.to];
+                    let fresh = !matches!(message.body, Body::Reply(..))
+                        || self.machines[message.to].run == message.run;
+                    if fresh && !cut.is_some_and(|cut| ends.contains(&cut)) {
+                        self.hand(message, Crash::Never, Some(&mut calm));
+                    }
+                }
+            }
+        }
+        (0..self.machines.len()).for_each(|n| self.print(n));
+    }
+}
+
+fn is_routine(message: &Message) -> bool {
+    match &message.body {
+        Body::Ask(ask) => adapter::is_routine(ask),
+        Body::Reply(reply, _) => adapter::is_idle(reply),
+    }
+}
+
+fn told(message: &Message) -> String {
+    let (from, to) = (message.from, message.to);
+    match &message.body {
+        Body::Ask(ask) => format!("{from} to {to}: {ask:?}"),
+        Body::Reply(reply, _) => format!("{from} answers {to}: {reply:?}"),
+    }
+}
+
+fn way(last: &Option<Arc<Way>>) -> Vec<String> {
+    let mut lines = Vec::new();
+    let mut at = last.as_ref();
+    while let Some(way) = at {
+        lines.push(way.told.clone());
+        at = way.before.as_ref();
+    }
+    lines.reverse();
+    lines
+}
+
+/// Explores a world, shorter ways first, until all is seen, an invariant does not hold, so many states were seen (so that
+/// the verdict is the same each time) or the time is over.
+pub fn explore(
+    bounds: &Bounds,
+    defect: Option<Defect>,
+    but: &BTreeSet<Invariant>,
+    states: u64,
+    time: Duration,
+    threads: usize,
+) -> Explored {
+    let end = Instant::now() + time;
+    let start = World::founded(bounds, defect, but);
+    let mut explored = Explored { states: 1, steps: 0, depth: 0, whole: true, broken: None };
+    if let Some(broken) = &start.judge.broken {
+        explored.broken = Some((broken.clone(), Vec::new()));
+        return explored;
+    }
+    let seen: Vec<Mutex<HashSet<u64>>> = (0..SHARDS).map(|_| Mutex::default()).collect();
+    let is_new = |fingerprint: u64| {
+        let shard = &seen[fingerprint as usize % SHARDS];
+        shard.lock().is_ok_and(|mut shard| shard.insert(fingerprint))
+    };
+    is_new(start.fingerprint());
+    let mut layer = vec![start];
+    let over = AtomicBool::new(false);
+    while !layer.is_empty() && explored.broken.is_none() {
+        if over.load(Ordering::Relaxed) || explored.states >= states {
+            explored.whole = false;
+            break;
+        }
+        let part = layer.len().div_ceil(threads.max(1));
+        let layers: Vec<(Vec<World>, u64, Option<World>)> = std::thread::scope(|scope| {
+            let work = |worlds: &[World]| {
+                let (mut next, mut steps, mut broken) = (Vec::new(), 0, None);
+                for world in worlds {
+                    if over.load(Ordering::Relaxed) || Instant::now() > end {
+                        over.store(true, Ordering::Relaxed);
+                        break;
+                    }
+                    for action in world.actions(bounds) {
+                        let Some(after) = world.after(bounds, action) else { continue };
+                        steps += after.steps - world.steps;
+                        if after.judge.broken.is_some() {
+                            broken.get_or_insert(after);
+                        } else if is_new(after.fingerprint()) {
+                            next.push(after);
+                        }
+                    }
+                }
+                (next, steps, broken)
+            };
+            let handles: Vec<_> =
+                layer.chunks(part).map(|worlds| scope.spawn(move || work(worlds))).collect();
+            handles.into_iter().filter_map(|handle| handle.join().ok()).collect()
+        });
+        layer = Vec::new();
+        for (next, steps, broken) in layers {
+            explored.states += next.len() as u64;
+            explored.steps += steps;
+            layer.extend(next);
+            if let (None, Some(world)) = (&explored.broken, broken) {
+                explored.broken = world.judge.broken.clone().map(|broken| (broken, way(&world.way)));
+            }
+        }
+        if over.load(Ordering::Relaxed) {
+            explored.whole = false;
+        }
+        explored.depth += 1;
+    }
+    explored
+}
+
+fn put(name: &str, place: &str, number: u64, content: u64) -> Op {
+    Op::Put { name: name.to_owned(), place: place.to_owned(), number, content }
+}
+
+fn duty(holder: usize) -> Op {
+    Op::Duty { name: "d".to_owned(), holder: adapter::ip(holder) }
+}
+
+/// The small worlds that are explored, from the smallest on.
+pub fn worlds() -> Vec<Bounds> {
+    let none = Bounds {
+        name: "",
+        stores: 3,
+        calls: Vec::new(),
+        crashes: 0,
+        wipes: 0,
+        seconds: 0,
+        calms: 0,
+        doubled: 0,
+    };
+    let one_number = vec![(0, put("a", "/a/", 2, 1)), (1, put("a", "/a/", 2, 2))];
+    let one_place = vec![(0, put("a", "/same/", 2, 1)), (1, put("c", "/same/", 3, 2))];
+    let duties = vec![(0, duty(100)), (1, duty(101))];
+    let one = |calls: &[(usize, Op)]| calls[..1].to_vec();
+    let drain = vec![(0, Op::Drain { zone: "z".to_owned(), on: true }), (1, Op::Read)];
+    vec![
+        Bounds { name: "3-one-number", calls: one_number.clone(), ..none.clone() },
+        Bounds { name: "3-duties", calls: duties.clone(), ..none.clone() },
+        Bounds { name: "3-one-crash", calls: one(&one_number), crashes: 1, seconds: 1, ..none.clone() },
+        Bounds { name: "3-one-loss", calls: one(&one_number), wipes: 1, calms: 1, ..none.clone() },
+        Bounds { name: "3-late-orphan", calls: one_place.clone(), calms: 2, ..none.clone() },
+        Bounds { name: "3-drain-and-read", calls: drain, calms: 1, ..none.clone() },
+        Bounds { name: "3-two-calls-one-crash", calls: one_number.clone(), crashes: 1, ..none.clone() },
+        Bounds {
+            name: "3-two-calls-one-loss",
+            calls: one_number.clone(),
+            wipes: 1,
+            calms: 2,
+            ..none.clone()
+        },
+        Bounds { name: "3-duties-one-loss", calls: duties.clone(), wipes: 1, calms: 2, ..none.clone() },
+        Bounds {
+            name: "4-two-calls-one-loss",
+            stores: 4,
+            calls: one_number.clone(),
+            wipes: 1,
+            calms: 2,
+            ..none.clone()
+        },
+        Bounds {
+            name: "5-one-call-two-losses",
+            stores: 5,
+            calls: one(&one_number),
+            wipes: 2,
+            calms: 2,
+            ..none.clone()
+        },
+        Bounds { name: "5-two-calls-one-loss", stores: 5, calls: one_number, wipes: 1, calms: 2, ..none },
+    ]
+}
+
+/// Whether all stores of a founded world are members, as a check of the start.
+pub fn is_founded(bounds: &Bounds) -> bool {
+    let world = World::founded(bounds, None, &BTreeSet::new());
+    world.machines.iter().all(|machine| machine.store.standing() == Standing::Member)
+}
--- a/crates/avalanche/src/story.rs
+++ b/crates/avalanche/src/story.rs
@@ -224,6 +224,33 @@
         }
     }
 
+    /// One that took part in a write loses its disk and gathers what it can, while the rest of the write is on its way;
+    /// then those that have it are cut off, and the others are asked.
+    fn rebuilt(&mut self, at: f64) {
+        let mut order: Vec<usize> = (0..self.stores).collect();
+        self.rng.shuffle(&mut order);
+        let (proposer, lost) = (order[0], order[1]);
+        let (late, later) = (self.time(150.0, 700.0), self.time(3_000.0, 20_000.0));
+        let more = (self.stores / 2 + 1).saturating_sub(2);
+        for (place, other) in order.iter().enumerate().skip(2) {
+            let late = if place < 2 + more { late } else { later };
+            self.events.push((at, Event::Slow(proposer, *other, late, 1_500.0)));
+        }
+        let wipe = Blow::Wipe(self.time(1.0, 60.0));
+        self.events.push((at, Event::Blow(lost, Trigger::Written, wipe)));
+        let op = self.op();
+        self.events.push((at + 5.0, Event::Call(proposer, op)));
+        let side = order[2..2 + more].iter().fold(1 << proposer, |side, n| side | 1 << n);
+        let cut = at + late + self.time(20.0, 700.0);
+        let time = self.time(1_500.0, 9_000.0);
+        self.events.push((cut, Event::Split(side, time)));
+        for _ in 0..2 {
+            let asks = if self.rng.bool() { lost } else { order[self.stores - 1] };
+            let then = cut + self.time(50.0, 3_000.0);
+            self.events.push((then, Event::Call(asks, Op::Read)));
+        }
+    }
+
     fn trouble(&mut self) {
         let at = self.at();
         let n = self.machine();
@@ -282,6 +309,7 @@
                 self.events.push((at + apart, Event::Call(b, two)));
                 Event::Blow(a, trigger, self.blow())
             }
+            20 => return self.rebuilt(at),
             _ => Event::Weather {
                 lost: [0, 20, 100, 300][self.rng.usize(..4)],
                 doubled: [0, 20, 100][self.rng.usize(..3)],
