--- a/crates/avalanche/src/adapter.rs
+++ b/crates/avalanche/src/adapter.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trailmap::{Amended, Item, Items, Key, Table};
+use trailmap::{Amended, Item, Items, Key, Table, Tables};
 
 /// The address of a machine.
 pub fn ip(machine: usize) -> Ipv4Addr {
@@ -18,14 +18,15 @@
     usize::from(ip.octets()[1]) - 1
 }
 
-/// The machines that are known to all: more than may be lost at once, as in each deployment.
-pub fn seeds(stores: usize) -> Vec<Ipv4Addr> {
-    (0..stores.min(3).max((stores - 1) / 2 + 1)).map(ip).collect()
+/// The machines that are known to all from the start: all founders, or as few as outnumber those that may be lost at once.
+pub fn seeds(stores: usize, all: bool) -> Vec<Ipv4Addr> {
+    let few = 3.max((stores - 1) / 2 + 1);
+    (0..if all { stores } else { few.min(stores) }).map(ip).collect()
 }
 
 /// A store that starts with what its disk held.
-pub fn start(machine: usize, stores: usize, first: bool, kept: Kept, seed: u64) -> Store {
-    Store::new(ip(machine), seeds(stores), first, kept, seed)
+pub fn start(machine: usize, seeds: Vec<Ipv4Addr>, first: bool, kept: Kept, seed: u64) -> Store {
+    Store::new(ip(machine), seeds, first, kept, seed)
 }
 
 /// What an operator asks for.
@@ -137,7 +138,7 @@
 /// Items that an answer says to be chosen.
 pub fn standing_in_reply(reply: &Reply) -> &[Arc<Item>] {
     match &reply.answer {
-        Answer::Promised { items, .. } | Answer::Snapshot { items, .. } => items,
+        Answer::Promised { items: Some(items), .. } | Answer::Snapshot { items, .. } => items,
         _ => &[],
     }
 }
@@ -182,7 +183,7 @@
 
 /// Questions that come again and again, without which nothing is wrong but late.
 pub fn is_routine(ask: &Ask) -> bool {
-    matches!(ask, Ask::CatchUp { .. })
+    matches!(ask, Ask::CatchUp { .. } | Ask::Ping)
 }
 
 /// What a store has accepted and does not know to be chosen: its group, if it is one.
@@ -205,6 +206,11 @@
     store.leave(now)
 }
 
+/// Whether one that leaves has nothing left that is needed.
+pub fn is_relieved(store: &Store) -> bool {
+    store.is_relieved()
+}
+
 /// What a call is answered with.
 pub type Result = std::result::Result<Outcome, Fault>;
 
@@ -247,13 +253,31 @@
             kept.accepted = None;
         }
         Some(Defect::NoStandingBallot) => kept.chosen = Ballot::NONE,
+        Some(Defect::NumberForgotten) => {
+            let past: Vec<_> = kept.items.all(Tables::PAST).map(|item| item.key.clone()).collect();
+            kept.items.forget(&past);
+        }
         _ => {}
     }
     kept
 }
 
+fn without_past(items: &mut Vec<Arc<Item>>) {
+    items.retain(|item| item.key.table != Table::Past);
+}
+
 /// A question as it arrives, with a defect.
 pub fn tampered_ask(mut ask: Ask, defect: Option<Defect>) -> Ask {
+    if defect == Some(Defect::NumberForgotten) {
+        match &mut ask {
+            Ask::Accept { missing, items, .. } => {
+                without_past(missing);
+                without_past(items);
+            }
+            Ask::Learn { items, .. } => without_past(items),
+            _ => {}
+        }
+    }
     if defect == Some(Defect::NoStandingBallot) {
         match &mut ask {
             // Nobody learns of a round that it is chosen, but what it brought.
@@ -302,5 +326,5 @@
 
 /// Whether an answer changes nothing but contact.
 pub fn is_idle(reply: &Reply) -> bool {
-    matches!(reply.answer, Answer::Learned)
+    matches!(reply.answer, Answer::Learned | Answer::Pong { .. })
 }
--- a/crates/avalanche/src/judge.rs
+++ b/crates/avalanche/src/judge.rs
@@ -187,7 +187,8 @@
 
     /// A round's items are to be written down, by a store that judged them.
     pub fn proposes(&mut self, now: f64, n: usize, ballot: Ballot, items: &[Arc<Item>]) {
-        for item in items {
+        // What is remembered of numbers goes with the item that it is about.
+        for item in items.iter().filter(|item| item.key.table != Table::Past) {
             let owed = self.calls.values().any(|call| {
                 call.store == n && call.told.is_none() && call.op.key().as_ref() == Some(&item.key)
             }) || matches!(item.key.table, Table::Group | Table::Backends);
@@ -432,7 +433,7 @@
             let Some(key) = call.op.key() else { continue };
             let told = match &call.told {
                 Some(Ok(())) => Told::Confirmed,
-                Some(Err(Kind::Conflict)) => Told::Refused,
+                Some(Err(Kind::Conflict | Kind::Forgotten)) => Told::Refused,
                 // Refused as unsound: it took nowhere.
                 Some(Err(Kind::Invalid | Kind::Malformed)) => continue,
                 _ => Told::Unclear,
--- a/crates/avalanche/src/small.rs
+++ b/crates/avalanche/src/small.rs
@@ -156,7 +156,7 @@
     fn founded(bounds: &Bounds, defect: Option<Defect>, but: &BTreeSet<Invariant>) -> Self {
         let machine = |n: usize| {
             let disk = Kept::new(n as u64 + 1);
-            let store = adapter::start(n, bounds.stores, true, disk.clone(), n as u64);
+            let store = adapter::start(n, adapter::seeds(bounds.stores, false), true, disk.clone(), n as u64);
             Machine { store, disk, run: 1, print: 0 }
         };
         let mut world = Self {
@@ -292,7 +292,8 @@
         let machine = &mut self.machines[n];
         machine.run += 1;
         let kept = adapter::loaded(machine.disk.clone(), self.defect);
-        machine.store = adapter::start(n, stores, false, kept, 1_000 * machine.run + n as u64);
+        machine.store =
+            adapter::start(n, adapter::seeds(stores, false), false, kept, 1_000 * machine.run + n as u64);
         self.judge.started(n);
         self.judge.dropped(n);
         // The connections of the life before are gone.
--- a/crates/avalanche/src/story.rs
+++ b/crates/avalanche/src/story.rs
@@ -117,6 +117,8 @@
     pub links: u8,
     /// Whether a question that is not answered within a second counts as lost, as in the program.
     pub impatient: bool,
+    /// Whether all founders are known from the start, or a few.
+    pub all_known: bool,
     /// What happens, by time.
     pub events: Vec<(f64, Event)>,
     /// What befalls single messages; `None` while it is drawn from the weather.
@@ -138,6 +140,7 @@
             stores,
             links: rng.u8(..4),
             impatient: rng.bool(),
+            all_known: seed % 2 == 0,
             events: Vec::new(),
             mishaps: None,
             end: BEGIN + length + 1_000.0,
@@ -299,8 +302,8 @@
             19 => {
                 let (a, b) = (self.machine(), self.machine());
                 let name = if self.rng.bool() { "a" } else { "b" }.to_owned();
-                self.next += 2;
-                let (number, content) = (self.next, self.next);
+                self.next += 3;
+                let (number, content) = (self.next, self.next - 1);
                 let one = Op::Put { name: "a".to_owned(), place: "/same/".to_owned(), number, content };
                 let two = Op::Put { name, place: "/same/".to_owned(), number, content: content + 1 };
                 self.done.extend([one.clone(), two.clone()]);
@@ -379,10 +382,11 @@
 impl fmt::Display for Story {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let links = ["near", "regions of two, 55 ms apart", "up to 60 ms", "up to 200 ms"];
+        let known = if self.all_known { "all founders are" } else { "a few founders are" };
         let patience = if self.impatient { "after a second counts as lost" } else { "is waited for" };
         writeln!(
             f,
-            "seed {}, {} stores, links: {}; an answer {patience}",
+            "seed {}, {} stores, links: {}; an answer {patience}; {known} known",
             self.seed,
             self.stores,
             links[usize::from(self.links & 3)]
--- a/crates/avalanche/src/world.rs
+++ b/crates/avalanche/src/world.rs
@@ -234,7 +234,8 @@
         machine.run += 1;
         let kept = adapter::loaded(machine.disk.clone(), self.defect);
         let seed = drawn(self.story.seed, (n, 0, machine.run), 1).u64(..);
-        machine.store = Some(adapter::start(n, self.story.stores, first, kept, seed));
+        let seeds = adapter::seeds(self.story.stores, self.story.all_known);
+        machine.store = Some(adapter::start(n, seeds, first, kept, seed));
         let run = machine.run;
         self.judge.started(n);
         self.read.retain(|(asker, _), _| *asker != n);
@@ -349,7 +350,7 @@
         let machine = &self.machines[n];
         let (Some(store), Some(until)) = (&machine.store, machine.leaves) else { return };
         let placed = store.standing() == Standing::Member;
-        if placed && self.now < until {
+        if !adapter::is_relieved(store) && self.now < until {
             return;
         }
         self.machines[n].leaves = None;
