--- /dev/null
+++ b/crates/avalanche/src/adapter.rs
@@ -0,0 +1,330 @@
+//! All that touches the store's messages, disks and answers from the inside: the rest takes them as they come.
+
+use crate::defects::Defect;
+use cairn::{Answer, Ask, Ballot, Change, Kept, Outcome, Reply, Standing, Store};
+use footbridge::Fault;
+use serde_json::json;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use trailmap::{Amended, Item, Items, Key, Table, Tables};
+
+/// The address of a machine.
+pub fn ip(machine: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, machine as u8 + 1, 0, 5)
+}
+
+/// The machine of an address.
+pub fn machine(ip: Ipv4Addr) -> usize {
+    usize::from(ip.octets()[1]) - 1
+}
+
+/// The machines that are known to all from the start: all founders, or as few as outnumber those that may be lost at once.
+pub fn seeds(stores: usize, all: bool) -> Vec<Ipv4Addr> {
+    let few = 3.max((stores - 1) / 2 + 1);
+    (0..if all { stores } else { few.min(stores) }).map(ip).collect()
+}
+
+/// A store that starts with what its disk held.
+pub fn start(machine: usize, seeds: Vec<Ipv4Addr>, first: bool, kept: Kept, seed: u64) -> Store {
+    Store::new(ip(machine), seeds, first, kept, seed)
+}
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Op {
+    /// A route at a number.
+    Put {
+        /// Its name.
+        name: String,
+        /// Where it is.
+        place: String,
+        /// Its number.
+        number: u64,
+        /// What tells its contents apart.
+        content: u64,
+    },
+    /// A route is dropped at a number.
+    Remove {
+        /// Its name.
+        name: String,
+        /// The number.
+        number: u64,
+    },
+    /// A zone is emptied or taken back.
+    Drain {
+        /// The zone.
+        zone: String,
+        /// Emptied.
+        on: bool,
+    },
+    /// A duty is taken.
+    Duty {
+        /// The duty.
+        name: String,
+        /// By whom: another at each call.
+        holder: Ipv4Addr,
+    },
+    /// All is read.
+    Read,
+}
+
+impl Op {
+    /// The call that the store takes.
+    pub fn change(&self) -> Change {
+        match self {
+            Self::Put { name, place, number, content } => {
+                let route = json!({ "vhost": "h", "pathPrefix": place, "kind": "idempotent", "backend": "b",
+                    "timeoutS": *content as f64, "gen": format!("r{number}") });
+                let mut routes = serde_json::Map::new();
+                routes.insert(name.clone(), route);
+                amended(&json!({ "upsert": { "routes": routes, "backends": { "b": { "gen": "r1" } } } }))
+            }
+            Self::Remove { name, number } => {
+                amended(&json!({ "remove": { "routes": [{ "name": name, "gen": format!("r{number}") }] } }))
+            }
+            Self::Drain { zone, on } => Change::Drain { zone: zone.clone(), on: *on },
+            Self::Duty { name, holder } => Change::Duty { name: name.clone(), holder: *holder },
+            Self::Read => Change::Read,
+        }
+    }
+
+    /// The item that it is about.
+    pub fn key(&self) -> Option<Key> {
+        let (table, name) = match self {
+            Self::Put { name, .. } | Self::Remove { name, .. } => (Table::Routes, name),
+            Self::Drain { zone, .. } => (Table::Drains, zone),
+            Self::Duty { name, .. } => (Table::Duties, name),
+            Self::Read => return None,
+        };
+        Some(Key { table, name: name.clone() })
+    }
+}
+
+fn amended(call: &serde_json::Value) -> Change {
+    Change::Amend(Amended::read(call.to_string().as_bytes()).unwrap_or_default())
+}
+
+/// What tells a route's contents apart; 0 for one that was dropped.
+pub fn content(item: &Item) -> u64 {
+    let told = item.body.as_ref().and_then(|body| body.get("timeoutS")).and_then(serde_json::Value::as_f64);
+    told.map_or(0, |told| told as u64)
+}
+
+/// The holder that a duty's item names.
+pub fn holder(item: &Item) -> Option<Ipv4Addr> {
+    item.body.as_ref()?.get("holder")?.as_str()?.parse().ok()
+}
+
+/// The machines that a group's item names, as they stand in it.
+pub fn named(group: &Item) -> Vec<Ipv4Addr> {
+    let members = group.body.as_ref().and_then(|body| body.get("members")).cloned().unwrap_or_default();
+    serde_json::from_value(members).unwrap_or_default()
+}
+
+/// The group's item.
+pub fn group(items: &Items) -> Option<&Arc<Item>> {
+    items.get(Table::Group, "core")
+}
+
+/// Items that a question says to be chosen.
+pub fn standing_in_ask(ask: &Ask) -> &[Arc<Item>] {
+    match ask {
+        Ask::Accept { missing, .. } => missing,
+        Ask::Learn { items, .. } => items,
+        _ => &[],
+    }
+}
+
+/// Items that an answer says to be chosen.
+pub fn standing_in_reply(reply: &Reply) -> &[Arc<Item>] {
+    match &reply.answer {
+        Answer::Promised { items: Some(items), .. } | Answer::Snapshot { items, .. } => items,
+        _ => &[],
+    }
+}
+
+/// A round's items, where a question has them accepted.
+pub fn proposal(ask: &Ask) -> Option<(Ballot, &[Arc<Item>])> {
+    match ask {
+        Ask::Accept { ballot, items, .. } => Some((*ballot, items)),
+        _ => None,
+    }
+}
+
+/// A round that is chosen, where a question says so.
+pub fn settled(ask: &Ask) -> Option<Ballot> {
+    match ask {
+        Ask::Learn { ballot, .. } => Some(*ballot),
+        _ => None,
+    }
+}
+
+/// Whether an answer says that items are accepted.
+pub fn is_written(reply: &Reply) -> bool {
+    matches!(reply.answer, Answer::Accepted)
+}
+
+/// Which group an answer tells of contact with: any, if who answers has a place in its own; that version, if it waits to
+/// learn of its place; none, if it has no say.
+pub fn contact_of(answerer: &Store, reply: &Reply) -> Option<u64> {
+    let version = group(&answerer.kept().items).map_or(0, |group| group.version);
+    match (&reply.answer, answerer.standing()) {
+        (Answer::Blank, _) => None,
+        (_, Standing::Member) => Some(0),
+        _ => Some(version + 1),
+    }
+}
+
+/// Whether an answer is contact to an asker: a machine that lost its place to another in a later group is none.
+pub fn is_contact(asker: &Store, least: Option<u64>) -> bool {
+    let version = group(&asker.kept().items).map_or(0, |group| group.version);
+    least.is_some_and(|least| least <= version)
+}
+
+/// Questions that come again and again, without which nothing is wrong but late.
+pub fn is_routine(ask: &Ask) -> bool {
+    matches!(ask, Ask::CatchUp { .. } | Ask::Ping)
+}
+
+/// What a store has accepted and does not know to be chosen: its group, if it is one.
+pub fn pending_group(kept: &Kept) -> Option<&Arc<Item>> {
+    kept.accepted.as_ref()?.items.iter().find(|item| item.key.table == Table::Group)
+}
+
+/// Which disk it is.
+pub fn incarnation(kept: &Kept) -> u64 {
+    kept.incarnation
+}
+
+/// How long ago a store was in contact with more than half.
+pub fn contact(store: &Store, now: f64) -> Option<f64> {
+    store.contact(now)
+}
+
+/// Begins a planned leave; tells whether it is worth waiting for.
+pub fn leave(store: &mut Store, now: f64) -> bool {
+    store.leave(now)
+}
+
+/// Whether one that leaves has nothing left that is needed.
+pub fn is_relieved(store: &Store) -> bool {
+    store.is_relieved()
+}
+
+/// What a call is answered with.
+pub type Result = std::result::Result<Outcome, Fault>;
+
+/// The epoch that a duty's call was answered with.
+pub fn epoch(done: &Outcome) -> Option<u64> {
+    match done {
+        Outcome::Epoch(epoch) => Some(*epoch),
+        _ => None,
+    }
+}
+
+/// What a read was answered with.
+pub fn read(done: &Outcome) -> Option<&Items> {
+    match done {
+        Outcome::Read(items) => Some(items),
+        _ => None,
+    }
+}
+
+/// What a disk holds that was lost: nothing, and an incarnation of its own.
+pub fn lost(before: &Kept, incarnation: u64, defect: Option<Defect>) -> Kept {
+    match defect {
+        Some(Defect::OldLife) => Kept::new(before.incarnation),
+        _ => Kept::new(incarnation),
+    }
+}
+
+/// A disk of which the items were saved, and the rest was not.
+pub fn torn(before: &Kept, now: &Kept) -> Kept {
+    Kept { items: now.items.clone(), ..before.clone() }
+}
+
+/// What a store starts with, from a disk.
+pub fn loaded(mut kept: Kept, defect: Option<Defect>) -> Kept {
+    // It is not saved.
+    kept.marks.clear();
+    match defect {
+        Some(Defect::PromiseLost) => {
+            kept.promised = Ballot::NONE;
+            kept.accepted = None;
+        }
+        Some(Defect::NoStandingBallot) => kept.chosen = Ballot::NONE,
+        Some(Defect::NumberForgotten) => {
+            let past: Vec<_> = kept.items.all(Tables::PAST).map(|item| item.key.clone()).collect();
+            kept.items.forget(&past);
+        }
+        _ => {}
+    }
+    kept
+}
+
+fn without_past(items: &mut Vec<Arc<Item>>) {
+    items.retain(|item| item.key.table != Table::Past);
+}
+
+/// A question as it arrives, with a defect.
+pub fn tampered_ask(mut ask: Ask, defect: Option<Defect>) -> Ask {
+    if defect == Some(Defect::NumberForgotten) {
+        match &mut ask {
+            Ask::Accept { missing, items, .. } => {
+                without_past(missing);
+                without_past(items);
+            }
+            Ask::Learn { items, .. } => without_past(items),
+            _ => {}
+        }
+    }
+    if defect == Some(Defect::NoStandingBallot) {
+        match &mut ask {
+            // Nobody learns of a round that it is chosen, but what it brought.
+            Ask::Learn { ballot, base, .. } => (*ballot, *base) = (Ballot::NONE, Ballot::NONE),
+            Ask::Accept { base, .. } => *base = Ballot::NONE,
+            Ask::Prepare { chosen, .. } | Ask::CatchUp { chosen } => *chosen = Ballot::NONE,
+            _ => {}
+        }
+    }
+    ask
+}
+
+/// An answer as it arrives, with a defect.
+pub fn tampered_reply(asker: &Store, mut reply: Reply, defect: Option<Defect>) -> Reply {
+    match (defect, &mut reply.answer) {
+        (Some(Defect::MemberBeforeAll), Answer::Snapshot { items, .. })
+            if asker.standing() == Standing::Learner =>
+        {
+            items.retain(|item| item.key.table == Table::Group);
+        }
+        (
+            Some(Defect::NoStandingBallot),
+            Answer::Promised { chosen, .. } | Answer::Snapshot { chosen, .. },
+        ) => {
+            *chosen = Ballot::NONE;
+        }
+        _ => {}
+    }
+    reply
+}
+
+/// The sides of a group's item: each must bear its losses.
+pub fn sides(group: &Item) -> Vec<Vec<Ipv4Addr>> {
+    vec![named(group)]
+}
+
+/// Whether the group's item is more than a proposal; of one that is written down nobody may know yet.
+pub fn group_stands(_group: &Item) -> bool {
+    true
+}
+
+/// Whether a store that is no member waits for a place.
+pub fn waits(store: &Store) -> bool {
+    store.standing() == Standing::Learner
+}
+
+/// Whether an answer changes nothing but contact.
+pub fn is_idle(reply: &Reply) -> bool {
+    matches!(reply.answer, Answer::Learned | Answer::Pong { .. })
+}
