Store: an order without a number that waited while the store stood still is not carried out

Cause, read: a call is refused after 2.6 s by the clock's tick alone. At a thaw answers may be read first, and a drain of 20 s ago was judged; with no higher round in between it came into force then. One that lay in a socket all that time is new to the store: after its caller had gone elsewhere, had the zone emptied and taken back, it emptied it again.

Change: a round judges no call that is older than any is waited for. And an order without a number (a drain, a duty) that comes within 150 ms after the store went on is refused as a call without a majority is, which sends it nowhere else. Items have numbers, and readings harm nobody.

Not fenced by this: bytes that a cut holds up between an operator and a machine which itself is well.

The checker's adapter follows the shape of a ping.

--- a/crates/avalanche/src/adapter.rs
+++ b/crates/avalanche/src/adapter.rs
@@ -183,7 +183,7 @@
 
 /// Questions that come again and again, without which nothing is wrong but late.
 pub fn is_routine(ask: &Ask) -> bool {
-    matches!(ask, Ask::CatchUp { .. } | Ask::Ping)
+    matches!(ask, Ask::CatchUp { .. } | Ask::Ping { .. })
 }
 
 /// What a store has accepted and does not know to be chosen: its group, if it is one.
--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -55,6 +55,8 @@
 const NEWCOMER: Millis = 400.0;
 /// A tick that comes this late tells that the process stood still: whom it did not hear is not gone for that.
 const STILL: Millis = 600.0;
+/// An order that comes so soon after that may have waited there all the while, given up by its caller.
+const THAWED: Millis = 150.0;
 /// What was learnt is saved within this time also where nothing rests on it, so that a restart does not begin from afar.
 const LAZILY: Millis = 1_000.0;
 /// One that lags asks one other at a time for what it lacks, and another after this time.
@@ -193,6 +195,8 @@
     relief: Option<(Group, BTreeSet<(Ipv4Addr, u64)>)>,
     /// Since when it has run without standing still.
     awake: Millis,
+    /// When it last went on after it had stood still.
+    thawed: Millis,
     ticked: Option<Millis>,
     ping_at: Millis,
     /// No question for what it lacks before.
@@ -240,6 +244,7 @@
             leaving: false,
             relief: None,
             awake: f64::INFINITY,
+            thawed: f64::NEG_INFINITY,
             ticked: None,
             ping_at: f64::NEG_INFINITY,
             catch_up_at: f64::NEG_INFINITY,
@@ -306,6 +311,11 @@
                 Err(Fault::new(Kind::Unready, "the store has no place in its group yet, or no more")),
             );
         }
+        let bare = matches!(change, Change::Drain { .. } | Change::Duty { .. });
+        if bare && (self.stood_still(now) || now < self.thawed + THAWED) {
+            // No number tells what it is older than; `unready` would send it on to another store.
+            return self.answer(id, Err(Fault::new(Kind::NoMajority, "the store stood still a moment ago")));
+        }
         if self.calls.len() >= CALLS_MOST {
             return self.answer(id, Err(Fault::new(Kind::Late, "too many calls wait")));
         }
@@ -680,7 +690,7 @@
             self.round = Round::Preparing { ballot, since, group, next: Some(carried), promises };
             return self.prepare(now, ballot, newcomers);
         }
-        let calls = self.verdicts(since, &mut copy, &mut items);
+        let calls = self.verdicts(now, since, &mut copy, &mut items);
         if items.is_empty() && !carries {
             // A round that ends on promises alone says what stood when they were given: a call that came after it began
             // may have come after that, and waits for the next.
@@ -716,6 +726,7 @@
     /// Judges the calls that wait, in order, against a copy that they change; their items come on top of others.
     fn verdicts(
         &mut self,
+        now: Millis,
         begun: Millis,
         copy: &mut Items,
         items: &mut Vec<Arc<Item>>,
@@ -724,6 +735,11 @@
         // A change of the group is chosen alone: what comes after it is accepted by the new one.
         let regroups = |items: &[Arc<Item>]| items.iter().any(|item| item.key.table == Table::Group);
         while let Some(mut waiting) = self.calls.pop_front() {
+            if now > waiting.since + CALL {
+                // Its caller has gone elsewhere, and may have taken it back there.
+                self.refused(waiting);
+                continue;
+            }
             let alone = matches!(waiting.change, Change::Regroup { .. }) && !items.is_empty();
             if alone || regroups(items) {
                 self.calls.push_front(waiting);
@@ -825,9 +841,17 @@
 
     // Time.
 
+    /// Whether the clock has not been told for so long that the process stood still.
+    fn stood_still(&self, now: Millis) -> bool {
+        self.ticked.is_some_and(|ticked| now > ticked + STILL)
+    }
+
     /// Time has passed.
     pub fn tick(&mut self, now: Millis) {
-        if self.ticked.replace(now).is_none_or(|ticked| now > ticked + STILL) {
+        if self.stood_still(now) {
+            (self.awake, self.thawed) = (now, now);
+        }
+        if self.ticked.replace(now).is_none() {
             self.awake = now;
         }
         let since = match &self.round {
@@ -889,11 +913,15 @@
         let (over, calls): (Vec<_>, Vec<_>) = self.calls.drain(..).partition(over);
         self.calls = calls.into();
         for waiting in over {
-            let fault = Fault::new(Kind::NoMajority, "more than half of the core can't be reached");
-            self.answer(waiting.id, Err(fault));
+            self.refused(waiting);
         }
     }
 
+    fn refused(&mut self, waiting: Waiting) {
+        let fault = Fault::new(Kind::NoMajority, "more than half of the core can't be reached");
+        self.answer(waiting.id, Err(fault));
+    }
+
     /// Asks all others who is there, and how much each knows.
     fn ping(&mut self, now: Millis) {
         self.probed_at = now;
--- a/crates/cairn/tests/fleet/main.rs
+++ b/crates/cairn/tests/fleet/main.rs
@@ -569,6 +569,36 @@
     assert!(joined > 10, "the others were done {joined} times");
 }
 
+#[test]
+fn given_an_order_that_waited_in_a_store_that_stood_still_when_it_goes_on_then_it_is_not_carried_out() {
+    for seed in 0..60 {
+        let drain = |on| Change::Drain { zone: "z".into(), on };
+        let mut world = World::founded(seed, Defect::None);
+        // Whether its clock, answers to its own questions or a call come first when it goes on is chance.
+        world.pass(seed as f64 * 7.0);
+        // One came just before it stood still, and one while it did.
+        let before = (seed % 2 == 0).then(|| world.call(0, drain(true)));
+        world.freeze(0, 20_000.0);
+        // Meanwhile others empty the zone and take it back, or do nothing, so that no round is above its own.
+        for on in [true, false] {
+            if seed % 3 == 0 {
+                world.pass(4_000.0);
+            } else {
+                assert_eq!(world.answer(3, drain(on)), Ok(()), "seed {seed}");
+            }
+        }
+        world.pass(12_000.0);
+        world.pass(seed as f64 % 5.0 * 15.0);
+        let waited = world.call(0, drain(true));
+        world.pass(4_000.0);
+        for id in before.into_iter().chain([waited]) {
+            assert!(world.answers.get(&id).is_some_and(Result::is_err), "seed {seed}");
+        }
+        assert!((0..6).all(|n| world.items(n).body(Table::Drains, "z").is_none()), "seed {seed}");
+        assert_eq!(world.answer(0, drain(true)), Ok(()), "seed {seed}: it is as well as before");
+    }
+}
+
 /// Plays hours of losses; gives what is wrong in the end, if anything.
 fn play(seed: u64, defect: Defect) -> Result<(), String> {
     let mut rng = fastrand::Rng::with_seed(seed);
