Store: what is lacking comes in parts from the nearest; refusal waits for slow disks; askers are sources

With all disks slow (150 ms a sync) a healthy group takes over 300 ms to answer and refused its calls. A machine with an empty disk whose seeds are all gone never found its group, though members asked it all the time.

Change: parts of 2,000 items; passes of several parts go on until one fits into a single part, which is of one state. A learner asks the nearest first, and whoever asks it is a source too. Times of steps and answers grow with the items that they bring; an acceptor that lags by more than a part gathers first. A call is refused after 300 ms, or twice what a quorum has lately taken to answer, 900 ms at most.

--- a/crates/cairn/src/lib.rs
+++ b/crates/cairn/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Disk`] touches files.
 
 mod disk;
+mod gathering;
 mod group;
 mod messages;
 mod store;
--- a/crates/cairn/src/main.rs
+++ b/crates/cairn/src/main.rs
@@ -24,8 +24,11 @@
     verbose: bool,
 }
 
-/// How long another store's answer is waited for.
+/// How long another store's answer is waited for, and how much longer for each item that goes with the question.
 const ANSWER: Duration = Duration::from_millis(1_000);
+const ITEM: Duration = Duration::from_micros(500);
+/// And for a part of what one lacks.
+const PART: Duration = Duration::from_millis(4_000);
 /// How long a store that ends tries to give its place to a machine that waits for one.
 const LEAVE: Duration = Duration::from_millis(2_500);
 /// Period of the store's clock.
@@ -146,8 +149,14 @@
         let cairn = self.clone();
         tokio::task::spawn_local(async move {
             let address = SocketAddr::from((to, cairn.boot.ports().store));
+            let wait = match &ask {
+                Ask::CatchUp { .. } => PART,
+                Ask::Accept { missing, items, .. } => ANSWER + ITEM * (missing.len() + items.len()) as u32,
+                Ask::Learn { items, .. } => ANSWER + ITEM * items.len() as u32,
+                _ => ANSWER,
+            };
             let asking = Asking { from: cairn.boot.ip, ask };
-            let reply: Result<Reply, Fault> = cairn.calls.post(address, "/round", &asking, ANSWER).await;
+            let reply: Result<Reply, Fault> = cairn.calls.post(address, "/round", &asking, wait).await;
             if let Err(fault) = &reply {
                 tracing::debug!("{to} did not answer: {fault}");
             }
--- a/crates/cairn/src/messages.rs
+++ b/crates/cairn/src/messages.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trailmap::{Amended, Item, Items, Tables};
+use trailmap::{Amended, Item, Items, Key, Tables};
 
 /// The number of a round, the same at no two stores, nor in two incarnations of one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -69,10 +69,12 @@
     },
     /// For the highest round that it knows to be chosen, which also tells that it is there.
     Ping,
-    /// For all that was chosen after a round.
+    /// For all that was chosen after a round, in parts.
     CatchUp {
         /// The round.
         chosen: Ballot,
+        /// The last item of the part before.
+        after: Option<Key>,
     },
     /// For the group, at the first start of the whole system.
     Hello {
@@ -132,12 +134,14 @@
         /// The round.
         chosen: Ballot,
     },
-    /// All that was chosen up to a round, but for what the asker has.
+    /// Of all that was chosen up to a round, but for what the asker has, the next part.
     Snapshot {
         /// The round.
         chosen: Ballot,
-        /// The items.
+        /// The items, in order of their keys.
         items: Vec<Arc<Item>>,
+        /// Whether there are others after these.
+        more: bool,
     },
     /// It has no say in this: it is no member of a group, or another incarnation was asked.
     Blank,
--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -6,6 +6,7 @@
 //! are chosen, and the call is acknowledged. Two rounds share a store, so the later one sees what the earlier may have
 //! achieved, and builds on it. The group is an item too: a round that changes it needs more than half of both groups.
 
+use crate::gathering::{Gathered, Gathering, Wanted, PART};
 use crate::group::{Group, GROUP_MOST};
 use crate::messages::{Accepted, Answer, Ask, Ballot, Candidate, Change, Kept, Outcome, Reply};
 use footbridge::{Fault, Kind};
@@ -13,7 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use trailmap::{amend, Item, Items, Table};
+use trailmap::{amend, Item, Items, Key, Table};
 
 /// A point on the caller's steady clock, or a length of time, in milliseconds.
 type Millis = f64;
@@ -24,8 +25,9 @@
 const STEP: Millis = 900.0;
 /// A call that has waited this long is answered: operators go elsewhere after a second.
 const CALL: Millis = 2_600.0;
-/// A call is refused after this time if more than half of the group has answered nothing that was asked since it came.
-const REFUSE: Millis = 300.0;
+/// A call is refused after the first of these times if more than half of the group has answered nothing that was asked
+/// since it came; where they have lately taken longer to answer, as on slow disks, after twice that, up to the second.
+const REFUSE: (Millis, Millis) = (300.0, 900.0);
 /// Least time between two questions that only ask who answers.
 const PROBE: Millis = 100.0;
 /// Pause before another round after one was outbid, drawn between these and doubled with each that was outbid since: two
@@ -58,7 +60,11 @@
 /// What was learnt is saved within this time also where nothing rests on it, so that a restart does not begin from afar.
 const LAZILY: Millis = 1_000.0;
 /// One that lags asks one other at a time for what it lacks, and another after this time.
-const LAG: Millis = 400.0;
+const LAG: Millis = 1_500.0;
+/// Or after this time where it has heard nothing of that one yet.
+const LAG_UNHEARD: Millis = 400.0;
+/// A step takes so much longer for each item that it brings: far links have small windows.
+const ITEM: Millis = 0.5;
 /// Most items that a promise brings to one that lags: who lags by more catches up first.
 const PROMISE_MOST: usize = 256;
 /// Most calls that wait.
@@ -195,8 +201,12 @@
     awake: Millis,
     ticked: Option<Millis>,
     ping_at: Millis,
-    /// No question for what it lacks before.
-    catch_up_at: Millis,
+    /// What it gathers that it lacks, and when it gives up on the one that it asks.
+    gathering: Option<(Gathering, Millis)>,
+    /// How long others have lately taken to answer.
+    latency: BTreeMap<Ipv4Addr, Millis>,
+    /// Who has asked this one while it had no place: they may know the group.
+    askers: BTreeSet<Ipv4Addr>,
     /// What was chosen, as far as that was saved, and when it was saved.
     saved: (Ballot, Millis),
     /// What was chosen when others were last asked, twice: one that waits for a place must not lag behind the first.
@@ -242,7 +252,9 @@
             awake: f64::INFINITY,
             ticked: None,
             ping_at: f64::NEG_INFINITY,
-            catch_up_at: f64::NEG_INFINITY,
+            gathering: None,
+            latency: BTreeMap::new(),
+            askers: BTreeSet::new(),
             saved: (Ballot::NONE, f64::NEG_INFINITY),
             chosen_before: [Ballot::NONE; 2],
             probed_at: f64::NEG_INFINITY,
@@ -340,6 +352,9 @@
 
     /// Another store asks. What must be saved before the answer goes out is among the outputs.
     pub fn asked(&mut self, now: Millis, from: Ipv4Addr, ask: Ask) -> Reply {
+        if self.standing() == Standing::Learner && self.askers.len() < GROUP_MOST {
+            self.askers.insert(from);
+        }
         let answer = match ask {
             // Whoever is asked as this incarnation has a place by some group, known here or not.
             Ask::Prepare { incarnation, .. } | Ask::Accept { incarnation, .. }
@@ -361,7 +376,7 @@
                 Answer::Learned
             }
             Ask::Ping => Answer::Pong { chosen: self.kept.chosen },
-            Ask::CatchUp { chosen } => self.snapshot(chosen),
+            Ask::CatchUp { chosen, after } => self.snapshot(chosen, after),
         };
         let placed = self.standing() == Standing::Member;
         let group = self.group.as_ref().filter(|_| placed).map(|group| group.version);
@@ -419,8 +434,13 @@
         Answer::Learned
     }
 
-    fn snapshot(&self, chosen: Ballot) -> Answer {
-        Answer::Snapshot { chosen: self.kept.chosen, items: self.kept.since(chosen) }
+    fn snapshot(&self, chosen: Ballot, after: Option<Key>) -> Answer {
+        let mut items = self.kept.since(chosen);
+        items.retain(|item| after.as_ref().is_none_or(|after| item.key > *after));
+        items.sort_unstable_by(|a, b| a.key.cmp(&b.key));
+        let more = items.len() > PART;
+        items.truncate(PART);
+        Answer::Snapshot { chosen: self.kept.chosen, items, more }
     }
 
     fn promise(&mut self, ballot: Ballot) {
@@ -449,7 +469,7 @@
     /// At the first start of the whole system: the founder gathers machines; whoever has the group tells it.
     fn hello(&mut self, now: Millis, from: Ipv4Addr, incarnation: u64) -> Answer {
         if self.standing() == Standing::Member {
-            return self.snapshot(Ballot::NONE);
+            return self.snapshot(Ballot::NONE, None);
         }
         if self.is_founder()
             && (self.hellos.len() < GROUP_MOST || self.hellos.contains_key(&from))
@@ -502,7 +522,15 @@
     /// An answer to a question has come, or surely none will.
     pub fn replied(&mut self, now: Millis, number: u64, reply: Option<Reply>) {
         let Some(Asked { to, ballot, at }) = self.asked.remove(&number) else { return };
-        let Some(reply) = reply else { return };
+        let Some(reply) = reply else {
+            // It can't be reached: another is asked for what is lacking.
+            self.gathering.take_if(|(gathering, _)| gathering.wanted().from == to);
+            return;
+        };
+        if self.latency.len() < 4 * GROUP_MOST || self.latency.contains_key(&to) {
+            let latency = self.latency.entry(to).or_default();
+            *latency = (now - at).min(REFUSE.1).max(0.9 * *latency + 0.1 * (now - at).min(REFUSE.1));
+        }
         // One that has lost its place, or knows a newer group, is no contact with this one.
         let member = self.group.as_ref().is_some_and(|group| {
             group.has(to, reply.incarnation) && reply.group.is_some_and(|version| version <= group.version)
@@ -537,7 +565,7 @@
                 }
             }
             Answer::Accepted => self.accepted(now, who, of),
-            Answer::Snapshot { chosen, items } => self.caught_up(chosen, items),
+            Answer::Snapshot { chosen, items, more } => self.gathered(now, from, chosen, items, more),
             Answer::Pong { chosen } => {
                 if chosen > self.kept.chosen {
                     self.catch_up(now, from);
@@ -552,20 +580,45 @@
         }
     }
 
-    /// Asks one that knows more for what was chosen; not many at once for the same.
+    /// Asks one that knows more for what was chosen; none else while that goes on.
     fn catch_up(&mut self, now: Millis, from: Ipv4Addr) {
-        if now >= self.catch_up_at {
-            self.catch_up_at = now + LAG;
-            let chosen = self.kept.chosen;
-            self.ask(now, from, Ballot::NONE, Ask::CatchUp { chosen });
+        if self.gathering.as_ref().is_some_and(|(_, until)| now < *until) {
+            return;
         }
+        let gathering = Gathering::new(from, self.kept.chosen);
+        let wanted = gathering.wanted().clone();
+        let patience = if self.latency.contains_key(&from) { LAG } else { LAG_UNHEARD };
+        self.gathering = Some((gathering, now + patience));
+        self.want(now, wanted);
+    }
+
+    fn want(&mut self, now: Millis, wanted: Wanted) {
+        let Wanted { from, chosen, after } = wanted;
+        self.ask(now, from, Ballot::NONE, Ask::CatchUp { chosen, after });
     }
 
-    fn caught_up(&mut self, chosen: Ballot, items: Vec<Arc<Item>>) {
-        if chosen > self.kept.chosen {
-            self.adopt(chosen, items);
+    /// A part of what it lacks has come. A founding store is told all at once, unasked.
+    fn gathered(&mut self, now: Millis, from: Ipv4Addr, chosen: Ballot, items: Vec<Arc<Item>>, more: bool) {
+        let asked = self.gathering.take_if(|(gathering, _)| gathering.wanted().from == from);
+        let (gathering, _) = match asked {
+            Some(gathering) => gathering,
+            None if self.standing() == Standing::Founding && !more => {
+                (Gathering::new(from, self.kept.chosen), now)
+            }
+            None => return,
+        };
+        match gathering.came(chosen, items, more) {
+            (gathering, Gathered::Wants(wanted)) => {
+                self.gathering = gathering.map(|gathering| (gathering, now + LAG));
+                self.want(now, wanted);
+            }
+            (_, Gathered::Whole(chosen, items)) => {
+                self.source = 0;
+                if chosen > self.kept.chosen {
+                    self.adopt(chosen, items);
+                }
+            }
         }
-        self.catch_up_at = f64::NEG_INFINITY;
     }
 
     /// Has what was learnt saved now and then.
@@ -628,6 +681,10 @@
         items: Vec<Arc<Item>>,
     ) {
         let (base, missing) = (self.kept.chosen, self.kept.since(chosen));
+        if missing.len() > PART {
+            // One that lags so far finds out when it is asked who is there, and gathers that first.
+            return;
+        }
         self.ask(now, to.0, ballot, Ask::Accept { ballot, incarnation: to.1, base, missing, items });
     }
 
@@ -817,13 +874,13 @@
         if self.ticked.replace(now).is_none_or(|ticked| now > ticked + STILL) {
             self.awake = now;
         }
-        let since = match &self.round {
+        let until = match &self.round {
             Round::Idle => None,
-            Round::Preparing { since, .. } => Some(*since),
-            Round::Accepting(proposal) => Some(proposal.since),
+            Round::Preparing { since, .. } => Some(since + STEP),
+            Round::Accepting(proposal) => Some(proposal.since + STEP + ITEM * proposal.items.len() as f64),
         };
         self.count(now);
-        if since.is_some_and(|since| now > since + STEP) && !matches!(self.round, Round::Idle) {
+        if until.is_some_and(|until| now > until) && !matches!(self.round, Round::Idle) {
             self.pause(now);
         }
         if matches!(&self.round, Round::Preparing { group, .. } if self.group.as_ref() != Some(group)) {
@@ -863,11 +920,12 @@
     /// Answers calls that have waited too long, or that no majority can be reached for.
     fn refuse(&mut self, now: Millis) {
         let contact = self.contact_at(now);
+        let patience = (2.0 * self.quorum_latency() + 50.0).clamp(REFUSE.0, REFUSE.1);
         let member = self.standing() == Standing::Member;
         let over = |waiting: &Waiting| {
             !member
                 || now > waiting.since + CALL
-                || (now > waiting.since + REFUSE && contact < waiting.since - PROBE)
+                || (now > waiting.since + patience && contact < waiting.since - PROBE)
         };
         let (over, calls): (Vec<_>, Vec<_>) = self.calls.drain(..).partition(over);
         self.calls = calls.into();
@@ -877,6 +935,16 @@
         }
     }
 
+    /// How long it has lately taken until more than half of the group had answered.
+    fn quorum_latency(&self) -> Millis {
+        let members = self.members();
+        let latency =
+            |m: &Ipv4Addr| if *m == self.me { 0.0 } else { self.latency.get(m).copied().unwrap_or(0.0) };
+        let mut all: Vec<Millis> = members.iter().map(latency).collect();
+        all.sort_unstable_by(f64::total_cmp);
+        all.get(members.len() / 2).copied().unwrap_or(0.0)
+    }
+
     /// Asks all others who is there, and how much each knows.
     fn ping(&mut self, now: Millis) {
         self.probed_at = now;
@@ -891,16 +959,21 @@
     fn wait(&mut self, now: Millis) {
         let mut sources = self.members();
         sources.extend(&self.seeds);
+        sources.extend(&self.askers);
         sources.sort_unstable();
         sources.dedup();
         sources.retain(|source| *source != self.me);
         if sources.is_empty() {
             return;
         }
+        // The nearest first; the next when one did not answer.
+        let far = |source: &Ipv4Addr| self.latency.get(source).copied().unwrap_or(f64::INFINITY);
+        sources.sort_by(|a, b| far(a).total_cmp(&far(b)));
         let chosen = self.kept.chosen;
-        if now >= self.catch_up_at {
+        if self.gathering.as_ref().is_none_or(|(_, until)| now >= *until) {
+            let source = sources[self.source % sources.len()];
             self.source = (self.source + 1) % sources.len();
-            self.catch_up(now, sources[self.source]);
+            self.catch_up(now, source);
         }
         if let Some(group) = &self.group {
             let candidate = Candidate { incarnation: self.kept.incarnation, group: group.version, chosen };
--- a/crates/cairn/tests/fleet/main.rs
+++ b/crates/cairn/tests/fleet/main.rs
@@ -358,6 +358,29 @@
     }
 }
 
+#[test]
+fn given_thousands_of_items_and_changes_going_on_when_an_empty_machine_comes_then_it_holds_all_in_small_parts(
+) {
+    let mut world = World::founded(11, Defect::None);
+    let names: Vec<String> = (0..5_000).map(|n| format!("r{n:04}")).collect();
+    let places: Vec<String> = (0..5_000).map(|n| format!("/{n}/")).collect();
+    let all: Vec<(&str, &str, f64)> =
+        names.iter().zip(&places).map(|(name, place)| (name.as_str(), place.as_str(), 1.0)).collect();
+    assert_eq!(world.answer(0, routes(1, &all)), Ok(()));
+    world.kill(5);
+    let new = world.add();
+    for n in 0..40 {
+        let of = n * 117;
+        assert!(world.call(n % 5, routes(2, &[(&names[of], &places[of], 2.0)])) > 0);
+        world.pass(150.0);
+    }
+    world.pass(4_000.0);
+    assert_eq!(world.standing(new), Some(Standing::Member));
+    assert_eq!(world.items(new).digest(Tables::KEPT), world.items(0).digest(Tables::KEPT));
+    assert_eq!(world.timeout_of(new, &names[39 * 117]), Some(2.0));
+    assert!((1..=2_000).contains(&world.largest), "{}", world.largest);
+}
+
 #[test]
 fn given_a_store_that_leaves_when_none_stands_ready_then_it_just_ends_and_keeps_its_place() {
     let mut world = World::founded(1, Defect::None);
--- a/crates/cairn/tests/fleet/world.rs
+++ b/crates/cairn/tests/fleet/world.rs
@@ -1,6 +1,6 @@
 //! A fleet of stores in memory: their clock, the links between them and their disks. Nothing sleeps.
 
-use cairn::{Ask, CallId, Change, Kept, Outcome, Output, Reply, Standing, Store};
+use cairn::{Answer, Ask, CallId, Change, Kept, Outcome, Output, Reply, Standing, Store};
 use footbridge::{Fault, Kind};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
@@ -42,6 +42,8 @@
     tick_at: f64,
     defect: Defect,
     lives: u64,
+    /// Most items in a part of what one lacked.
+    pub largest: usize,
     /// Two machines a region, and 55 ms between regions; else up to 60 ms between any two.
     pub regions: bool,
 }
@@ -93,6 +95,7 @@
             defect,
             lives: 100,
             regions: false,
+            largest: 0,
         };
         for n in 0..count {
             let store = Store::new(ip(n), seeds(), true, world.disks[n].clone(), seed ^ n as u64);
@@ -336,6 +339,9 @@
         match message {
             Message::Ask { number, ask, .. } => {
                 let reply = store.asked(now, ip(from), ask);
+                if let Answer::Snapshot { items, .. } = &reply.answer {
+                    self.largest = self.largest.max(items.len());
+                }
                 self.carry_out(to);
                 let at = self.now + self.delay(from, to);
                 self.order += 1;
