--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -61,7 +61,8 @@
 const LAZILY: Millis = 1_000.0;
 /// One that lags asks one other at a time for what it lacks, and another after this time.
 const LAG: Millis = 1_500.0;
-/// Or after this time where it has heard nothing of that one yet.
+/// For the first part it waits less, and still less where it has heard nothing of that one yet.
+const LAG_FIRST: Millis = 800.0;
 const LAG_UNHEARD: Millis = 400.0;
 /// A step takes so much longer for each item that it brings: far links have small windows.
 const ITEM: Millis = 0.5;
@@ -195,7 +196,7 @@
     regroup_at: Millis,
     /// It is about to end, and gives its place to one that waits.
     leaving: bool,
-    /// The group that took its place from it, and which of that are known to have learnt so.
+    /// The group that took its place from it, and which of that are known to have learnt it.
     relief: Option<(Group, BTreeSet<(Ipv4Addr, u64)>)>,
     /// Since when it has run without standing still.
     awake: Millis,
@@ -335,7 +336,11 @@
         self.leaving = true;
         self.regroup(now);
         self.begin(now);
-        self.standing() == Standing::Member && self.fit(now).is_some()
+        match self.standing() {
+            Standing::Founding => false,
+            Standing::Learner => !self.is_relieved(),
+            Standing::Member => self.fit(now).is_some(),
+        }
     }
 
     /// Whether nothing rests on it any more: another has its place, and more than half of the group know.
@@ -355,6 +360,10 @@
         if self.standing() == Standing::Learner && self.askers.len() < GROUP_MOST {
             self.askers.insert(from);
         }
+        if matches!(ask, Ask::Ping { chosen } if chosen > self.kept.chosen) {
+            // Whom it asks itself may all be gone.
+            self.catch_up(now, from);
+        }
         let answer = match ask {
             // Whoever is asked as this incarnation has a place by some group, known here or not.
             Ask::Prepare { incarnation, .. } | Ask::Accept { incarnation, .. }
@@ -368,6 +377,8 @@
             }
             Ask::Learn { ballot, base, items } => self.learn(now, from, ballot, base, items),
             Ask::Hello { incarnation } => self.hello(now, from, incarnation),
+            // Of those who took its place, some may know of that from nobody else.
+            Ask::CatchUp { chosen, after } if self.relief.is_some() => self.snapshot(chosen, after),
             _ if self.standing() != Standing::Member => Answer::Blank,
             Ask::Join(candidate) => {
                 if self.candidates.len() < GROUP_MOST || self.candidates.contains_key(&from) {
@@ -375,7 +386,7 @@
                 }
                 Answer::Learned
             }
-            Ask::Ping => Answer::Pong { chosen: self.kept.chosen },
+            Ask::Ping { .. } => Answer::Pong { chosen: self.kept.chosen },
             Ask::CatchUp { chosen, after } => self.snapshot(chosen, after),
         };
         let placed = self.standing() == Standing::Member;
@@ -457,12 +468,17 @@
             self.orphaned_at = None;
         }
         if regroups {
+            let placed = self.standing() == Standing::Member || self.relief.is_some();
             // Until more than half of the new group have it on disk, more than half of the old one are needed.
             self.outputs.push(Output::Save);
             self.group = self.kept.group();
             let group = self.group.as_ref();
             self.heard
                 .retain(|(machine, incarnation), _| group.is_some_and(|g| g.has(*machine, *incarnation)));
+            self.relief = match self.standing() {
+                Standing::Learner if placed => self.group.clone().map(|group| (group, BTreeSet::new())),
+                _ => None,
+            };
         }
     }
 
@@ -525,12 +541,19 @@
         let Some(reply) = reply else {
             // It can't be reached: another is asked for what is lacking.
             self.gathering.take_if(|(gathering, _)| gathering.wanted().from == to);
+            self.latency.remove(&to);
             return;
         };
         if self.latency.len() < 4 * GROUP_MOST || self.latency.contains_key(&to) {
             let latency = self.latency.entry(to).or_default();
             *latency = (now - at).min(REFUSE.1).max(0.9 * *latency + 0.1 * (now - at).min(REFUSE.1));
         }
+        if let Some((group, learnt)) = &mut self.relief {
+            // Whoever says so has it on disk.
+            if reply.group.is_some_and(|version| version >= group.version) {
+                learnt.insert((to, reply.incarnation));
+            }
+        }
         // One that has lost its place, or knows a newer group, is no contact with this one.
         let member = self.group.as_ref().is_some_and(|group| {
             group.has(to, reply.incarnation) && reply.group.is_some_and(|version| version <= group.version)
@@ -571,23 +594,22 @@
                     self.catch_up(now, from);
                 }
             }
-            Answer::Learned => {
-                if let Some((_, learnt)) = &mut self.relief {
-                    learnt.insert(who);
-                }
-            }
-            Answer::Blank => {}
+            Answer::Learned | Answer::Blank => {}
         }
     }
 
     /// Asks one that knows more for what was chosen; none else while that goes on.
     fn catch_up(&mut self, now: Millis, from: Ipv4Addr) {
-        if self.gathering.as_ref().is_some_and(|(_, until)| now < *until) {
-            return;
+        if let Some((gathering, until)) = &self.gathering {
+            if now < *until {
+                return;
+            }
+            // It did not answer: it is among the last to be asked again.
+            self.latency.remove(&gathering.wanted().from);
         }
         let gathering = Gathering::new(from, self.kept.chosen);
         let wanted = gathering.wanted().clone();
-        let patience = if self.latency.contains_key(&from) { LAG } else { LAG_UNHEARD };
+        let patience = if self.latency.contains_key(&from) { LAG_FIRST } else { LAG_UNHEARD };
         self.gathering = Some((gathering, now + patience));
         self.want(now, wanted);
     }
@@ -613,7 +635,6 @@
                 self.want(now, wanted);
             }
             (_, Gathered::Whole(chosen, items)) => {
-                self.source = 0;
                 if chosen > self.kept.chosen {
                     self.adopt(chosen, items);
                 }
@@ -842,9 +863,6 @@
         let Round::Accepting(proposal) = std::mem::replace(&mut self.round, Round::Idle) else { return };
         let Proposal { ballot, items, groups: (old, new), calls, .. } = *proposal;
         let base = self.kept.chosen;
-        if !new.has(self.me, self.kept.incarnation) {
-            self.relief = Some((new.clone(), BTreeSet::new()));
-        }
         self.adopt(ballot, items.clone());
         let mut members: BTreeSet<Ipv4Addr> =
             old.members.into_keys().chain(new.members.into_keys()).collect();
@@ -913,6 +931,10 @@
                 self.question_at = now + QUESTION;
                 self.wait(now);
             }
+            Standing::Learner if now >= self.question_at && !self.is_relieved() => {
+                self.question_at = now + QUESTION;
+                self.ping(now);
+            }
             _ => {}
         }
     }
@@ -950,8 +972,9 @@
         self.probed_at = now;
         let mut members = self.members();
         members.retain(|member| *member != self.me);
+        let chosen = self.kept.chosen;
         for member in members {
-            self.ask(now, member, Ballot::NONE, Ask::Ping);
+            self.ask(now, member, Ballot::NONE, Ask::Ping { chosen });
         }
     }
 
@@ -966,14 +989,16 @@
         if sources.is_empty() {
             return;
         }
-        // The nearest first; the next when one did not answer.
-        let far = |source: &Ipv4Addr| self.latency.get(source).copied().unwrap_or(f64::INFINITY);
-        sources.sort_by(|a, b| far(a).total_cmp(&far(b)));
         let chosen = self.kept.chosen;
         if self.gathering.as_ref().is_none_or(|(_, until)| now >= *until) {
-            let source = sources[self.source % sources.len()];
+            if let Some((gathering, _)) = &self.gathering {
+                self.latency.remove(&gathering.wanted().from);
+            }
+            // The nearest of those that answer; where none does, one after the other.
+            let near = sources.iter().filter_map(|source| Some((self.latency.get(source)?, source)));
+            let near = near.min_by(|a, b| a.0.total_cmp(b.0)).map(|(_, source)| *source);
             self.source = (self.source + 1) % sources.len();
-            self.catch_up(now, source);
+            self.catch_up(now, near.unwrap_or(sources[self.source]));
         }
         if let Some(group) = &self.group {
             let candidate = Candidate { incarnation: self.kept.incarnation, group: group.version, chosen };
