One number is never acknowledged with two contents, also below the one that stands

Nothing held what an older number had carried.

It is written in the same round as the item. A lower number is acknowledged if it was so with this content, refused (409) if with another, taken up once if it was never used, and answered as unclear (Forgotten, 503) below the mark. verdict() says which, also for hutbook diff, which knows only what stands.

Ruled out: refusing all lower numbers (a repeat after a lost answer would be refused); keeping contents; a list of pairs for a body, with an allocation for each pair.

The test of the older call asserted that nothing is written: its number was never used before, so that is remembered now. It asserts instead that this is all, and that a repeat writes nothing.

--- a/crates/footbridge/src/errors.rs
+++ b/crates/footbridge/src/errors.rs
@@ -16,8 +16,10 @@
     Unknown,
     /// That method is not for that path.
     Method,
-    /// Another content stands under the same version.
+    /// Another content was acknowledged under the same version.
     Conflict,
+    /// What was acknowledged under a version is not remembered any more: neither yes nor no may be said.
+    Forgotten,
     /// A call is larger than allowed.
     TooLarge,
     /// This process is not ready to answer: it rebuilds its state, or its group is not founded.
@@ -35,12 +37,13 @@
 }
 
 /// One row a kind: the status that answers it, and whether the same call may do better elsewhere or later.
-const TABLE: [(Kind, StatusCode, bool); 12] = [
+const TABLE: [(Kind, StatusCode, bool); 13] = [
     (Kind::Malformed, StatusCode::BAD_REQUEST, false),
     (Kind::Invalid, StatusCode::BAD_REQUEST, false),
     (Kind::Unknown, StatusCode::NOT_FOUND, false),
     (Kind::Method, StatusCode::METHOD_NOT_ALLOWED, false),
     (Kind::Conflict, StatusCode::CONFLICT, false),
+    (Kind::Forgotten, StatusCode::SERVICE_UNAVAILABLE, true),
     (Kind::TooLarge, StatusCode::PAYLOAD_TOO_LARGE, false),
     (Kind::Unready, StatusCode::SERVICE_UNAVAILABLE, true),
     (Kind::NoMajority, StatusCode::SERVICE_UNAVAILABLE, true),
--- a/crates/hutbook/src/operator.rs
+++ b/crates/hutbook/src/operator.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use trailmap::{Amended, Config, Items, Route, Table, Tables};
+use trailmap::{verdict, Amended, Config, Items, Route, Table, Tables, Verdict};
 
 /// How long one core machine is waited for before the next is asked.
 const ANSWER: Duration = Duration::from_secs(4);
@@ -208,19 +208,21 @@
 fn diff(stands: &Items, call: &Amended) -> String {
     let line = |item: &trailmap::Item| {
         let (table, name) = (item.key.table, &item.key.name);
-        let held = stands.get(table, name);
-        let what = match (held.map(|held| (held.version, held.body == item.body)), item.body.is_some()) {
-            (Some((version, true)), _) if version == item.version => "same".to_owned(),
-            (Some((version, false)), _) if version == item.version => {
+        let held = stands.get(table, name).map(|held| held.version);
+        let what = match (verdict(stands, item), held, item.body.is_some()) {
+            (Verdict::Newer, None, true) => "new".to_owned(),
+            (Verdict::Newer, None, false) => "drops what was never there".to_owned(),
+            (Verdict::Newer, Some(version), true) => format!("changes r{version}"),
+            (Verdict::Newer, Some(version), false) => format!("drops r{version}"),
+            (Verdict::Stands, ..) => "same".to_owned(),
+            (Verdict::Conflict, held, _) if held == Some(item.version) => {
                 "CONFLICT: another content stands".to_owned()
             }
-            (Some((version, _)), _) if version > item.version => {
-                format!("older than r{version}, changes nothing")
-            }
-            (Some((version, _)), true) => format!("changes r{version}"),
-            (Some((version, _)), false) => format!("drops r{version}"),
-            (None, true) => "new".to_owned(),
-            (None, false) => "drops what was never there".to_owned(),
+            // What was acknowledged under lower numbers is known to the stores alone.
+            (_, held, _) => format!(
+                "older than r{}, changes nothing; refused if acknowledged with other content",
+                held.unwrap_or_default()
+            ),
         };
         format!("{table:?} {name} r{}: {what}", item.version)
     };
--- a/crates/trailmap/src/amend.rs
+++ b/crates/trailmap/src/amend.rs
@@ -1,10 +1,12 @@
 //! The operator's calls: what a body says, what it makes of a copy, and how a copy is read back.
 
 use crate::config::{check, typed, Backend, Limits, Route, Tenant};
-use crate::item::{Item, Items, Table};
+use crate::item::{Item, Items, Key, Table};
+use crate::past::{Known, Past};
 use footbridge::{Fault, Kind};
 use serde::Deserialize;
 use serde_json::{Map, Value};
+use std::collections::BTreeSet;
 
 /// The name of the one item in the table of limits.
 const LIMITS: &str = "limits";
@@ -112,34 +114,91 @@
     }
 }
 
-/// Applies a call to a copy: either all of its newer items, or none.
+/// What an item of a call is to a copy, by its number alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Its number is higher than what stands, or nothing stands.
+    Newer,
+    /// It stands.
+    Stands,
+    /// Its number is lower than what stands and was acknowledged with this content.
+    Acknowledged,
+    /// Its number is lower than what stands and was never acknowledged: it may be, once remembered.
+    Obsolete,
+    /// Another content was acknowledged under its number.
+    Conflict,
+    /// Its number is so far below what stands that nobody remembers what it carried.
+    Forgotten,
+}
+
+/// Judges an item by its number. A copy without `Table::Past` knows of no number but the one that stands.
+pub fn verdict(copy: &Items, item: &Item) -> Verdict {
+    match copy.get(item.key.table, &item.key.name) {
+        None => Verdict::Newer,
+        Some(held) if held.version < item.version => Verdict::Newer,
+        Some(held) if held.version == item.version && held.text() == item.text() => Verdict::Stands,
+        Some(held) if held.version == item.version => Verdict::Conflict,
+        Some(_) => match Past::read(copy, &item.key).known(item) {
+            Known::Same => Verdict::Acknowledged,
+            Known::Never => Verdict::Obsolete,
+            Known::Other => Verdict::Conflict,
+            Known::Forgotten => Verdict::Forgotten,
+        },
+    }
+}
+
+fn remember(copy: &mut Items, item: &Item) -> Key {
+    let mut past = Past::read(copy, &item.key);
+    past.remember(item);
+    let kept = past.item(copy, &item.key);
+    let key = kept.key.clone();
+    copy.merge(kept);
+    key
+}
+
+/// Applies a call to a copy: either all of its newer items, or none. Gives the copy and the items that are new in it,
+/// each name once: the call's, and what is remembered of their numbers.
 ///
 /// # Errors
-/// If another content stands under a version that it carries, or the whole would not be sound; the copy is then as it
-/// was.
+/// `Conflict` if a number of the call was acknowledged with another content; `Forgotten` if that is not known any more;
+/// `Invalid` if the whole would not be sound. The copy is then as it was.
 pub fn amend(copy: &Items, call: &Amended) -> Result<(Items, Vec<Item>), Fault> {
     let mut next = copy.clone();
-    let mut newer = Vec::new();
+    let mut changed = BTreeSet::new();
+    let mut judged = false;
+    let mut forgotten = None;
     for item in &call.items {
-        let held = next.get(item.key.table, &item.key.name);
-        match held.map(|held| (held.version, held.body == item.body)) {
-            Some((version, same)) if version == item.version && !same => {
-                let (table, name) = (item.key.table, &item.key.name);
-                return Err(Fault::new(
-                    Kind::Conflict,
-                    format!("{table:?} '{name}': another content stands under version r{version}"),
-                ));
-            }
-            Some((version, _)) if version >= item.version => {}
-            _ => {
+        let (table, name, version) = (item.key.table, &item.key.name, item.version);
+        match verdict(&next, item) {
+            Verdict::Stands | Verdict::Acknowledged => {}
+            Verdict::Newer => {
+                if let Some(stood) = next.get(table, name).cloned() {
+                    changed.insert(remember(&mut next, &stood));
+                }
                 next.merge(item.clone());
-                newer.push(item.clone());
+                changed.insert(item.key.clone());
+                judged = true;
+            }
+            Verdict::Obsolete => {
+                changed.insert(remember(&mut next, item));
+            }
+            Verdict::Conflict => {
+                let what = format!("{table:?} '{name}': another content was acknowledged under r{version}");
+                return Err(Fault::new(Kind::Conflict, what));
+            }
+            Verdict::Forgotten => {
+                let what = format!("{table:?} '{name}': what r{version} carried is not remembered any more");
+                forgotten.get_or_insert(Fault::new(Kind::Forgotten, what));
             }
         }
     }
-    if !newer.is_empty() {
+    if let Some(fault) = forgotten {
+        return Err(fault);
+    }
+    if judged {
         check(&next)?;
     }
+    let newer = changed.iter().filter_map(|key| Some(Item::clone(next.get(key.table, &key.name)?))).collect();
     Ok((next, newer))
 }
 
--- a/crates/trailmap/src/item.rs
+++ b/crates/trailmap/src/item.rs
@@ -28,6 +28,8 @@
     Servers,
     /// Duties, and who does them; the version is the epoch.
     Duties,
+    /// Numbers that were acknowledged for an item of the operator's before the one that stands.
+    Past,
 }
 
 bitflags! {
@@ -42,8 +44,12 @@
         const GROUP = 0b0000_0010_0000;
         /// Duties.
         const DUTIES = 0b0001_0000_0000;
+        /// Numbers that were acknowledged before those that stand.
+        const PAST = 0b0010_0000_0000;
+        /// What a store keeps and passes on to registries and proxies.
+        const PUBLISHED = Self::CONFIG.bits() | Self::DRAINS.bits() | Self::GROUP.bits() | Self::DUTIES.bits();
         /// What a store keeps.
-        const KEPT = Self::CONFIG.bits() | Self::DRAINS.bits() | Self::GROUP.bits() | Self::DUTIES.bits();
+        const KEPT = Self::PUBLISHED.bits() | Self::PAST.bits();
         /// What is rebuilt from those who told it.
         const TOLD = 0b0000_1100_0000;
         /// Processes of the system.
@@ -58,10 +64,26 @@
     pub fn set(self) -> Tables {
         Tables::from_bits_truncate(1 << self as u16)
     }
+
+    /// Its name, as on the wire.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Table::Routes => "routes",
+            Table::Tenants => "tenants",
+            Table::Backends => "backends",
+            Table::Limits => "limits",
+            Table::Drains => "drains",
+            Table::Group => "group",
+            Table::Nodes => "nodes",
+            Table::Servers => "servers",
+            Table::Duties => "duties",
+            Table::Past => "past",
+        }
+    }
 }
 
 /// How many tables there are.
-const TABLES: usize = 9;
+const TABLES: usize = 10;
 
 /// What names an item.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -94,8 +116,8 @@
         Self { key: Key { table, name: name.into() }, version, body }
     }
 
-    /// What orders two contents of one version, the same on every copy.
-    fn text(&self) -> String {
+    /// What orders two contents of one version, the same on every copy: the names in it are sorted.
+    pub(crate) fn text(&self) -> String {
         self.body.as_ref().map(Value::to_string).unwrap_or_default()
     }
 
--- a/crates/trailmap/src/lib.rs
+++ b/crates/trailmap/src/lib.rs
@@ -6,7 +6,9 @@
 mod amend;
 mod config;
 mod item;
+mod past;
 
-pub use amend::{amend, listing, Amended};
+pub use amend::{amend, listing, verdict, Amended, Verdict};
 pub use config::{check, Backend, Config, Effect, Limits, Route, Share, Tenant};
 pub use item::{Item, Items, Key, Table, Tables};
+pub use past::REMEMBERED;
--- a/crates/trailmap/tests/items.rs
+++ b/crates/trailmap/tests/items.rs
@@ -104,7 +104,12 @@
         amend(&stands, &call(r#"{"remove":{"routes":[{"name":"a","gen":"r9"}]}}"#)).expect("it is sound");
     let old = r#"{"upsert":{"routes":{"a":{"vhost":"h","pathPrefix":"/a/","kind":"mutating","backend":"c","gen":"r5"}}}}"#;
     let (after, newer) = amend(&dropped, &call(old)).expect("an older call is no fault");
-    assert!(newer.is_empty() && after.body(Table::Routes, "a").is_none());
+    // Its number was never acknowledged before: that it is now is remembered, and nothing else.
+    assert!(newer.iter().all(|item| item.key.table == Table::Past) && newer.len() == 1);
+    assert!(after.body(Table::Routes, "a").is_none());
+    assert_eq!(after.get(Table::Routes, "a"), dropped.get(Table::Routes, "a"));
+    let (again, newer) = amend(&after, &call(old)).expect("an older call is no fault");
+    assert!(newer.is_empty() && again.digest(Tables::all()) == after.digest(Tables::all()));
     assert!(check(&after).is_ok());
     assert_eq!(listing(&after)["routes"], json!({}));
     assert_eq!(listing(&stands)["limits"]["gen"], json!("r1"));
--- /dev/null
+++ b/crates/trailmap/tests/numbers.rs
@@ -0,0 +1,317 @@
+//! No two contents are acknowledged under one number of an item, and a repeat of what was acknowledged is never refused.
+
+use arbtest::arbtest;
+use footbridge::Kind;
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet};
+use trailmap::{amend, check, listing, Amended, Item, Items, Table, Tables, REMEMBERED};
+
+/// A call about tenants: names, numbers, and a burst each, or none for one to be dropped.
+fn tenants(list: &[(&str, u64, Option<f64>)]) -> Amended {
+    let item = |(name, number, burst): &(&str, u64, Option<f64>)| {
+        let gen = format!("r{number}");
+        Item::new(Table::Tenants, *name, *number, burst.map(|burst| json!({ "burst": burst, "gen": gen })))
+    };
+    Amended { items: list.iter().map(item).collect() }
+}
+
+fn text(text: &str) -> Amended {
+    Amended::read(text.as_bytes()).expect("each item is sound")
+}
+
+/// What a store has after a loss of all power: each item as it was written on disk.
+fn restarted(copy: &Items) -> Items {
+    let mut read = Items::default();
+    for item in copy.all(Tables::KEPT) {
+        let text = serde_json::to_vec(&**item).expect("it can be written");
+        read.merge(serde_json::from_slice(&text).expect("it can be read"));
+    }
+    read
+}
+
+struct Store(Items);
+
+impl Store {
+    fn after(calls: &[&[(&str, u64, Option<f64>)]]) -> Self {
+        let mut store = Self(Items::default());
+        for call in calls {
+            store.acknowledges(call);
+        }
+        store
+    }
+
+    /// Gives the items that the call was written down as.
+    fn acknowledges(&mut self, call: &[(&str, u64, Option<f64>)]) -> Vec<Item> {
+        let (next, newer) = amend(&self.0, &tenants(call)).unwrap_or_else(|e| panic!("{call:?}: {e}"));
+        self.0 = next;
+        newer
+    }
+
+    fn refuses(&self, call: &[(&str, u64, Option<f64>)]) -> Kind {
+        amend(&self.0, &tenants(call)).expect_err("it was acknowledged").kind
+    }
+
+    fn burst(&self, name: &str) -> Option<f64> {
+        self.0.body(Table::Tenants, name)?.get("burst")?.as_f64()
+    }
+}
+
+#[test]
+fn given_a_newer_number_stands_when_another_content_comes_under_one_before_then_it_is_refused() {
+    let mut store = Store::after(&[&[("t", 5, Some(1.0))], &[("t", 6, Some(2.0))]]);
+    assert_eq!(store.refuses(&[("t", 5, Some(3.0))]), Kind::Conflict);
+    assert_eq!(store.refuses(&[("t", 5, None)]), Kind::Conflict);
+    assert_eq!(store.refuses(&[("t", 6, Some(3.0))]), Kind::Conflict);
+    assert!(store.acknowledges(&[("t", 5, Some(1.0))]).is_empty(), "its repeat changes nothing");
+    assert!(store.acknowledges(&[("t", 6, Some(2.0))]).is_empty());
+    assert_eq!(store.burst("t"), Some(2.0));
+}
+
+#[test]
+fn given_an_item_was_dropped_when_calls_before_come_again_then_they_are_acknowledged_and_others_refused() {
+    let mut store =
+        Store::after(&[&[("t", 5, Some(1.0))], &[("t", 6, None)], &[("t", 8, Some(4.0))], &[("t", 9, None)]]);
+    store.0 = restarted(&store.0);
+    for repeat in [("t", 5, Some(1.0)), ("t", 6, None), ("t", 8, Some(4.0)), ("t", 9, None)] {
+        assert!(store.acknowledges(&[repeat]).is_empty(), "{repeat:?}");
+    }
+    for other in [("t", 5, None), ("t", 6, Some(1.0)), ("t", 8, None), ("t", 9, Some(4.0))] {
+        assert_eq!(store.refuses(&[other]), Kind::Conflict, "{other:?}");
+    }
+    assert_eq!(store.burst("t"), None);
+    assert_eq!(listing(&store.0)["tenants"], json!({}));
+}
+
+#[test]
+fn given_a_number_never_used_when_it_comes_below_what_stands_then_it_is_taken_up_once_and_changes_nothing() {
+    let mut store = Store::after(&[&[("t", 9, Some(9.0))]]);
+    let remembered = store.acknowledges(&[("t", 4, Some(4.0))]);
+    assert!(remembered.len() == 1 && remembered[0].key.table == Table::Past, "{remembered:?}");
+    store.0 = restarted(&store.0);
+    assert_eq!(store.refuses(&[("t", 4, Some(5.0))]), Kind::Conflict);
+    assert!(store.acknowledges(&[("t", 4, Some(4.0))]).is_empty());
+    assert_eq!(store.burst("t"), Some(9.0));
+}
+
+#[test]
+fn given_an_item_never_changed_when_it_is_kept_then_nothing_is_remembered_beside_it() {
+    let mut store = Store::after(&[&[("t", 1, Some(1.0)), ("u", 7, Some(1.0))], &[("t", 1, Some(1.0))]]);
+    assert_eq!(store.0.all(Tables::PAST).count(), 0);
+    let written = store.acknowledges(&[("t", 2, Some(2.0))]);
+    let named: BTreeSet<_> = written.iter().map(|i| (i.key.table, i.key.name.as_str(), i.version)).collect();
+    let expected = [(Table::Tenants, "t", 2), (Table::Past, "tenants/t", 1)];
+    assert_eq!(named, BTreeSet::from(expected), "both are written in one round");
+    assert!(!Tables::PUBLISHED.contains(Tables::PAST) && Tables::KEPT == Tables::PUBLISHED | Tables::PAST);
+}
+
+#[test]
+fn given_one_name_twice_in_a_call_when_it_is_judged_then_both_numbers_are_remembered_or_none_is() {
+    let both = r#"{"upsert":{"tenants":{"t":{"burst":1,"gen":"r5"}}},"remove":{"tenants":[{"name":"t","gen":"r6"},
+        {"name":"t","gen":"r6"}]}}"#;
+    let (copy, newer) = amend(&Items::default(), &text(both)).expect("two numbers are no conflict");
+    assert_eq!(newer.len(), 2, "each name once: {newer:?}");
+    assert!(copy.body(Table::Tenants, "t").is_none());
+    assert!(amend(&copy, &text(both)).expect("it is a repeat").1.is_empty());
+    let other = r#"{"upsert":{"tenants":{"t":{"burst":2,"gen":"r5"}}}}"#;
+    assert_eq!(amend(&copy, &text(other)).expect_err("r5 is used").kind, Kind::Conflict);
+
+    let reversed = r#"{"upsert":{"tenants":{"t":{"burst":1,"gen":"r6"}}},"remove":{"tenants":[{"name":"t","gen":"r5"}]}}"#;
+    let (copy, _) = amend(&Items::default(), &text(reversed)).expect("two numbers are no conflict");
+    assert!(copy.body(Table::Tenants, "t").is_some());
+    assert!(amend(&copy, &text(reversed)).expect("it is a repeat").1.is_empty());
+    assert_eq!(amend(&copy, &text(both)).expect_err("r5 dropped it").kind, Kind::Conflict);
+
+    let torn = r#"{"upsert":{"tenants":{"s":{"gen":"r1"},"t":{"burst":1,"gen":"r5"}}},
+        "remove":{"tenants":[{"name":"t","gen":"r5"}]}}"#;
+    assert_eq!(amend(&Items::default(), &text(torn)).expect_err("one number").kind, Kind::Conflict);
+}
+
+#[test]
+fn given_one_conflict_in_a_call_when_it_is_refused_then_nothing_else_of_it_was_taken_up() {
+    let mut store = Store::after(&[&[("t", 5, Some(1.0))], &[("t", 6, Some(2.0)), ("u", 6, Some(2.0))]]);
+    let torn = [("s", 1, Some(1.0)), ("u", 4, Some(1.0)), ("t", 5, Some(9.0))];
+    assert_eq!(store.refuses(&torn), Kind::Conflict);
+    // Had they been acknowledged, other contents would be refused.
+    store.acknowledges(&[("s", 1, Some(2.0)), ("u", 4, Some(2.0))]);
+}
+
+#[test]
+fn given_the_same_limits_and_routes_when_numbers_are_reused_then_the_rule_holds_for_each_table() {
+    let call = |number: u64, seconds: f64| {
+        text(&format!(
+            r#"{{"upsert":{{"backends":{{"b":{{"warmupS":{seconds},"gen":"r{number}"}}}},
+            "routes":{{"b":{{"vhost":"h","pathPrefix":"/","kind":"upload","backend":"b","timeoutS":{seconds},"gen":"r{number}"}}}},
+            "limits":{{"hdrTimeoutS":{seconds},"gen":"r{number}"}}}}}}"#
+        ))
+    };
+    let (copy, _) = amend(&Items::default(), &call(1, 1.0)).expect("it is sound");
+    let (copy, _) = amend(&copy, &call(2, 2.0)).expect("it is sound");
+    let copy = restarted(&copy);
+    for item in call(1, 3.0).items {
+        let alone = Amended { items: vec![item] };
+        assert_eq!(amend(&copy, &alone).expect_err("r1 is used").kind, Kind::Conflict);
+    }
+    assert!(amend(&copy, &call(1, 1.0)).expect("it is a repeat").1.is_empty());
+    assert!(check(&copy).is_ok());
+}
+
+#[test]
+fn given_a_history_longer_than_the_window_when_old_numbers_come_then_neither_yes_nor_no_is_said() {
+    let (mut store, last) = (Store(Items::default()), 3 * REMEMBERED as u64);
+    for number in 1..=last {
+        store.acknowledges(&[("t", number, Some(number as f64))]);
+    }
+    store.0 = restarted(&store.0);
+    let oldest = last - REMEMBERED as u64;
+    for number in 1..=last {
+        let (same, other) = ([("t", number, Some(number as f64))], [("t", number, None)]);
+        if number < oldest {
+            assert_eq!(store.refuses(&same), Kind::Forgotten, "r{number}");
+            assert_eq!(store.refuses(&other), Kind::Forgotten, "r{number}");
+        } else {
+            assert!(store.acknowledges(&same).is_empty(), "r{number}");
+            assert_eq!(store.refuses(&other), Kind::Conflict, "r{number}");
+        }
+    }
+    assert!(Kind::Forgotten.is_passing(), "it promises nothing");
+    // A conflict is sure, whatever else of the call is forgotten.
+    assert_eq!(store.refuses(&[("t", 1, None), ("t", last, None)]), Kind::Conflict);
+    let kept: Vec<_> = store.0.all(Tables::PAST).collect();
+    let size = serde_json::to_vec(&kept).expect("it can be written").len();
+    assert!(kept.len() == 1 && size < 3_500, "{size} bytes");
+}
+
+#[test]
+fn given_a_window_is_full_when_a_number_below_it_is_used_then_it_is_acknowledged_once_at_most() {
+    let mut store = Store(Items::default());
+    for number in 100..=100 + REMEMBERED as u64 {
+        store.acknowledges(&[("t", number, Some(1.0))]);
+    }
+    store.acknowledges(&[("t", 50, Some(1.0))]);
+    assert_eq!(store.refuses(&[("t", 50, Some(2.0))]), Kind::Forgotten);
+    assert_eq!(store.refuses(&[("t", 40, Some(2.0))]), Kind::Forgotten);
+    store.acknowledges(&[("t", 60, Some(1.0))]);
+}
+
+#[test]
+fn given_a_window_that_cannot_be_read_when_an_old_number_comes_then_nothing_is_known_of_it() {
+    let store = Store::after(&[&[("t", 5, Some(1.0))], &[("t", 6, Some(2.0))]]);
+    for body in [None, Some(json!([[5, "x"]])), Some(json!("")), Some(json!("0 5")), Some(json!("0 x:y"))] {
+        let mut torn = Store(store.0.clone());
+        torn.0.merge(Item::new(Table::Past, "tenants/t", 2, body));
+        assert_eq!(torn.refuses(&[("t", 5, Some(1.0))]), Kind::Forgotten);
+        torn.acknowledges(&[("t", 7, Some(3.0))]);
+        assert_eq!(torn.refuses(&[("t", 6, Some(3.0))]), Kind::Conflict);
+    }
+}
+
+#[test]
+fn given_two_ways_to_write_a_number_when_a_newer_stands_then_what_was_the_same_stays_the_same() {
+    let call =
+        |burst: &str| text(&format!(r#"{{"upsert":{{"tenants":{{"t":{{"gen":"r5","burst":{burst}}}}}}}}}"#));
+    let (first, _) = amend(&Items::default(), &call("-0.0")).expect("it is sound");
+    let (second, _) = amend(&first, &tenants(&[("t", 6, None)])).expect("it is sound");
+    for other in ["0.0", "0", "-0", "0e0", "-0.0"] {
+        let before = amend(&first, &call(other)).map(drop).map_err(|e| e.kind);
+        assert_eq!(amend(&second, &call(other)).map(drop).map_err(|e| e.kind), before, "{other}");
+    }
+}
+
+/// Remembers all that was ever acknowledged.
+#[derive(Default)]
+struct Oracle(BTreeMap<(String, u64), Option<Value>>);
+
+impl Oracle {
+    /// Whether one of a call's numbers was used with another content, before or in the call itself.
+    fn conflicts(&self, call: &Amended) -> bool {
+        call.items.iter().enumerate().any(|(n, item)| {
+            let before = self.0.get(&(item.key.name.clone(), item.version));
+            let twice = |other: &Item| (&other.key, other.version) == (&item.key, item.version);
+            before.is_some_and(|body| *body != item.body)
+                || call.items[..n].iter().any(|other| twice(other) && other.body != item.body)
+        })
+    }
+
+    fn acknowledged(&mut self, call: &Amended) {
+        for item in &call.items {
+            self.0.insert((item.key.name.clone(), item.version), item.body.clone());
+        }
+    }
+
+    fn numbers(&self, name: &str) -> usize {
+        self.0.keys().filter(|(known, _)| known == name).count()
+    }
+}
+
+/// Plays one history; gives how many calls were acknowledged, refused, and left unclear.
+fn play(u: &mut arbtest::arbitrary::Unstructured, span: u64) -> arbtest::arbitrary::Result<[usize; 3]> {
+    let (mut copy, mut oracle, mut said) = (Items::default(), Oracle::default(), [0; 3]);
+    let mut made: Vec<Amended> = Vec::new();
+    let mut highest = 1;
+    while !u.is_empty() {
+        if u.ratio(1, 16)? {
+            copy = restarted(&copy);
+        }
+        let call = if !made.is_empty() && u.ratio(1, 3)? {
+            u.choose(&made)?.clone()
+        } else {
+            let mut list = Vec::new();
+            for _ in 0..u.int_in_range(1..=3)? {
+                highest += u.int_in_range(0..=2)?;
+                let number = highest - u.int_in_range(0..=span.min(highest))?;
+                let burst = [None, Some(1.0), Some(2.0)][u.int_in_range(0..=2)?];
+                list.push((["a", "b"][u.int_in_range(0..=1)?], number, burst));
+            }
+            tenants(&list)
+        };
+        match amend(&copy, &call) {
+            Ok((next, newer)) => {
+                assert!(!oracle.conflicts(&call), "two contents under one number: {call:?}");
+                let keys: BTreeSet<_> = newer.iter().map(|item| item.key.clone()).collect();
+                assert_eq!(keys.len(), newer.len(), "each name once");
+                // What a round writes down makes of the copy before what the call made of it.
+                let mut merged = copy.clone();
+                newer.into_iter().for_each(|item| assert!(merged.merge(item)));
+                assert_eq!(merged.digest(Tables::all()), next.digest(Tables::all()));
+                copy = next;
+                oracle.acknowledged(&call);
+                made.push(call);
+                said[0] += 1;
+            }
+            Err(fault) if fault.kind == Kind::Conflict => {
+                assert!(oracle.conflicts(&call), "a repeat was refused: {call:?}");
+                said[1] += 1;
+            }
+            Err(fault) => {
+                assert_eq!(fault.kind, Kind::Forgotten);
+                let most = call.items.iter().map(|item| oracle.numbers(&item.key.name)).max();
+                assert!(most > Some(REMEMBERED), "forgotten too soon: {call:?}");
+                said[2] += 1;
+            }
+        }
+    }
+    for ((name, number), body) in &oracle.0 {
+        let stands = copy.get(Table::Tenants, name).expect("it was acknowledged");
+        assert!(stands.version > *number || (stands.version == *number && stands.body == *body));
+    }
+    Ok(said)
+}
+
+#[test]
+fn given_any_history_of_calls_when_each_is_judged_then_an_oracle_that_forgets_nothing_agrees() {
+    for (span, size, unclear) in [(6, 256, false), (6, 2_048, true), (200, 4_096, true)] {
+        let total = std::cell::Cell::new([0; 3]);
+        for seed in 1..=40_u64 {
+            arbtest(|u| {
+                let said = play(u, span)?;
+                total.set(std::array::from_fn(|n| total.get()[n] + said[n]));
+                Ok(())
+            })
+            .seed(seed << 32 | size)
+            .run();
+        }
+        let [acknowledged, refused, forgotten] = total.get();
+        assert!(acknowledged > 500 && refused > 100, "{span}: {acknowledged} and {refused}");
+        assert_eq!(forgotten > 0, unclear, "{span}: {forgotten}");
+    }
+}
