A call costs what it touches: copies share, verdicts and changes are indexed

Each round copied the whole map and judged all items, and each save and each pull looked through all of them for what had come since: with 46,000 tenants a storm of ten calls a second did not hold.

Change: Items is a persistent ordered set (imbl, a B+ tree) of what it holds and a second by number of change; a clone shares both. Whether the operator's items are sound together is kept item by item: a secondary index of places, keys and services by hash, and the set of items that break a rule (judged.rs). It is built at the first call and shared by clones until one of them changes, so copies at proxies and registries don't pay. check stays as it was: the oracle of the tests.

Ruled out: rpds (a node an item); an index in every copy (8 MB at each proxy for nothing); a flag instead of the set of broken items (copies that merge may be unsound, and a call may mend them). The first call still costs as much as before.

--- a/crates/hutbook/examples/slopes.rs
+++ b/crates/hutbook/examples/slopes.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::Instant;
-use trailmap::{check, Item, Items, Table, Tables};
+use trailmap::{amend, check, Amended, Item, Items, Table, Tables};
 
 /// Resident memory of this process, in bytes; 0 where the system does not tell.
 fn resident() -> f64 {
@@ -51,6 +51,57 @@
     items
 }
 
+/// What operators have: 46,000 tenants and 810 routes.
+fn whole() -> Items {
+    let mut items = tenants(46_000);
+    routes(810).all(Tables::CONFIG).for_each(|item| {
+        items.merge_shared(item.clone());
+    });
+    items
+}
+
+/// What the smallest calls on all of it cost, directly and not from a slope.
+fn calls_on_all() {
+    let before = resident();
+    let items = whole();
+    let held = resident() - before;
+    println!("\n| on 46,000 tenants and 810 routes | |\n| --- | --- |");
+    println!("| memory of a copy | {:.1} MB |", held / 1e6);
+    println!("| judged as a whole | {:.0} us |", time(|| check(&items).is_ok()));
+    let one = |table, name: &str, field: &str| {
+        let mut body = items.body(table, name).cloned().unwrap_or_default();
+        body[field] = json!(9);
+        body["gen"] = json!("r8");
+        Amended { items: vec![Item::new(table, name, 8, Some(body))] }
+    };
+    let route = one(Table::Routes, "r-7", "timeoutS");
+    let begun = Instant::now();
+    assert!(amend(&items.clone(), &route).is_ok(), "it is sound");
+    println!("| the first call after a start | {:.0} us |", begun.elapsed().as_secs_f64() * 1e6);
+    println!("| memory of the copy then | {:.1} MB |", (resident() - before) / 1e6);
+    println!("| a round's copy | {:.2} us |", time(|| items.clone()));
+    for (what, call) in [
+        ("a route", &route),
+        ("a tenant", &one(Table::Tenants, "tenant-7", "burst")),
+        ("the service of all routes", &one(Table::Backends, "b", "maxConns")),
+    ] {
+        println!("| a call with {what} | {:.1} us |", time(|| amend(&items.clone(), call).is_ok()));
+    }
+    let all = items.since(0, Tables::all());
+    let merged = || {
+        let mut copy = Items::default();
+        all.iter().for_each(|item| assert!(copy.merge_shared(item.clone())));
+        copy
+    };
+    println!("| a copy made of all items | {:.0} us |", time(merged));
+    println!(
+        "| what one lacks of another, all there | {:.0} us |",
+        time(|| items.lacking_in(&items, Tables::all()))
+    );
+    let last = items.changes() - 1;
+    println!("| one change found | {:.2} us |", time(|| items.since(last, Tables::all())));
+}
+
 fn servers(count: usize) -> Items {
     let mut items = Items::default();
     for n in 0..count {
@@ -136,10 +187,15 @@
     );
 }
 
-fn main() {
-    println!("| what | slope | fitted to | measured at others (off by) | at the target |");
+fn head() {
+    println!("\n| what | slope | fitted to | measured at others (off by) | at the target |");
     println!("| --- | --- | --- | --- | --- |");
+}
+
+fn main() {
     let (small, wide) = ([1_000, 4_000, 8_000], [2_000, 16_000]);
+    // Memory first, since what the others free may be used again.
+    head();
     slope("memory of a copy, a tenant", "B", small, wide, 46_000, |n| {
         let before = resident();
         let items = tenants(n);
@@ -148,6 +204,8 @@
         std::mem::forget(items);
         held
     });
+    calls_on_all();
+    head();
     slope("a configuration judged as a whole, a tenant", "us", small, wide, 46_000, |n| {
         let items = tenants(n);
         time(|| check(&items).is_ok())
--- a/crates/trailmap/src/amend.rs
+++ b/crates/trailmap/src/amend.rs
@@ -1,6 +1,6 @@
 //! The operator's calls: what a body says, what it makes of a copy, and how a copy is read back.
 
-use crate::config::{check, typed, Backend, Limits, Route, Tenant};
+use crate::config::{typed, Backend, Limits, Route, Tenant};
 use crate::item::{Item, Items, Key, Table};
 use crate::past::{Known, Past};
 use footbridge::{Fault, Kind};
@@ -163,6 +163,10 @@
 /// `Conflict` if a number of the call was acknowledged with another content; `Forgotten` if that is not known any more;
 /// `Invalid` if the whole would not be sound. The copy is then as it was.
 pub fn amend(copy: &Items, call: &Amended) -> Result<(Items, Vec<Item>), Fault> {
+    if call.items.iter().any(|item| verdict(copy, item) == Verdict::Newer) {
+        // What is known of the copy is known of its clone; what comes of it doesn't matter yet.
+        let _ = copy.sound();
+    }
     let mut next = copy.clone();
     let mut changed = BTreeSet::new();
     let mut judged = false;
@@ -196,7 +200,7 @@
         return Err(fault);
     }
     if judged {
-        check(&next)?;
+        next.sound()?;
     }
     let newer = changed.iter().filter_map(|key| Some(Item::clone(next.get(key.table, &key.name)?))).collect();
     Ok((next, newer))
--- a/crates/trailmap/src/item.rs
+++ b/crates/trailmap/src/item.rs
@@ -1,10 +1,15 @@
 //! Items, and maps of them that merge: the higher version of a name holds, whatever the order of arrival.
 
+use crate::judged::Judged;
 use bitflags::bitflags;
+use footbridge::Fault;
+use imbl::{OrdMap, OrdSet};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::borrow::Borrow;
+use std::cmp::Ordering;
+use std::ops::Bound;
+use std::sync::{Arc, OnceLock};
 
 /// The kinds of item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -84,6 +89,18 @@
 
 /// How many tables there are.
 const TABLES: usize = 10;
+const ALL: [Table; TABLES] = [
+    Table::Routes,
+    Table::Tenants,
+    Table::Backends,
+    Table::Limits,
+    Table::Drains,
+    Table::Group,
+    Table::Nodes,
+    Table::Servers,
+    Table::Duties,
+    Table::Past,
+];
 
 /// What names an item.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -138,21 +155,95 @@
     }
 }
 
+/// An item as a copy holds it, ordered by what names it.
 #[derive(Clone, Debug)]
-struct Held {
+pub(crate) struct Held {
     item: Arc<Item>,
     /// The number of the change that brought it here.
     change: u64,
     fingerprint: u64,
 }
 
-/// One copy of control state.
+/// What names an item, borrowed.
+trait Name {
+    fn name(&self) -> (Table, &str);
+}
+
+impl Name for Held {
+    fn name(&self) -> (Table, &str) {
+        (self.item.key.table, &self.item.key.name)
+    }
+}
+
+impl Name for (Table, &str) {
+    fn name(&self) -> (Table, &str) {
+        *self
+    }
+}
+
+impl Ord for dyn Name + '_ {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.name().cmp(&other.name())
+    }
+}
+
+impl PartialOrd for dyn Name + '_ {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for dyn Name + '_ {
+    fn eq(&self, other: &Self) -> bool {
+        self.name() == other.name()
+    }
+}
+
+impl Eq for dyn Name + '_ {}
+
+impl<'a> Borrow<dyn Name + 'a> for Held {
+    fn borrow(&self) -> &(dyn Name + 'a) {
+        self
+    }
+}
+
+impl Ord for Held {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.name().cmp(&other.name())
+    }
+}
+
+impl PartialOrd for Held {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Held {
+    fn eq(&self, other: &Self) -> bool {
+        self.name() == other.name()
+    }
+}
+
+impl Eq for Held {}
+
+/// The item of a name, also a dropped one.
+pub(crate) fn find<'a>(held: &'a OrdSet<Held>, table: Table, name: &str) -> Option<&'a Arc<Item>> {
+    held.get(&(table, name) as &dyn Name).map(|held| &held.item)
+}
+
+/// One copy of control state. A clone shares with it all that neither changes: it costs the same at any size.
 #[derive(Clone, Debug, Default)]
 pub struct Items {
-    held: BTreeMap<Key, Held>,
+    held: OrdSet<Held>,
     changes: u64,
+    /// The items by the change that brought them.
+    by_change: OrdMap<u64, Arc<Item>>,
     /// Of each table, the fingerprints of its items added by exclusive or.
     digests: [u64; TABLES],
+    /// Whether the operator's items are sound together, once that was asked. Copies with the same of these items share
+    /// it, so what is asked of a clone is known to the copy that it was made of.
+    judged: Arc<OnceLock<Judged>>,
 }
 
 impl Items {
@@ -163,26 +254,55 @@
 
     /// The same for an item that others hold too.
     pub fn merge_shared(&mut self, item: Arc<Item>) -> bool {
-        if let Some(held) = self.held.get(&item.key) {
-            let newer = item.version > held.item.version
-                || (item.version == held.item.version && item.text() > held.item.text());
+        let before = find(&self.held, item.key.table, &item.key.name).cloned();
+        if let Some(before) = &before {
+            let newer = item.version > before.version
+                || (item.version == before.version && item.text() > before.text());
             if !newer {
                 return false;
             }
         }
         self.changes += 1;
         let held = Held { fingerprint: item.fingerprint(), change: self.changes, item: item.clone() };
+        self.by_change.insert(self.changes, item.clone());
         let digest = &mut self.digests[item.key.table as usize];
         *digest ^= held.fingerprint;
-        if let Some(before) = self.held.insert(item.key.clone(), held) {
+        if let Some(before) = self.held.insert(held) {
             *digest ^= before.fingerprint;
+            self.by_change.remove(&before.change);
         }
+        self.changed(before.as_ref(), Some(&item));
         true
     }
 
+    /// Keeps the verdict true to what stands, where there is one.
+    fn changed(&mut self, before: Option<&Arc<Item>>, after: Option<&Arc<Item>>) {
+        let table = before.or(after).map(|item| item.key.table);
+        if !table.is_some_and(|table| Tables::CONFIG.contains(table.set())) {
+            return;
+        }
+        if Arc::get_mut(&mut self.judged).is_none() {
+            // Another copy shares it, which stays as it is.
+            self.judged = Arc::new(OnceLock::clone(&self.judged));
+        }
+        if let Some(judged) = Arc::get_mut(&mut self.judged).and_then(OnceLock::get_mut) {
+            judged.change(&self.held, before, after);
+        }
+    }
+
+    /// Whether the operator's items that stand are sound together, as `check` says of them. The first question costs
+    /// what `check` does; from then on each change costs what it touches, also in clones.
+    ///
+    /// # Errors
+    /// Names the first item that is not.
+    pub fn sound(&self) -> Result<(), Fault> {
+        let judge = || Judged::of(&self.held, &self.all(Tables::CONFIG).collect::<Vec<_>>());
+        self.judged.get_or_init(judge).verdict(&self.held)
+    }
+
     /// The item of a name, also a dropped one.
     pub fn get(&self, table: Table, name: &str) -> Option<&Arc<Item>> {
-        self.held.get(&Key { table, name: name.to_owned() }).map(|held| &held.item)
+        find(&self.held, table, name)
     }
 
     /// What an item of a name says, unless it was dropped.
@@ -195,18 +315,23 @@
         self.get(table, name).map_or(0, |item| item.version)
     }
 
-    /// All items of some tables, also dropped ones.
+    /// All items of some tables, also dropped ones, in the order of their names.
     pub fn all(&self, tables: Tables) -> impl Iterator<Item = &Arc<Item>> {
-        self.held.values().map(|held| &held.item).filter(move |item| tables.contains(item.key.table.set()))
+        let wanted = ALL.into_iter().filter(move |table| tables.contains(table.set()));
+        wanted.flat_map(|table| self.table(table))
+    }
+
+    fn table(&self, table: Table) -> impl Iterator<Item = &Arc<Item>> {
+        let from: &dyn Name = &(table, "");
+        self.held
+            .range::<_, dyn Name>((Bound::Included(from), Bound::Unbounded))
+            .map(|held| &held.item)
+            .take_while(move |item| item.key.table == table)
     }
 
     /// The items of a table that stand: names and what they say.
     pub fn standing(&self, table: Table) -> impl Iterator<Item = (&str, &Value)> {
-        let from = Key { table, name: String::new() };
-        self.held
-            .range(from..)
-            .take_while(move |(key, _)| key.table == table)
-            .filter_map(|(key, held)| Some((key.name.as_str(), held.item.body.as_ref()?)))
+        self.table(table).filter_map(|item| Some((item.key.name.as_str(), item.body.as_ref()?)))
     }
 
     /// The number of the last change.
@@ -214,10 +339,11 @@
         self.changes
     }
 
-    /// The items of some tables that changes after this one brought.
+    /// The items of some tables that changes after this one brought, in the order of the changes. It costs what came
+    /// since, not what is held.
     pub fn since(&self, change: u64, tables: Tables) -> Vec<Arc<Item>> {
-        let newer = |held: &&Held| held.change > change && tables.contains(held.item.key.table.set());
-        self.held.values().filter(newer).map(|held| held.item.clone()).collect()
+        let newer = self.by_change.range((Bound::Excluded(change), Bound::Unbounded));
+        newer.map(|(_, item)| item).filter(|i| tables.contains(i.key.table.set())).cloned().collect()
     }
 
     /// The same for two copies that hold the same items of some tables, and different, but for one case in 2^64, for
@@ -231,9 +357,8 @@
     pub fn lacking_in(&self, other: &Items, tables: Tables) -> Vec<Arc<Item>> {
         let lacks = |item: &&Arc<Item>| {
             other
-                .held
-                .get(&item.key)
-                .is_none_or(|held| held.item.version < item.version || **item != held.item)
+                .get(item.key.table, &item.key.name)
+                .is_none_or(|held| held.version < item.version || !(Arc::ptr_eq(item, held) || *item == held))
         };
         self.all(tables).filter(lacks).cloned().collect()
     }
@@ -241,8 +366,10 @@
     /// Forgets items for good, as only what is rebuilt from others may be.
     pub fn forget(&mut self, keys: &[Key]) {
         for key in keys {
-            if let Some(held) = self.held.remove(key) {
+            if let Some(held) = self.held.remove(&(key.table, key.name.as_str()) as &dyn Name) {
                 self.digests[key.table as usize] ^= held.fingerprint;
+                self.by_change.remove(&held.change);
+                self.changed(Some(&held.item), None);
             }
         }
     }
--- a/crates/trailmap/src/lib.rs
+++ b/crates/trailmap/src/lib.rs
@@ -6,6 +6,7 @@
 mod amend;
 mod config;
 mod item;
+mod judged;
 mod past;
 
 pub use amend::{amend, listing, verdict, Amended, Verdict};
