Store: a part of a copy counts only for the question that is out, and not if it is older

Cause, read: one that gathers a copy in parts knew their answers by the source alone. One that came after the time for it, when the same source had been asked anew, was taken for the first part: what follows the last key of before counted as all that was chosen, and the copy lacked the rest with no sign of it. And a source that died between two parts comes back with less than it had told: parts of two rounds then made one copy under the lower.

Change: the number of the question decides, and a part of a lower round than one before ends the gathering. A founding store is told that there is a group, and gathers it like others, so no part comes unasked.

--- a/crates/cairn/src/gathering.rs
+++ b/crates/cairn/src/gathering.rs
@@ -31,6 +31,8 @@
     Wants(Wanted),
     /// All that was chosen up to a round, on top of what was held in the beginning.
     Whole(Ballot, Vec<Arc<Item>>),
+    /// Nothing: the other began anew from less than it had told.
+    Lost,
 }
 
 /// What has been gathered.
@@ -39,13 +41,20 @@
     wanted: Wanted,
     /// The lowest round of this pass's parts.
     lowest: Option<Ballot>,
+    /// The highest round of any part.
+    highest: Ballot,
     items: Vec<Arc<Item>>,
 }
 
 impl Gathering {
     /// One who holds all that was chosen up to a round begins to ask another.
     pub fn new(from: Ipv4Addr, chosen: Ballot) -> Self {
-        Self { wanted: Wanted { from, chosen, after: None }, lowest: None, items: Vec::new() }
+        Self {
+            wanted: Wanted { from, chosen, after: None },
+            lowest: None,
+            highest: Ballot::NONE,
+            items: Vec::new(),
+        }
     }
 
     /// What it waits for.
@@ -55,6 +64,11 @@
 
     /// A part has come: it is of this state, and `more` tells whether another follows.
     pub fn came(mut self, chosen: Ballot, items: Vec<Arc<Item>>, more: bool) -> (Option<Self>, Gathered) {
+        // Guards against a mixture: what was gathered is of a higher round then.
+        if chosen < self.highest {
+            return (None, Gathered::Lost);
+        }
+        self.highest = chosen;
         let last = items.last().map(|item| item.key.clone());
         self.items.extend(items);
         if !more && self.wanted.after.is_none() {
--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -208,6 +208,8 @@
     ping_at: Millis,
     /// What it gathers that it lacks, and when it gives up on the one that it asks.
     gathering: Option<(Gathering, Millis)>,
+    /// The question for that which is out: no answer to an earlier one is taken for its answer.
+    part: u64,
     /// How long others have lately taken to answer.
     latency: BTreeMap<Ipv4Addr, Millis>,
     /// Who has asked this one while it had no place: they may know the group.
@@ -259,6 +261,7 @@
             ticked: None,
             ping_at: f64::NEG_INFINITY,
             gathering: None,
+            part: 0,
             latency: BTreeMap::new(),
             askers: BTreeSet::new(),
             saved: (Ballot::NONE, f64::NEG_INFINITY),
@@ -495,7 +498,7 @@
     /// At the first start of the whole system: the founder gathers machines; whoever has the group tells it.
     fn hello(&mut self, now: Millis, from: Ipv4Addr, incarnation: u64) -> Answer {
         if self.standing() == Standing::Member {
-            return self.snapshot(Ballot::NONE, None);
+            return Answer::Pong { chosen: self.kept.chosen };
         }
         if self.is_founder()
             && (self.hellos.len() < GROUP_MOST || self.hellos.contains_key(&from))
@@ -538,7 +541,7 @@
     fn ask(&mut self, now: Millis, to: Ipv4Addr, ballot: Ballot, ask: Ask) {
         if to == self.me {
             let reply = self.asked(now, to, ask);
-            return self.told(now, to, ballot, reply);
+            return self.told(now, to, ballot, 0, reply);
         }
         self.number += 1;
         self.asked.insert(self.number, Asked { to, ballot, at: now });
@@ -572,10 +575,10 @@
             let heard = self.heard.entry((to, reply.incarnation)).or_insert(at);
             *heard = heard.max(at);
         }
-        self.told(now, to, ballot, reply);
+        self.told(now, to, ballot, number, reply);
     }
 
-    fn told(&mut self, now: Millis, from: Ipv4Addr, of: Ballot, reply: Reply) {
+    fn told(&mut self, now: Millis, from: Ipv4Addr, of: Ballot, number: u64, reply: Reply) {
         let who = (from, reply.incarnation);
         match reply.answer {
             Answer::Promised { .. } if self.ballot() != Some(of) => {}
@@ -598,13 +601,15 @@
                 }
             }
             Answer::Accepted => self.accepted(now, who, of),
-            Answer::Snapshot { chosen, items, more } => self.gathered(now, from, chosen, items, more),
+            Answer::Snapshot { chosen, items, more } if number == self.part => {
+                self.gathered(now, chosen, items, more);
+            }
             Answer::Pong { chosen } => {
                 if chosen > self.kept.chosen {
                     self.catch_up(now, from);
                 }
             }
-            Answer::Learned | Answer::Blank => {}
+            Answer::Snapshot { .. } | Answer::Learned | Answer::Blank => {}
         }
     }
 
@@ -627,18 +632,12 @@
     fn want(&mut self, now: Millis, wanted: Wanted) {
         let Wanted { from, chosen, after } = wanted;
         self.ask(now, from, Ballot::NONE, Ask::CatchUp { chosen, after });
+        self.part = self.number;
     }
 
-    /// A part of what it lacks has come. A founding store is told all at once, unasked.
-    fn gathered(&mut self, now: Millis, from: Ipv4Addr, chosen: Ballot, items: Vec<Arc<Item>>, more: bool) {
-        let asked = self.gathering.take_if(|(gathering, _)| gathering.wanted().from == from);
-        let (gathering, _) = match asked {
-            Some(gathering) => gathering,
-            None if self.standing() == Standing::Founding && !more => {
-                (Gathering::new(from, self.kept.chosen), now)
-            }
-            None => return,
-        };
+    /// A part of what it lacks has come.
+    fn gathered(&mut self, now: Millis, chosen: Ballot, items: Vec<Arc<Item>>, more: bool) {
+        let Some((gathering, _)) = self.gathering.take() else { return };
         match gathering.came(chosen, items, more) {
             (gathering, Gathered::Wants(wanted)) => {
                 self.gathering = gathering.map(|gathering| (gathering, now + LAG));
@@ -649,6 +648,7 @@
                     self.adopt(chosen, items);
                 }
             }
+            (_, Gathered::Lost) => {}
         }
     }
 
--- a/crates/cairn/tests/fleet/main.rs
+++ b/crates/cairn/tests/fleet/main.rs
@@ -475,6 +475,52 @@
     assert!((1..=2_000).contains(&world.largest), "{}", world.largest);
 }
 
+#[test]
+fn given_one_that_gathers_in_parts_when_its_source_stands_still_or_dies_then_no_copy_lacks_what_its_round_says(
+) {
+    let names: Vec<String> = (0..5_000).map(|n| format!("r{n:04}")).collect();
+    let places: Vec<String> = (0..5_000).map(|n| format!("/{n}/")).collect();
+    let all: Vec<(&str, &str, f64)> =
+        names.iter().zip(&places).map(|(name, place)| (name.as_str(), place.as_str(), 1.0)).collect();
+    for seed in 0..30 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut world = World::founded_of(3, seed, Defect::None);
+        world.kill(2);
+        assert_eq!(world.answer(0, routes(1, &all)), Ok(()));
+        // It has one source, which answers late or forgets what it had not saved.
+        world.start(2);
+        world.cut.extend([(1, 2), (2, 1)]);
+        let (mut states, mut died) = (BTreeMap::new(), false);
+        let (trouble, freezes) = (rng.u8(4..60), seed % 3 == 0);
+        for step in 0..700_u32 {
+            if step % if freezes { 12 } else { 40 } == 0 {
+                let of = rng.usize(0..5_000);
+                let version = 2 + u64::from(step);
+                world.call(1, routes(version, &[(&names[of], &places[of], f64::from(step) + 2.0)]));
+            }
+            if step == u32::from(trouble) && freezes {
+                world.freeze(0, 1_450.0 + rng.f64() * 150.0);
+            } else if step >= u32::from(trouble)
+                && !freezes
+                && !died
+                && world.has_unsaved(0)
+                && rng.u8(..) < 40
+            {
+                died = true;
+                world.kill(0);
+                world.start(0);
+                world.cut.extend([(0, 1), (1, 0)]);
+            }
+            world.pass(5.0);
+            for n in 0..3 {
+                let digest = world.items(n).digest(Tables::KEPT);
+                let chosen = world.chosen(n).expect("it runs");
+                assert_eq!(*states.entry(chosen).or_insert(digest), digest, "seed {seed}, {n} at {step}");
+            }
+        }
+    }
+}
+
 #[test]
 fn given_a_store_that_leaves_when_none_stands_ready_then_it_just_ends_and_keeps_its_place() {
     let mut world = World::founded(1, Defect::None);
--- a/crates/cairn/tests/fleet/world.rs
+++ b/crates/cairn/tests/fleet/world.rs
@@ -150,6 +150,16 @@
         &self.stores[n].as_ref().expect("it runs").kept().items
     }
 
+    /// The highest round that a store knows to be chosen.
+    pub fn chosen(&self, n: usize) -> Option<cairn::Ballot> {
+        self.stores[n].as_ref().map(|store| store.kept().chosen)
+    }
+
+    /// Whether a store knows of a round that its disk does not.
+    pub fn has_unsaved(&self, n: usize) -> bool {
+        self.chosen(n) > Some(self.disks[n].chosen)
+    }
+
     pub fn timeout_of(&self, n: usize, route: &str) -> Option<f64> {
         self.items(n).body(Table::Routes, route)?.get("timeoutS")?.as_f64()
     }
