A call that names an item twice in one table is refused

Cause: of two contents under one name and number in a call's JSON the reader kept the last, so the call was acknowledged though half of it was dropped unseen.

Change: such a call is malformed (400), whole. The story failed before: the call was read as one item with the second content. One name in upsert and in remove stays allowed: both numbers are judged, and one number with two contents is a conflict.

--- a/crates/trailmap/src/amend.rs
+++ b/crates/trailmap/src/amend.rs
@@ -4,9 +4,11 @@
 use crate::item::{Item, Items, Key, Table};
 use crate::past::{Known, Past};
 use footbridge::{Fault, Kind};
-use serde::Deserialize;
+use serde::de::{Error as _, MapAccess, Visitor};
+use serde::{Deserialize, Deserializer};
 use serde_json::{Map, Value};
 use std::collections::BTreeSet;
+use std::fmt;
 
 /// The name of the one item in the table of limits.
 const LIMITS: &str = "limits";
@@ -24,12 +26,41 @@
 #[derive(Default, Deserialize)]
 #[serde(default)]
 struct Upsert {
-    routes: Map<String, Value>,
-    tenants: Map<String, Value>,
-    backends: Map<String, Value>,
+    routes: Named,
+    tenants: Named,
+    backends: Named,
     limits: Option<Value>,
 }
 
+/// Items by name. A name that comes twice is refused: which content its number is to carry can't be told.
+#[derive(Default)]
+struct Named(Map<String, Value>);
+
+impl<'de> Deserialize<'de> for Named {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        struct Names;
+        impl<'de> Visitor<'de> for Names {
+            type Value = Named;
+
+            fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+                f.write_str("items by name")
+            }
+
+            fn visit_map<A: MapAccess<'de>>(self, mut from: A) -> Result<Named, A::Error> {
+                let mut all = Map::new();
+                while let Some((name, body)) = from.next_entry::<String, Value>()? {
+                    if all.contains_key(&name) {
+                        return Err(A::Error::custom(format!("'{name}' is there twice")));
+                    }
+                    all.insert(name, body);
+                }
+                Ok(Named(all))
+            }
+        }
+        from.deserialize_map(Names)
+    }
+}
+
 #[derive(Default, Deserialize)]
 #[serde(default)]
 struct Remove {
@@ -78,9 +109,9 @@
         let upsert = call.upsert;
         let limits = upsert.limits.into_iter().map(|limits| (LIMITS.to_owned(), limits)).collect();
         let sets = [
-            (Table::Backends, upsert.backends),
-            (Table::Routes, upsert.routes),
-            (Table::Tenants, upsert.tenants),
+            (Table::Backends, upsert.backends.0),
+            (Table::Routes, upsert.routes.0),
+            (Table::Tenants, upsert.tenants.0),
             (Table::Limits, limits),
         ];
         for (table, set) in sets {
--- a/crates/trailmap/tests/numbers.rs
+++ b/crates/trailmap/tests/numbers.rs
@@ -126,6 +126,18 @@
     assert_eq!(amend(&Items::default(), &text(torn)).expect_err("one number").kind, Kind::Conflict);
 }
 
+#[test]
+fn given_one_name_twice_in_a_table_when_the_call_is_read_then_it_is_refused_whole() {
+    for names in [["t", "t"], ["t", "\\u0074"]] {
+        let [first, second] = names;
+        let twice = format!(
+            r#"{{"upsert":{{"tenants":{{"{first}":{{"burst":1,"gen":"r5"}},"{second}":{{"burst":2,"gen":"r5"}}}}}}}}"#
+        );
+        let fault = Amended::read(twice.as_bytes()).expect_err("which of the two is meant can't be told");
+        assert!(fault.kind == Kind::Malformed && fault.detail.contains("twice"), "{fault}");
+    }
+}
+
 #[test]
 fn given_one_conflict_in_a_call_when_it_is_refused_then_nothing_else_of_it_was_taken_up() {
     let mut store = Store::after(&[&[("t", 5, Some(1.0))], &[("t", 6, Some(2.0)), ("u", 6, Some(2.0))]]);
