--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -741,7 +741,9 @@
         let mut copy = self.kept.items.clone();
         let mut items: Vec<Arc<Item>> = Vec::new();
         for item in last.iter().flat_map(|accepted| &accepted.items) {
-            if copy.merge_shared(item.clone()) {
+            // Also what is held already: those that accept this in its place may not hold it.
+            if item.version >= copy.version(item.key.table, &item.key.name) {
+                copy.merge_shared(item.clone());
                 items.push(item.clone());
             }
         }
