--- a/crates/cairn/src/lib.rs
+++ b/crates/cairn/src/lib.rs
@@ -10,7 +10,7 @@
 mod messages;
 mod store;
 
-pub use disk::Disk;
+pub use disk::{Disk, Fsync, System};
 pub use group::Group;
 pub use messages::{Accepted, Answer, Ask, Ballot, Candidate, Change, Kept, Outcome, Reply};
 pub use store::{CallId, Output, Standing, Store};
--- a/crates/cairn/src/main.rs
+++ b/crates/cairn/src/main.rs
@@ -244,9 +244,6 @@
         signal(SignalKind::terminate()).map_err(|e| Fault::new(Kind::Setting, e.to_string()))?;
     let _hangup = signal(SignalKind::hangup()).map_err(|e| Fault::new(Kind::Setting, e.to_string()))?;
     let (disk, kept): (Disk, Kept) = Disk::open(&folder, fastrand::u64(1..))?;
-    let mut disk = disk;
-    // The life of a new disk must be safe before anything rests on it.
-    disk.save(&kept)?;
     let store = Store::new(boot.ip, boot.seed_machines(), boot.bootstrap, kept, fastrand::u64(..));
     tracing::info!("standing is {:?}, {} items are on disk", store.standing(), store.kept().items.len());
     let address = SocketAddr::from((boot.ip, boot.ports().store));
