Store: a disk that fails is closed, refused and opened again, as states of their own

Cause: a failed save ended the process, which came back, failed and ended again; with three full disks of six the core said nothing at all. Change: a keeper (sound, or refusing since when) for the program to ask before each act: a failed save voids the store's memory as its end would, each call is refused at once, the disk is tried each second, and a new store begins with what it holds. Ruled out: going on with the memory that was not saved, since votes of the store for its own rounds are counted there.

--- a/crates/cairn/src/lib.rs
+++ b/crates/cairn/src/lib.rs
@@ -7,10 +7,12 @@
 mod disk;
 mod gathering;
 mod group;
+mod keeper;
 mod messages;
 mod store;
 
 pub use disk::{Disk, Fsync, System};
 pub use group::Group;
+pub use keeper::{DiskState, Keeper, Saves};
 pub use messages::{Accepted, Answer, Ask, Ballot, Candidate, Change, Kept, Outcome, Reply};
 pub use store::{CallId, Output, Standing, Store};
