--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -741,7 +741,9 @@
         let mut copy = self.kept.items.clone();
         let mut items: Vec<Arc<Item>> = Vec::new();
         for item in last.iter().flat_map(|accepted| &accepted.items) {
-            if copy.merge_shared(item.clone()) {
+            // Also what is held already: those that accept this in its place may not hold it.
+            if item.version >= copy.version(item.key.table, &item.key.name) {
+                copy.merge_shared(item.clone());
                 items.push(item.clone());
             }
         }
@@ -980,11 +982,6 @@
         }
     }
 
-    fn refused(&mut self, waiting: Waiting) {
-        let fault = Fault::new(Kind::NoMajority, "more than half of the core can't be reached");
-        self.answer(waiting.id, Err(fault));
-    }
-
     /// How long it has lately taken until more than half of the group had answered.
     fn quorum_latency(&self) -> Millis {
         let members = self.members();
@@ -995,6 +992,11 @@
         all.get(members.len() / 2).copied().unwrap_or(0.0)
     }
 
+    fn refused(&mut self, waiting: Waiting) {
+        let fault = Fault::new(Kind::NoMajority, "more than half of the core can't be reached");
+        self.answer(waiting.id, Err(fault));
+    }
+
     /// Asks all others who is there, and how much each knows.
     fn ping(&mut self, now: Millis) {
         self.probed_at = now;
