--- a/crates/avalanche/src/adapter.rs
+++ b/crates/avalanche/src/adapter.rs
@@ -283,7 +283,7 @@
             // Nobody learns of a round that it is chosen, but what it brought.
             Ask::Learn { ballot, base, .. } => (*ballot, *base) = (Ballot::NONE, Ballot::NONE),
             Ask::Accept { base, .. } => *base = Ballot::NONE,
-            Ask::Prepare { chosen, .. } | Ask::CatchUp { chosen } => *chosen = Ballot::NONE,
+            Ask::Prepare { chosen, .. } | Ask::CatchUp { chosen, .. } => *chosen = Ballot::NONE,
             _ => {}
         }
     }
