Shares: proxies prove what they have while a new keeper still listens, and confirm its first grant at once

Cause: since quotas are held over a change of the keeper, a registry gave nothing out for 2.5 s after its start, and then waited for each proxy's second report, 0.6 s later.

Change: a keeper that may not know of all proxies yet answers each with what it has, and takes their proofs meanwhile; a first grant of a keeper is answered by a report at once; it listens for 1.4 s, two heartbeats and their way. What all may store besides their parts is split over nobody while it is not known over how many.

Ruled out: giving parts out at once by the number of proxies known (the story: the first proxy gets what a third one holds).

The story fails without listening.

--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -50,8 +50,8 @@
 const STORE: Duration = Duration::from_millis(3_000);
 /// One that was in touch with the core longer ago than this gives no shares out, in milliseconds.
 const FRESH: f64 = 3_500.0;
-/// By then a registry has heard of all nodes since its start, in milliseconds: a heartbeat and a comparison, each twice.
-const HEARD: f64 = 2_500.0;
+/// By then a registry has heard of all nodes since its start, in milliseconds: two heartbeats, and their way.
+const HEARD: f64 = 1_400.0;
 /// Answers of other machines are remembered this long, in milliseconds.
 const ANSWERED: f64 = 60_000.0;
 /// How long a client holds an answer, in seconds, where the rules allow as much.
@@ -484,15 +484,13 @@
         if !self.book.borrow().holds(&items) || age > FRESH {
             return Err(unready());
         }
-        // Before it has heard who is there, it can't tell who has a share of an earlier epoch.
-        if epoch > 1 && now < HEARD {
-            return Err(unready());
-        }
         let mut keeper = self.keeper.borrow_mut();
         let keeper = match &mut *keeper {
             Some(keeper) if keeper.epoch() == epoch => keeper,
             other => other.insert(Keeper::new(now, epoch)),
         };
+        // Before it has heard who is there, it can't tell who has a share of an earlier epoch.
+        keeper.listen(epoch > 1 && now < HEARD);
         let known = Node::all(&items, Role::Proxy).iter().map(|node| (node.name(), !node.lost)).collect();
         let rate = |tenant: &str| {
             let rate = items.body(Table::Tenants, tenant).and_then(|body| body.get("ratePerS"));
--- a/crates/larder/src/keeper.rs
+++ b/crates/larder/src/keeper.rs
@@ -90,6 +90,8 @@
     /// Proxies that an earlier keeper may have given parts to, and that are not proven to live here; not known before the
     /// first report.
     unproven: Option<BTreeSet<String>>,
+    /// It may not know yet of all proxies that there are.
+    listens: bool,
     /// When each tenant was last asked for anywhere.
     asked: BTreeMap<String, Millis>,
     /// Kept between reports: a report costs its own parts, not those of all proxies.
@@ -107,6 +109,7 @@
             number: 0,
             proxies: BTreeMap::new(),
             unproven: None,
+            listens: false,
             asked: BTreeMap::new(),
             sums: BTreeMap::new(),
             summed: f64::NEG_INFINITY,
@@ -118,6 +121,12 @@
         self.epoch
     }
 
+    /// Whether it may not know yet of all proxies that there are: nobody then gets more than it had, and those that are
+    /// heard prove meanwhile what they have.
+    pub fn listen(&mut self, on: bool) {
+        self.listens = on;
+    }
+
     /// A proxy reports; `known` are the names of all proxies that there may be, and whether each is thought to be up; `age`
     /// tells how long ago it was sure that no later keeper gives parts out. `rate` tells a tenant's rate. There is no
     /// grant for a proxy that has heard of a later keeper.
@@ -144,19 +153,24 @@
         // Before the first epoch nobody gave anything out.
         let all = || if self.epoch > 1 { known.keys().cloned().collect() } else { BTreeSet::new() };
         let mut unproven = self.unproven.clone().unwrap_or_else(all);
+        if self.listens {
+            let proven = |name: &String| self.proxies.get(name).is_some_and(|proxy| proxy.proven);
+            unproven.extend(all().into_iter().filter(|name| !proven(name)));
+        }
         let inherits = unproven.contains(from);
         unproven.retain(|name| known.get(name).is_some_and(|up| *up || now < since + DEAD));
         let count = known.len().max(self.proxies.len()).max(1) as f64;
         let lapsed = self.proxies.get(from).is_some_and(|proxy| sure > proxy.heard + LEASE + MARGIN);
         if self.is_doubtful(from, report) {
             self.unproven = Some(unproven);
-            return Some(self.probe(from, report, count as u32));
+            let proxies = if self.listens { u32::MAX } else { count as u32 };
+            return Some(self.probe(from, report, proxies));
         }
         if self.hear(now, from, report, inherits) {
             unproven.remove(from);
         }
         // While one of them is not proven, all that the others did not have before may be in use by it.
-        let inherited = !unproven.is_empty();
+        let inherited = !unproven.is_empty() || self.listens;
         self.unproven = Some(unproven);
         // Those that came after this keeper, or seem dead.
         let strangers = known.keys().filter(|name| !self.proxies.contains_key(*name)).count() as f64;
@@ -215,13 +229,9 @@
             let before = if dropped { before } else { proxy.other.most() };
             proxy.other = Part { granted: other, before, ..Part::default() };
             proxy.tenants = parts;
-            return Some(Grant {
-                epoch: self.epoch,
-                number: self.number,
-                proxies: count as u32,
-                other,
-                tenants,
-            });
+            // What all may store besides their parts is split over all: over how many is not known while it listens.
+            let proxies = if self.listens { u32::MAX } else { count as u32 };
+            return Some(Grant { epoch: self.epoch, number: self.number, proxies, other, tenants });
         }
         None
     }
--- a/crates/larder/src/rations.rs
+++ b/crates/larder/src/rations.rs
@@ -221,14 +221,18 @@
 
     /// A grant has come, for the report that was made at `asked`. Only the answer to the last report counts: what was
     /// told since, perhaps to another keeper, rests on what was in use then.
-    pub fn granted(&mut self, asked: Millis, grant: Grant) {
+    ///
+    /// Tells whether it is the first of its keeper, which is to hear at once that it is in use: until all have said so,
+    /// that one can't tell what an earlier keeper gave, and gives nobody more.
+    pub fn granted(&mut self, asked: Millis, grant: Grant) -> bool {
         if self.reported != Some(asked) {
-            return;
+            return false;
         }
         let newer = grant.epoch > self.epoch || (grant.epoch == self.epoch && grant.number > self.number);
         if !newer {
-            return;
+            return false;
         }
+        let first = grant.epoch > self.epoch;
         (self.epoch, self.number, self.other) = (grant.epoch, grant.number, grant.other);
         self.proxies = f64::from(grant.proxies.max(1));
         self.granted = Some(self.granted.map_or(asked, |at| at.max(asked)));
@@ -252,5 +256,6 @@
                 seen: asked,
             });
         }
+        first
     }
 }
--- a/crates/larder/tests/shares.rs
+++ b/crates/larder/tests/shares.rs
@@ -44,7 +44,9 @@
                     match act {
                         2 => {}
                         3 => late.push((proxy, now, grant)),
-                        _ => rations[proxy].granted(now, grant),
+                        _ => {
+                            rations[proxy].granted(now, grant);
+                        }
                     }
                 }
             }
@@ -218,3 +220,44 @@
         assert!(sum <= WHOLE + 0.02, "{sum} at {now}");
     }
 }
+
+#[test]
+fn given_a_new_keeper_that_does_not_know_all_proxies_yet_when_those_it_knows_ask_then_none_gets_more_than_it_had(
+) {
+    let all: BTreeMap<String, bool> = (0..3).map(|n| (name(n), true)).collect();
+    let mut rations: Vec<Rations> = (0..3).map(|n| Rations::new(n as u64 + 1)).collect();
+    let mut earlier = Keeper::new(-10_000.0, 1);
+    let mut turn =
+        |now: f64, keeper: &mut Keeper, known: &BTreeMap<String, bool>, who: &[usize], asks: usize| {
+            for proxy in who {
+                for _ in 0..if *proxy == asks { 60 } else { 1 } {
+                    let _ = rations[*proxy].take(now, "t", 100.0, 100.0);
+                }
+                let report = rations[*proxy].report(now);
+                let grant =
+                    keeper.report(now, 0.0, &name(*proxy), &report, known, |_| 100.0).expect("it lives");
+                rations[*proxy].granted(now, grant);
+            }
+            let sum: f64 = rations.iter().map(|r| r.part(now, "t")).sum();
+            assert!(sum <= WHOLE + 1e-6, "{sum} at {now}");
+            rations[0].part(now, "t")
+        };
+    for step in 0..20 {
+        turn(f64::from(step) * 500.0, &mut earlier, &all, &[0, 1, 2], 2);
+    }
+    // Most is at the third, which is not heard of for a while; the first asks for much now.
+    let mut keeper = Keeper::new(10_000.0, 2);
+    keeper.listen(true);
+    let some: BTreeMap<String, bool> = (0..2).map(|n| (name(n), true)).collect();
+    let had = turn(10_000.0, &mut keeper, &some, &[0, 1], 0);
+    for step in 1..8 {
+        let now = 10_000.0 + f64::from(step) * 200.0;
+        assert!(turn(now, &mut keeper, &some, &[0, 1], 0) <= had + 1e-6);
+    }
+    keeper.listen(false);
+    let mut part = 0.0;
+    for step in 8..20 {
+        part = turn(10_000.0 + f64::from(step) * 200.0, &mut keeper, &all, &[0, 1, 2], 0);
+    }
+    assert!(part > 0.7, "{part}: once all are heard it moves to where it is asked for");
+}
--- a/crates/waymark/src/team.rs
+++ b/crates/waymark/src/team.rs
@@ -187,8 +187,17 @@
             });
             let answer: Result<Grant, Fault> = self.calls.post(to, "/shares", &question, ANSWER).await;
             match answer {
-                Ok(grant) => rations.borrow_mut().granted(asked, grant),
-                Err(fault) => tracing::debug!("{holder} gives no shares: {fault}"),
+                Ok(grant) => {
+                    if rations.borrow_mut().granted(asked, grant) {
+                        self.wanting.notify_one();
+                        continue;
+                    }
+                }
+                Err(fault) => {
+                    tracing::debug!("{holder} gives no shares: {fault}");
+                    // It may have just begun to.
+                    self.wanting.notify_one();
+                }
             }
             sleep(REPORT_LEAST).await;
         }
