Store: a full disk no longer ends the program; it answers 503 and comes back by itself

The program asks the keeper before each act. A start on a full disk stays up too. A state lost meanwhile doesn't found the system again.

--- a/crates/cairn/src/keeper.rs
+++ b/crates/cairn/src/keeper.rs
@@ -102,10 +102,11 @@
     /// A save has failed.
     fn failed(&mut self, now: Millis, fault: &Fault) {
         let refusing = DiskState::Refusing { since: now, again_at: now + PAUSE, cause: fault.to_string() };
-        tracing::error!("the disk failed; nothing is saved or said until it can be opened again: {fault}");
         if let DiskState::Sound(disk) = std::mem::replace(&mut self.state, refusing) {
             disk.close();
         }
+        // Last: what writes logs may fail with the disk.
+        tracing::error!("the disk failed; nothing is saved or said until it can be opened again: {fault}");
     }
 
     /// The disk was opened again, or still can't be; with what it kept, for a new store.
--- a/crates/cairn/src/main.rs
+++ b/crates/cairn/src/main.rs
@@ -2,13 +2,14 @@
 //! [`Store`]; it never decides.
 
 use argh::FromArgs;
-use cairn::{Ask, CallId, Change, Disk, Kept, Outcome, Output, Reply, Store};
+use cairn::{Ask, CallId, Change, Disk, Keeper, Kept, Outcome, Output, Reply, Store};
 use footbridge::{answer_of, serve, Boot, Calls, Fault, Incoming, Kind, Matcher, Outgoing};
 use ropeteam::{News, Pull};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
@@ -34,6 +35,9 @@
 /// Period of the store's clock.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Stands for the incarnation while no disk has been opened: the store does not act then.
+const NO_DISK: u64 = 0;
+
 #[derive(Clone, Copy)]
 enum Call {
     Round,
@@ -87,7 +91,8 @@
     calls: Calls,
     tree: Vec<Matcher<Call>>,
     store: RefCell<Store>,
-    disk: RefCell<Disk>,
+    disk: RefCell<Keeper<Disk>>,
+    folder: PathBuf,
     news: Rc<News>,
     /// The last change of what stands that is told on.
     told: Cell<u64>,
@@ -100,17 +105,26 @@
         self.start.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// Lets the store act, and carries out what it wants, in order. A disk that fails ends the process: nothing may be
-    /// said any more that rests on it.
-    fn with<T>(self: &Rc<Self>, act: impl FnOnce(&mut Store, f64) -> T) -> T {
+    /// Lets the store act, and carries out what it wants, in order. A disk that fails voids its memory, and all that
+    /// rests on it: nothing of that is carried out.
+    ///
+    /// # Errors
+    /// If the disk refuses: the store does not act.
+    fn with<T>(self: &Rc<Self>, act: impl FnOnce(&mut Store, f64) -> T) -> Result<T, Fault> {
+        if let Some(fault) = self.disk.borrow().fault() {
+            return Err(fault);
+        }
         let (value, outputs) = {
             let mut store = self.store.borrow_mut();
             let value = act(&mut store, self.now());
             let outputs = store.take_outputs();
             if outputs.iter().any(|output| matches!(output, Output::Save)) {
-                if let Err(fault) = self.disk.borrow_mut().save(store.kept()) {
-                    tracing::error!("the disk failed: {fault}");
-                    std::process::exit(1);
+                if let Err(fault) = self.disk.borrow_mut().save(self.now(), store.kept()) {
+                    for (_, waiting) in self.waiting.borrow_mut().drain() {
+                        // Whoever called may have left.
+                        let _ = waiting.send(Err(fault.clone()));
+                    }
+                    return Err(fault);
                 }
             }
             (value, outputs)
@@ -128,7 +142,24 @@
             }
         }
         self.tell();
-        value
+        Ok(value)
+    }
+
+    /// Opens a disk again that has refused, and begins anew with what it holds.
+    fn reopen(&self) {
+        let now = self.now();
+        if !self.disk.borrow().due(now) {
+            return;
+        }
+        let opened = Disk::open(&self.folder, fastrand::u64(1..));
+        if let Some(kept) = self.disk.borrow_mut().opened(now, opened) {
+            let mut store = self.store.borrow_mut();
+            // The first start of the whole system is over for one whose state was lost since.
+            let bootstrap =
+                self.boot.bootstrap && [NO_DISK, kept.incarnation].contains(&store.kept().incarnation);
+            *store = begun(&self.boot, bootstrap, kept);
+            self.told.set(0);
+        }
     }
 
     /// Passes on what stands.
@@ -147,6 +178,7 @@
 
     fn send(self: &Rc<Self>, to: Ipv4Addr, number: u64, ask: Ask) {
         let cairn = self.clone();
+        let term = self.disk.borrow().term();
         tokio::task::spawn_local(async move {
             let address = SocketAddr::from((to, cairn.boot.ports().store));
             let wait = match &ask {
@@ -160,7 +192,10 @@
             if let Err(fault) = &reply {
                 tracing::debug!("{to} did not answer: {fault}");
             }
-            cairn.with(|store, now| store.replied(now, number, reply.ok()));
+            if cairn.disk.borrow().term() == term {
+                // A store that may not speak asks nothing.
+                let _ = cairn.with(|store, now| store.replied(now, number, reply.ok()));
+            }
         });
     }
 
@@ -170,7 +205,10 @@
         self.next.set(id + 1);
         let (answer, answered) = oneshot::channel();
         self.waiting.borrow_mut().insert(id, answer);
-        self.with(|store, now| store.call(now, id, change));
+        if let Err(fault) = self.with(|store, now| store.call(now, id, change)) {
+            self.waiting.borrow_mut().remove(&id);
+            return Err(fault);
+        }
         answered.await.unwrap_or_else(|_| Err(Fault::new(Kind::Late, "the call was dropped")))
     }
 
@@ -182,11 +220,11 @@
         };
         let malformed = |e: serde_json::Error| Fault::new(Kind::Malformed, e.to_string());
         match found.call {
-            Call::Round => answer_of(
-                serde_json::from_slice(&body)
-                    .map_err(malformed)
-                    .map(|asking: Asking| self.with(|store, now| store.asked(now, asking.from, asking.ask))),
-            ),
+            Call::Round => {
+                answer_of(serde_json::from_slice(&body).map_err(malformed).and_then(|asking: Asking| {
+                    self.with(|store, now| store.asked(now, asking.from, asking.ask))
+                }))
+            }
             Call::News => match serde_json::from_slice::<Pull>(&body) {
                 Ok(pull) => answer_of(Ok(self.news.pulled(pull).await)),
                 Err(error) => answer_of::<()>(Err(malformed(error))),
@@ -225,6 +263,7 @@
                     "digest": format!("{:016x}", store.kept().items.digest(Tables::KEPT)),
                     "chosen": store.kept().chosen,
                     "inTouchMs": store.contact(self.now()),
+                    "disk": self.disk.borrow().fault().map(|fault| fault.to_string()),
                 })))
             }
         }
@@ -237,15 +276,21 @@
     footbridge::run_program(run)
 }
 
+/// A store with what its disk held.
+fn begun(boot: &Boot, bootstrap: bool, kept: Kept) -> Store {
+    let store = Store::new(boot.ip, boot.seed_machines(), bootstrap, kept, fastrand::u64(..));
+    tracing::info!("standing is {:?}, {} items are on disk", store.standing(), store.kept().items.len());
+    store
+}
+
 async fn run(boot: Boot) -> Result<(), Fault> {
     let folder =
         boot.datadir.clone().ok_or_else(|| Fault::new(Kind::Setting, "datadir: a store needs a disk"))?;
     let mut terminate =
         signal(SignalKind::terminate()).map_err(|e| Fault::new(Kind::Setting, e.to_string()))?;
     let _hangup = signal(SignalKind::hangup()).map_err(|e| Fault::new(Kind::Setting, e.to_string()))?;
-    let (disk, kept): (Disk, Kept) = Disk::open(&folder, fastrand::u64(1..))?;
-    let store = Store::new(boot.ip, boot.seed_machines(), boot.bootstrap, kept, fastrand::u64(..));
-    tracing::info!("standing is {:?}, {} items are on disk", store.standing(), store.kept().items.len());
+    let (disk, kept) = Keeper::new(0.0, Disk::open(&folder, fastrand::u64(1..)));
+    let store = begun(&boot, boot.bootstrap, kept.unwrap_or_else(|| Kept::new(NO_DISK)));
     let address = SocketAddr::from((boot.ip, boot.ports().store));
     let cairn = Rc::new(Cairn {
         boot,
@@ -254,6 +299,7 @@
         tree: calls(),
         store: RefCell::new(store),
         disk: RefCell::new(disk),
+        folder,
         news: News::new(fastrand::u64(1..)),
         told: Cell::new(0),
         waiting: RefCell::default(),
@@ -268,7 +314,9 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {
-                cairn.with(|store, now| store.tick(now));
+                cairn.reopen();
+                // A store that may not speak has nothing to do.
+                let _ = cairn.with(|store, now| store.tick(now));
                 let next = cairn.store.borrow().standing();
                 if next != standing {
                     tracing::info!("standing is {next:?} now, with {:?}", cairn.store.borrow().members());
@@ -276,7 +324,7 @@
                 }
             }
             _ = terminate.recv(), if ends.is_none() => {
-                if !cairn.with(|store, now| store.leave(now)) {
+                if !cairn.with(|store, now| store.leave(now)).unwrap_or(false) {
                     break;
                 }
                 tracing::info!("gives its place to a machine that waits for one");
