--- a/crates/cairn/src/messages.rs
+++ b/crates/cairn/src/messages.rs
@@ -208,8 +208,8 @@
     pub marks: Vec<(Ballot, u64)>,
 }
 
-/// Most rounds whose change is remembered.
-const MARKS_MOST: usize = 1024;
+/// Most rounds whose change is remembered: those of some days, in 0.4 MB.
+const MARKS_MOST: usize = 8_192;
 
 impl Kept {
     /// What is kept on a new disk.
@@ -258,7 +258,7 @@
             let mut at = 0;
             self.marks.retain(|_| {
                 at += 1;
-                at > half || at % 2 == 0
+                at > half || at % 2 == 1
             });
         }
         self.marks.push((self.chosen, self.items.changes()));
