Avalanche: losses by the disks that count; contact and what returns judged exactly; small worlds

A change of the group counts as ended once more than half of the new one have it on disk; until then the group before it and each that is written down bear a loss too. A planned leave takes a disk away only when the store is relieved or the group bears it. What a round excludes is dead only against rounds above that one: a lower one can't choose any more. Saves that are cut short leave their items, which is more than the disk allows. The standing ballot is taken away where promises tell what was accepted, so that the rest of the protocol still runs and the defect is found by what it does.

--- a/crates/avalanche/src/adapter.rs
+++ b/crates/avalanche/src/adapter.rs
@@ -243,16 +243,16 @@
     Kept { items: now.items.clone(), ..before.clone() }
 }
 
-/// What a store starts with, from a disk.
-pub fn loaded(mut kept: Kept, defect: Option<Defect>) -> Kept {
-    // It is not saved.
-    kept.marks.clear();
+/// What a store starts with, from a disk; with the rounds that it had marked or without.
+pub fn loaded(mut kept: Kept, marks: bool, defect: Option<Defect>) -> Kept {
+    if !marks {
+        kept.marks.clear();
+    }
     match defect {
         Some(Defect::PromiseLost) => {
             kept.promised = Ballot::NONE;
             kept.accepted = None;
         }
-        Some(Defect::NoStandingBallot) => kept.chosen = Ballot::NONE,
         Some(Defect::NumberForgotten) => {
             let past: Vec<_> = kept.items.all(Tables::PAST).map(|item| item.key.clone()).collect();
             kept.items.forget(&past);
@@ -278,15 +278,6 @@
             _ => {}
         }
     }
-    if defect == Some(Defect::NoStandingBallot) {
-        match &mut ask {
-            // Nobody learns of a round that it is chosen, but what it brought.
-            Ask::Learn { ballot, base, .. } => (*ballot, *base) = (Ballot::NONE, Ballot::NONE),
-            Ask::Accept { base, .. } => *base = Ballot::NONE,
-            Ask::Prepare { chosen, .. } | Ask::CatchUp { chosen } => *chosen = Ballot::NONE,
-            _ => {}
-        }
-    }
     ask
 }
 
@@ -298,27 +289,17 @@
         {
             items.retain(|item| item.key.table == Table::Group);
         }
-        (
-            Some(Defect::NoStandingBallot),
-            Answer::Promised { chosen, .. } | Answer::Snapshot { chosen, .. },
-        ) => {
-            *chosen = Ballot::NONE;
+        (Some(Defect::NoStandingBallot), Answer::Promised { accepted: Some(accepted), .. }) => {
+            // Whatever is known to be chosen, it seems to be newer.
+            let chosen = asker.kept().chosen;
+            let above = Ballot { incarnation: chosen.incarnation.saturating_add(1), ..chosen };
+            accepted.ballot = accepted.ballot.max(above);
         }
         _ => {}
     }
     reply
 }
 
-/// The sides of a group's item: each must bear its losses.
-pub fn sides(group: &Item) -> Vec<Vec<Ipv4Addr>> {
-    vec![named(group)]
-}
-
-/// Whether the group's item is more than a proposal; of one that is written down nobody may know yet.
-pub fn group_stands(_group: &Item) -> bool {
-    true
-}
-
 /// Whether a store that is no member waits for a place.
 pub fn waits(store: &Store) -> bool {
     store.standing() == Standing::Learner
@@ -328,3 +309,18 @@
 pub fn is_idle(reply: &Reply) -> bool {
     matches!(reply.answer, Answer::Learned | Answer::Pong { .. })
 }
+
+/// How a store stands, in a line.
+pub fn brief(store: &Store) -> String {
+    let kept = store.kept();
+    let accepted = kept.accepted.as_ref().map(|accepted| accepted.ballot);
+    let group = group(&kept.items).map(|group| group.body.clone().unwrap_or_default().to_string());
+    format!(
+        "{:?}, incarnation {}, chosen {:?}, promised {:?}, accepted {accepted:?}, group {}",
+        store.standing(),
+        kept.incarnation,
+        kept.chosen,
+        kept.promised,
+        group.unwrap_or_default()
+    )
+}
--- a/crates/avalanche/src/judge.rs
+++ b/crates/avalanche/src/judge.rs
@@ -92,7 +92,8 @@
 struct Proposed {
     body: Arc<Item>,
     last: Ballot,
-    dead: bool,
+    /// The round that stood and excludes it.
+    dead: Option<Ballot>,
 }
 
 /// Judges a play, step by step.
@@ -148,7 +149,7 @@
                 }
             }
             if let Some(proposed) = self.proposed.get(&(item.key.clone(), item.version)) {
-                if proposed.iter().any(|p| p.dead && p.body.body == item.body) {
+                if proposed.iter().any(|p| p.dead.is_some() && p.body.body == item.body) {
                     let what = format!(
                         "{:?} '{}' at {} stands at {place}, though a round stood that excludes it and nobody asked again",
                         item.key.table, item.key.name, item.version
@@ -194,13 +195,10 @@
             }) || matches!(item.key.table, Table::Group | Table::Backends);
             let all = self.proposed.entry((item.key.clone(), item.version)).or_default();
             match all.iter_mut().find(|known| known.body.body == item.body) {
-                None => all.push(Proposed { body: item.clone(), last: ballot, dead: false }),
-                Some(known) if !known.dead || owed || known.last >= ballot => {
-                    if known.last < ballot {
-                        known.last = ballot;
-                        known.dead = false;
-                    }
-                }
+                None => all.push(Proposed { body: item.clone(), last: ballot, dead: None }),
+                // In a lower round than the one that excludes it, it can't come to stand: more than half promised.
+                Some(known) if known.last >= ballot || known.dead.is_some_and(|by| ballot < by) => {}
+                Some(known) if known.dead.is_none() || owed => (known.last, known.dead) = (ballot, None),
                 Some(_) => {
                     let what = format!(
                         "store {n} writes {:?} '{}' at {} down in {ballot:?}, though a round stood that excludes it \
@@ -218,7 +216,7 @@
         for ((key, version), all) in &mut self.proposed {
             for known in all.iter_mut().filter(|known| known.last < ballot) {
                 if items.version(key.table, &key.name) < *version {
-                    known.dead = true;
+                    known.dead = Some(ballot);
                 }
             }
         }
--- a/crates/avalanche/src/small.rs
+++ b/crates/avalanche/src/small.rs
@@ -291,7 +291,7 @@
         let stores = self.machines.len();
         let machine = &mut self.machines[n];
         machine.run += 1;
-        let kept = adapter::loaded(machine.disk.clone(), self.defect);
+        let kept = adapter::loaded(machine.disk.clone(), false, self.defect);
         machine.store =
             adapter::start(n, adapter::seeds(stores, false), false, kept, 1_000 * machine.run + n as u64);
         self.judge.started(n);
--- a/crates/avalanche/src/story.rs
+++ b/crates/avalanche/src/story.rs
@@ -36,7 +36,7 @@
     Now,
     /// The machine is about to save; it has not happened.
     BeforeSave,
-    /// The machine has saved its items and not the rest.
+    /// The machine is in the midst of a save: it has happened, or its items are saved and not the rest.
     WithinSave,
     /// The machine has saved; nothing that follows goes out.
     AfterSave,
--- a/crates/avalanche/src/world.rs
+++ b/crates/avalanche/src/world.rs
@@ -7,6 +7,7 @@
 use cairn::{Ask, CallId, Kept, Output, Reply, Standing, Store};
 use footbridge::{Fault, Kind};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::Ipv4Addr;
 
 /// Period of each store's clock.
 const TICK: f64 = 50.0;
@@ -22,6 +23,8 @@
 const LEAVE: f64 = 2_500.0;
 /// After this time one that left without that starts again.
 const RETURNS: f64 = 4_000.0;
+/// Times are kept to a thousandth in the queue.
+const ROUNDED: f64 = 0.002;
 /// Most machines in a play.
 const MACHINES: usize = 12;
 /// Disks that are remembered for a stale one.
@@ -221,7 +224,7 @@
 
     fn start(&mut self, n: usize, first: bool) {
         let machine = &mut self.machines[n];
-        if machine.store.is_some() || machine.gone || self.now < machine.starts_at {
+        if machine.store.is_some() || machine.gone || self.now + ROUNDED < machine.starts_at {
             return;
         }
         if self.defect == Some(Defect::StaleSnapshot) {
@@ -232,7 +235,9 @@
             }
         }
         machine.run += 1;
-        let kept = adapter::loaded(machine.disk.clone(), self.defect);
+        // Which rounds are marked may be read back or not.
+        let marks = machine.run % 2 == 0;
+        let kept = adapter::loaded(machine.disk.clone(), marks, self.defect);
         let seed = drawn(self.story.seed, (n, 0, machine.run), 1).u64(..);
         let seeds = adapter::seeds(self.story.stores, self.story.all_known);
         machine.store = Some(adapter::start(n, seeds, first, kept, seed));
@@ -266,7 +271,10 @@
 
     /// Whether the group bears the loss of these disks now, whatever it may be just now.
     fn bears(&self, lost: &[usize]) -> bool {
+        // A change of the group has ended when more than half of the new one have it on disk. Until then the one before
+        // it counts too, and each that is written down anywhere.
         let mut groups = Vec::new();
+        let mut highest = 0;
         for machine in &self.machines {
             let now = machine.store.as_ref().map(Store::kept);
             for kept in now.into_iter().chain([&machine.disk]) {
@@ -274,19 +282,24 @@
                 groups.extend(adapter::pending_group(kept));
             }
         }
-        let highest =
-            groups.iter().filter(|g| adapter::group_stands(g)).map(|group| group.version).max().unwrap_or(0);
+        for group in &groups {
+            let members = adapter::named(group);
+            let on_disk = |member: &&Ipv4Addr| {
+                let disk = self.machines.get(machine(**member)).filter(|m| !m.gone).map(|m| &m.disk);
+                disk.and_then(|disk| adapter::group(&disk.items))
+                    .is_some_and(|held| held.version >= group.version)
+            };
+            if 2 * members.iter().filter(on_disk).count() > members.len() {
+                highest = highest.max(group.version);
+            }
+        }
         groups.iter().filter(|group| group.version >= highest).all(|group| {
-            adapter::sides(group).iter().all(|members| {
-                let gone = members
-                    .iter()
-                    .filter(|m| {
-                        let n = machine(**m);
-                        lost.contains(&n) || self.machines.get(n).is_none_or(|m| m.lost || m.gone)
-                    })
-                    .count();
-                gone <= (members.len() - 1) / 2
-            })
+            let members = adapter::named(group);
+            let is_lost = |member: &&Ipv4Addr| {
+                let n = machine(**member);
+                lost.contains(&n) || self.machines.get(n).is_none_or(|m| m.lost || m.gone)
+            };
+            members.iter().filter(is_lost).count() <= (members.len() - 1) / 2
         })
     }
 
@@ -344,22 +357,23 @@
         }
     }
 
-    /// Ends one that leaves when its place is another's or it has waited long enough. Who has no place any more is gone
-    /// with its disk, and so is one whose loss the group bears; another is kept.
+    /// Ends one that leaves when it is relieved or has waited long enough. One that is relieved is gone with its disk, and
+    /// so is one whose loss the group bears; another is kept.
     fn left(&mut self, n: usize) {
         let machine = &self.machines[n];
         let (Some(store), Some(until)) = (&machine.store, machine.leaves) else { return };
-        let placed = store.standing() == Standing::Member;
         if !adapter::is_relieved(store) && self.now < until {
             return;
         }
+        let relieved = adapter::is_relieved(store);
         self.machines[n].leaves = None;
-        if !placed {
+        if relieved {
             self.stop(n);
             self.machines[n].gone = true;
         } else if self.lose(n) {
             self.machines[n].gone = true;
         } else {
+            // Its disk may still be needed: who replaces it starts it again.
             self.stop_for(n, RETURNS);
         }
         self.blows += 1;
@@ -430,11 +444,14 @@
         self.put(n, kept);
     }
 
-    /// What a save leaves that is cut short.
+    /// What a save leaves that is cut short: the new disk, or the old one with the new items, which is more than the
+    /// program's disk allows.
     fn torn(&self, n: usize) -> Option<Kept> {
         let machine = &self.machines[n];
         machine.armed.iter().any(|(trigger, _)| *trigger == Trigger::WithinSave).then_some(())?;
-        Some(adapter::torn(&machine.disk, machine.store.as_ref()?.kept()))
+        let now = machine.store.as_ref()?.kept();
+        let torn = drawn(self.story.seed, (n, 2, machine.run), 7).bool();
+        Some(if torn { adapter::torn(&machine.disk, now) } else { now.clone() })
     }
 
     fn tear(&mut self, n: usize, torn: Option<Kept>) {
@@ -467,7 +484,9 @@
     }
 
     fn answer(&mut self, n: usize, id: CallId, result: &adapter::Result) {
-        self.tell(|| format!("store {n} answers call {id}: {result:?}"));
+        // Of a fault only its kind: which of several items its text names is left to chance.
+        let brief = result.as_ref().map_err(|fault| fault.kind);
+        self.tell(|| format!("store {n} answers call {id}: {brief:?}"));
         let Some(store) = &self.machines[n].store else { return };
         let now = self.now;
         let mut told = result.as_ref().map(drop).map_err(Clone::clone);
@@ -523,7 +542,7 @@
         let Some(store) = &self.machines[n].store else { return };
         let members: Vec<usize> = store.members().into_iter().map(machine).collect();
         let mut age = adapter::contact(store, now);
-        if self.defect == Some(Defect::ContactByReading) && age.is_some() | !members.is_empty() {
+        if self.defect == Some(Defect::ContactByReading) && self.is_member(n) {
             let heard = |m: &usize| {
                 if *m == n {
                     0.0
@@ -677,8 +696,6 @@
                 let first = target.out.remove(&number).is_some();
                 if first && adapter::is_contact(store, contact) {
                     self.judge.contact(to, from, asked);
-                }
-                if first {
                     self.read.insert((to, from), now);
                 }
                 let reply = adapter::tampered_reply(store, reply, self.defect);
@@ -735,9 +752,8 @@
                 self.start(n, false);
             }
             Event::Vanishes(n) if here(n) => {
-                if self.lose(*n) {
-                    self.machines[*n].gone = true;
-                }
+                let gone = self.lose(*n);
+                self.machines[*n].gone |= gone;
             }
             Event::Leaves(n) if here(n) => {
                 let Some(store) = &mut self.machines[*n].store else { return };
@@ -854,6 +870,7 @@
         self.heal();
         if let Some(missing) = self.settle() {
             let now = self.now;
+            self.tell_all();
             self.judge.not_borne(now, missing);
         }
         self.read_everywhere();
@@ -872,6 +889,19 @@
         self.missing()
     }
 
+    /// Tells how each store stands.
+    fn tell_all(&mut self) {
+        for n in 0..self.machines.len() {
+            let machine = &self.machines[n];
+            let place = if machine.gone { "gone" } else { "there" };
+            let line = match &machine.store {
+                Some(store) => format!("store {n}: {}", adapter::brief(store)),
+                None => format!("store {n} is {place}; it does not run"),
+            };
+            self.tell(|| line);
+        }
+    }
+
     fn is_member(&self, n: usize) -> bool {
         self.machines[n].store.as_ref().is_some_and(|store| store.standing() == Standing::Member)
     }
@@ -934,7 +964,7 @@
                 while self.judge.broken.is_none() && open(self) && self.now < until {
                     self.pass(self.now + 50.0);
                 }
-                told = self.judge.calls.get(&id).and_then(|call| call.told.clone());
+                told = self.judge.calls.get(&id).and_then(|call| call.told);
                 if told != Some(Ok(())) {
                     self.pass(self.now + 200.0);
                 }
