Avalanche: what a store accepts of its own round is a proposal before anybody is asked

A call that waits is proposed again under a higher ballot; the store that accepts it first and loses power before it asks the others had proposed it all the same, so what it carries on later is owed.

--- a/crates/avalanche/src/adapter.rs
+++ b/crates/avalanche/src/adapter.rs
@@ -151,6 +151,12 @@
     }
 }
 
+/// A round of a store's own that it has accepted itself: nobody else may have been asked yet.
+pub fn own_proposal(n: usize, kept: &Kept) -> Option<(Ballot, &[Arc<Item>])> {
+    let own = kept.accepted.as_ref().filter(|accepted| accepted.ballot.by == ip(n))?;
+    Some((own.ballot, &own.items))
+}
+
 /// A round that is chosen, where a question says so.
 pub fn settled(ask: &Ask) -> Option<Ballot> {
     match ask {
--- a/crates/avalanche/src/small.rs
+++ b/crates/avalanche/src/small.rs
@@ -319,6 +319,9 @@
         for output in self.machines[n].store.take_outputs() {
             match output {
                 Output::Save => {
+                    if let Some((ballot, items)) = adapter::own_proposal(n, self.machines[n].store.kept()) {
+                        self.judge.proposes(now, n, ballot, items);
+                    }
                     if crash == Crash::BeforeSave {
                         self.restart(n);
                         return false;
--- a/crates/avalanche/src/world.rs
+++ b/crates/avalanche/src/world.rs
@@ -398,6 +398,12 @@
         for output in outputs {
             match output {
                 Output::Save => {
+                    let (now, store) = (self.now, self.machines[n].store.as_ref());
+                    if let Some((ballot, items)) =
+                        store.and_then(|store| adapter::own_proposal(n, store.kept()))
+                    {
+                        self.judge.proposes(now, n, ballot, items);
+                    }
                     if self.strikes(n, Trigger::BeforeSave) {
                         return false;
                     }
