A story of a core machine that is cut off for 20 s, with its times

The contact of its store, registry and a following proxy, the book, and the errand of an order, played in steps of 100 ms, cut off both ways or only in what it sends. Nobody is called lost, shares stop within 3.5 s, no news that a proxy acts by is older than 4.7 s, and all is back within 1.6 s.

--- /dev/null
+++ b/crates/hutbook/tests/cut.rs
@@ -0,0 +1,126 @@
+//! A core machine that is cut off from the other core machines for 20 s, as its registry and a proxy that follows it see
+//! that: its store hears no answers, whichever way the cut goes. Times are counted from the cut, and from its end.
+
+use footbridge::Kind;
+use hutbook::{Beat, Book, Errand, Order, Other};
+use ropeteam::{age_when_read, Contact, Follower, Node, Role};
+use std::net::{Ipv4Addr, SocketAddr};
+use trailmap::Items;
+
+const CUT: f64 = 10_000.0;
+const END: f64 = 30_000.0;
+/// One that was in touch longer ago gives no shares out and no news on.
+const FRESH: f64 = 3_500.0;
+const HOLD: f64 = 600.0;
+
+fn ip(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, last)
+}
+
+fn node(last: u8, role: Role) -> Node {
+    let (zone, region) = ("r1".to_owned(), "r".to_owned());
+    Node { ip: ip(last), role, zone, region, http: None, ready: true, leaving: false, lost: false }
+}
+
+/// When, of all turns of 100 ms, something was so.
+#[derive(Default)]
+struct Spans(Vec<f64>);
+
+impl Spans {
+    fn first(&self) -> f64 {
+        self.0.first().copied().unwrap_or(f64::INFINITY)
+    }
+
+    fn last(&self) -> f64 {
+        self.0.last().copied().unwrap_or(f64::NEG_INFINITY)
+    }
+}
+
+/// Plays the cut. `deaf` where heartbeats don't arrive either; else only what it sends is lost.
+fn play(deaf: bool) {
+    let (mut store, mut registry, mut proxy) = (Contact::default(), Contact::default(), Contact::default());
+    let (mut book, mut items, mut follower) = (Book::new(ip(1)), Items::default(), Follower::default());
+    let parents: [SocketAddr; 2] = [(ip(1), 1).into(), (ip(2), 1).into()];
+    let nodes = [node(2, Role::Registry), node(3, Role::Registry), node(9, Role::Proxy)];
+    nodes.iter().for_each(|node| {
+        items.merge(node.item(1));
+    });
+    let (mut pulled, mut followed) = (0.0, 0.0);
+    let [mut grants, mut names_none, mut elsewhere] = [Spans::default(), Spans::default(), Spans::default()];
+    let mut oldest = 0.0_f64;
+    for turn in 0..400 {
+        let now = f64::from(turn) * 100.0;
+        let cut = (CUT..END).contains(&now);
+        // The store asks the others each second.
+        if !cut && turn % 10 == 0 {
+            store.freshen(now, 40.0);
+        }
+        // The registry pulls from it, the proxy from the registry or another one, held for 600 ms each.
+        if now >= pulled + HOLD {
+            registry.freshen(now, age_when_read(pulled, now, store.age(now), HOLD));
+            pulled = now;
+        }
+        if now >= followed + HOLD {
+            let (to, ..) = follower.next(now, &parents).expect("there are two");
+            let age = if to == parents[0] { registry.age(now) } else { 900.0 };
+            let age = age_when_read(followed, now, age, HOLD);
+            follower.came(now, to, 1, 1, age);
+            proxy.freshen(now, age);
+            followed = now;
+            if to != parents[0] {
+                elsewhere.0.push(now);
+            }
+        }
+        oldest = oldest.max(if now > 2_000.0 { proxy.age(now) } else { 0.0 });
+        if turn % 6 == 0 && !(cut && deaf) {
+            for node in &nodes {
+                let (_, beaten) = book.beat(now, &items, Beat { entry: node.item(1) });
+                if beaten.registries.is_empty() && now > 1_000.0 {
+                    names_none.0.push(now);
+                }
+            }
+        }
+        let lost = book.tick(now, registry.age(now), &items);
+        assert!(lost.is_empty(), "it calls nobody lost: {lost:?} at {now}");
+        if registry.age(now) <= FRESH {
+            grants.0.push(now);
+        }
+    }
+    let stopped = grants.0.iter().copied().filter(|at| *at < END).fold(0.0, f64::max) - CUT;
+    assert!((1_000.0..=FRESH).contains(&stopped), "gives shares out until {stopped} ms after the cut");
+    let again = grants.0.iter().copied().find(|at| *at >= END).unwrap_or(f64::INFINITY) - END;
+    assert!(again <= 1_000.0 + HOLD, "and from {again} ms after its end");
+    // The proxy asks another for news before its own is too old for anything.
+    assert!(elsewhere.first() - CUT <= FRESH + 2.0 * HOLD, "asks elsewhere from {}", elsewhere.first() - CUT);
+    assert!(elsewhere.last() < END + 16_000.0);
+    assert!(oldest < FRESH + 2.0 * HOLD, "its own news is never older than {oldest} ms");
+    if !deaf {
+        assert!(names_none.first() - CUT <= 2_600.0 && names_none.last() - END <= 1_000.0 + 2.0 * HOLD);
+    }
+}
+
+#[test]
+fn given_a_core_machine_cut_off_both_ways_for_twenty_seconds_when_it_is_asked_then_it_acts_on_nothing_old() {
+    play(true);
+}
+
+#[test]
+fn given_a_core_machine_that_only_hears_when_it_is_asked_then_it_acts_on_nothing_old_either() {
+    play(false);
+}
+
+#[test]
+fn given_an_order_at_a_machine_that_is_cut_off_when_its_store_says_no_then_the_operator_hears_that_at_once() {
+    let others = |answered| vec![Other { at: (ip(2), 1).into(), near: true, answered: Some(answered) }];
+    // For two seconds from the cut another may be tried, within the operator's second; from then on the no stands.
+    let early = Errand::new(CUT + 1_000.0, Order::Amend, others(CUT - 100.0));
+    let next = early.clone().failed(CUT + 1_300.0, Kind::NoMajority);
+    assert!(next.is_some_and(|(_, wait)| wait <= 600.0));
+    let late = Errand::new(CUT + 3_000.0, Order::Amend, others(CUT - 100.0));
+    assert_eq!(late.clone().failed(CUT + 3_300.0, Kind::NoMajority), None);
+    assert_eq!(
+        early.clone().failed(CUT + 1_300.0, Kind::Late),
+        None,
+        "what may have been taken is not asked again"
+    );
+}
