--- a/crates/larder/src/keeper.rs
+++ b/crates/larder/src/keeper.rs
@@ -59,6 +59,18 @@
         first.map_or(0.0, |(tenants, other)| tenants.get(tenant).copied().unwrap_or(*other))
     }
 
+    /// Until it is proven to live, the least that it told counts: of two reports the one that is read first may be the older.
+    fn lower_first(&mut self, report: &Report) {
+        let Some((tenants, other)) = &mut self.first else { return };
+        for name in report.tenants.keys() {
+            tenants.entry(name.clone()).or_insert(*other);
+        }
+        for (name, part) in tenants.iter_mut() {
+            *part = part.min(report.tenants.get(name).map_or(report.other, |(.., part)| *part));
+        }
+        *other = other.min(report.other);
+    }
+
     /// What it may be using of a tenant now. `sure` is when it was last known that no other keeper gives parts out: one
     /// whose lease ran out after that may have had it renewed by another.
     fn using(&self, sure: Millis, tenant: &str) -> f64 {
@@ -313,6 +325,9 @@
         }
         let Some(proxy) = self.proxies.get_mut(from) else { return false };
         proxy.heard = now;
+        if !proxy.proven {
+            proxy.lower_first(report);
+        }
         // It uses the last grant: what it had before is free.
         if (self.epoch, proxy.number) == (report.epoch, report.number) {
             proxy.proven = true;
--- a/crates/larder/tests/model.rs
+++ b/crates/larder/tests/model.rs
@@ -333,7 +333,8 @@
 #[test]
 fn given_any_faults_and_changes_of_the_keeper_when_parts_move_then_all_in_force_never_exceed_the_whole() {
     let (mut grants, mut changes) = (0, 0);
-    for seed in 0..PLAYS {
+    // And one in which a keeper read the newer of two reports first, found by a longer run.
+    for seed in (0..PLAYS).chain([792]) {
         let (worst, given, changed) = play(seed, Planted::Nothing);
         assert!(worst <= WHOLE + 1e-6, "seed {seed}: {worst}");
         (grants, changes) = (grants + given, changes + changed);
