--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -50,8 +50,8 @@
 const STORE: Duration = Duration::from_millis(3_000);
 /// One that was in touch with the core longer ago than this gives no shares out, in milliseconds.
 const FRESH: f64 = 3_500.0;
-/// By then a registry has heard of all nodes since its start, in milliseconds: a heartbeat and a comparison, each twice.
-const HEARD: f64 = 2_500.0;
+/// By then a registry has heard of all nodes since its start, in milliseconds: two heartbeats, and their way.
+const HEARD: f64 = 1_400.0;
 /// Answers of other machines are remembered this long, in milliseconds.
 const ANSWERED: f64 = 60_000.0;
 /// How long a client holds an answer, in seconds, where the rules allow as much.
@@ -228,15 +228,17 @@
     /// Others know it under this version: one that it did not give itself is to be exceeded.
     fn known_as(&self, version: u64) {
         if version > self.version.get() {
-            self.version.set(version + 1);
+            self.version.set(version.saturating_add(1));
+            self.book.borrow_mut().was_lost(self.now());
         }
     }
 
     /// Takes in what another registry tells.
     fn told(&self, items: Vec<Arc<Item>>) {
         let book = self.book.borrow();
-        let told = |item: &Arc<Item>| Tables::TOLD.contains(item.key.table.set()) && !book.is_forgotten(item);
-        self.news.merge(items.into_iter().filter(told));
+        let told = |item: &Arc<Item>| Tables::TOLD.contains(item.key.table.set());
+        // What is recalled here gets to the others as they compare.
+        self.news.merge(items.into_iter().filter(told).filter_map(|item| book.recalled(item)));
     }
 
     /// Compares what was told with one other registry now and then.
@@ -275,15 +277,15 @@
             let epoch = {
                 let items = self.news.items();
                 let holds = self.book.borrow().holds(&items);
-                holds.then(|| self.book.borrow().epoch())
+                holds.then(|| (self.book.borrow().epoch(), items.changes()))
             };
-            let Some(epoch) = epoch else {
+            let Some((epoch, change)) = epoch else {
                 sleep(TICK).await;
                 continue;
             };
             let begun = Instant::now();
             let mut pages = 0;
-            match self.read(cloud.address, &mut pages, Reading::new(self.now(), epoch)).await {
+            match self.read(cloud.address, &mut pages, Reading::new(self.now(), epoch, change)).await {
                 Ok(reading) => {
                     let news = self.book.borrow_mut().listed(self.now(), &self.news.items(), reading);
                     self.spread(news);
@@ -432,8 +434,7 @@
     fn other_stores(&self) -> Vec<Other> {
         let (items, answered) = (self.news.items(), self.answered.borrow());
         let other = |ip: &Ipv4Addr| {
-            let node = Node { ip: *ip, ..self.entry() };
-            let node = items.body(Table::Nodes, &node.name()).and_then(Node::read);
+            let node = items.body(Table::Nodes, &Role::Registry.name_at(*ip)).and_then(Node::read);
             Other {
                 at: SocketAddr::from((*ip, self.boot.ports().store)),
                 near: node.is_some_and(|node| node.region == self.boot.region),
@@ -484,15 +485,13 @@
         if !self.book.borrow().holds(&items) || age > FRESH {
             return Err(unready());
         }
-        // Before it has heard who is there, it can't tell who has a share of an earlier epoch.
-        if epoch > 1 && now < HEARD {
-            return Err(unready());
-        }
         let mut keeper = self.keeper.borrow_mut();
         let keeper = match &mut *keeper {
             Some(keeper) if keeper.epoch() == epoch => keeper,
             other => other.insert(Keeper::new(now, epoch)),
         };
+        // Before it has heard who is there, it can't tell who has a share of an earlier epoch.
+        keeper.listen(epoch > 1 && now < HEARD);
         let known = Node::all(&items, Role::Proxy).iter().map(|node| (node.name(), !node.lost)).collect();
         let rate = |tenant: &str| {
             let rate = items.body(Table::Tenants, tenant).and_then(|body| body.get("ratePerS"));
