Store: a machine that is being given a place does not say that nothing rests on it

Cause (checker 10): a learner that had accepted a group in which it has a place ended at once when told to, and its place was lost with its disk. Change: it waits until it knows. The story fails before: it was relieved at once.

--- a/crates/cairn/src/group.rs
+++ b/crates/cairn/src/group.rs
@@ -30,7 +30,11 @@
 
     /// The group in a copy.
     pub fn read(items: &Items) -> Option<Self> {
-        let item = items.get(Table::Group, CORE)?;
+        Self::of(items.get(Table::Group, CORE)?)
+    }
+
+    /// The group that an item tells.
+    pub fn of(item: &Item) -> Option<Self> {
         let body = item.body.as_ref()?;
         let machines: Vec<Ipv4Addr> = serde_json::from_value(body.get("members")?.clone()).ok()?;
         let incarnations: Vec<u64> = serde_json::from_value(body.get("incarnations")?.clone()).ok()?;
--- a/crates/cairn/src/store.rs
+++ b/crates/cairn/src/store.rs
@@ -358,7 +358,13 @@
 
     /// Whether nothing rests on it any more: another has its place, and more than half of the group know.
     pub fn is_relieved(&self) -> bool {
+        // One that has accepted a group in which it has a place may be a member by now.
+        let accepted = self.kept.accepted.iter().flat_map(|accepted| &accepted.items);
+        let mut groups = accepted.filter(|item| item.key.table == Table::Group);
+        let admitted =
+            groups.any(|item| Group::of(item).is_some_and(|group| group.has(self.me, self.kept.incarnation)));
         self.standing() == Standing::Learner
+            && !admitted
             && self.relief.as_ref().is_none_or(|(group, learnt)| group.is_quorum(learnt))
     }
 
--- a/crates/cairn/tests/fleet/main.rs
+++ b/crates/cairn/tests/fleet/main.rs
@@ -541,6 +541,21 @@
     }
 }
 
+#[test]
+fn given_a_machine_that_is_being_given_a_place_when_it_is_to_leave_then_it_waits_until_it_knows() {
+    // Found by the checker: it said that nothing rests on it, and its place was lost with it.
+    let mut world = World::founded_of(4, 7, Defect::None);
+    let new = world.add();
+    world.pass(2_000.0);
+    assert!(world.leave(2));
+    let begun = world.now;
+    while !world.has_accepted(new) && world.now < begun + 2_000.0 {
+        world.pass(1.0);
+    }
+    assert!(world.has_accepted(new));
+    assert!(world.leave(new) && !world.is_relieved(new), "it may be a member by now");
+}
+
 #[test]
 fn given_a_store_that_leaves_when_none_stands_ready_then_it_just_ends_and_keeps_its_place() {
     let mut world = World::founded(1, Defect::None);
