--- a/crates/hutbook/src/main.rs
+++ b/crates/hutbook/src/main.rs
@@ -321,6 +321,10 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
+            // Others turn to other watchers once it leaves: whom it does not hear is not lost, and no duty is its any more.
+            if self.leaving.get() {
+                return;
+            }
             let now = self.now();
             let (news, over) = {
                 let items = self.news.items();
