--- a/crates/trailmap/src/lib.rs
+++ b/crates/trailmap/src/lib.rs
@@ -6,7 +6,10 @@
 mod amend;
 mod config;
 mod item;
+mod judged;
+mod past;
 
-pub use amend::{amend, listing, Amended};
+pub use amend::{amend, listing, verdict, Amended, Verdict};
 pub use config::{check, Backend, Config, Effect, Limits, Route, Share, Tenant};
 pub use item::{Item, Items, Key, Table, Tables};
+pub use past::REMEMBERED;
