--- a/crates/cairn/tests/fleet/main.rs
+++ b/crates/cairn/tests/fleet/main.rs
@@ -394,6 +394,26 @@
     assert!(carried > 5, "it was relieved {carried} times");
 }
 
+#[test]
+fn given_a_leaver_whose_successor_just_died_when_another_is_gone_too_then_the_group_goes_on_as_it_was() {
+    // Found by the checker: the change was accepted, could never be chosen, and had to be carried on by every later round.
+    for seed in 0..40 {
+        let mut world = World::founded_of(4, seed, Defect::None);
+        world.kill(3);
+        let new = world.add();
+        world.pass(1_200.0);
+        world.kill(new);
+        let called = world.call(1, Change::Read);
+        assert!(world.leave(0), "seed {seed}");
+        world.pass(2_500.0);
+        world.kill(0);
+        world.start(0);
+        assert!(world.acknowledged(called), "seed {seed}");
+        assert_eq!(world.answer(1, routes(2, &[("a", "/a/", 1.0)])), Ok(()), "seed {seed}");
+        assert_eq!(world.group(1).map(|group| group.version), Some(1), "seed {seed}");
+    }
+}
+
 #[test]
 fn given_a_member_that_did_not_hear_of_a_change_of_the_group_when_who_told_is_lost_then_another_tells_it() {
     for seed in 0..40 {
@@ -521,6 +541,21 @@
     }
 }
 
+#[test]
+fn given_a_machine_that_is_being_given_a_place_when_it_is_to_leave_then_it_waits_until_it_knows() {
+    // Found by the checker: it said that nothing rests on it, and its place was lost with it.
+    let mut world = World::founded_of(4, 7, Defect::None);
+    let new = world.add();
+    world.pass(2_000.0);
+    assert!(world.leave(2));
+    let begun = world.now;
+    while !world.has_accepted(new) && world.now < begun + 2_000.0 {
+        world.pass(1.0);
+    }
+    assert!(world.has_accepted(new));
+    assert!(world.leave(new) && !world.is_relieved(new), "it may be a member by now");
+}
+
 #[test]
 fn given_a_store_that_leaves_when_none_stands_ready_then_it_just_ends_and_keeps_its_place() {
     let mut world = World::founded(1, Defect::None);
