--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate transports control state and does not interpret it.
 
 mod contact;
+mod contact_log;
 mod heartbeats;
 mod membership;
 mod node;
--- a/crates/cluster/src/replication.rs
+++ b/crates/cluster/src/replication.rs
@@ -2,6 +2,7 @@
 //! parent answers when it has a change or the requested wait is over.
 
 use crate::contact::{contact_age_on_receipt_ms, QuorumContact};
+use crate::contact_log::{log_update, ContactLog};
 use crate::parent_selector::{Parent, ParentSelector};
 use ivygate_control_state::{Item, Items, Key, Tables};
 use ivygate_rpc::{ErrorKind, RpcClient, RpcError};
@@ -94,6 +95,7 @@
         let mut replicated = self.items.borrow_mut();
         let newer: Vec<_> = items.into_iter().filter(|item| replicated.merge_shared(item.clone())).collect();
         drop(replicated);
+        log_update(&newer, self.contact_age_ms());
         if !newer.is_empty() {
             self.changed.notify_waiters();
         }
@@ -163,6 +165,7 @@
 ) {
     let clock = MonotonicClock::start();
     let mut selector = ParentSelector::default();
+    let mut contact_log = ContactLog::default();
     loop {
         let Some(parent) = selector.select(clock.now(), &source.candidates()) else {
             sleep(RETRY_INTERVAL).await;
@@ -185,10 +188,11 @@
                 if !replica.merge(response.items).is_empty() {
                     source.on_change();
                 }
+                contact_log.record_response(parent.address, replica.contact_age_ms());
                 pause_after_response(&clock, requested_at, is_in_contact).await;
             }
             Err(error) => {
-                tracing::debug!(parent = %parent.address, %error, "pull failed");
+                contact_log.record_failure(parent.address, replica.contact_age_ms(), &error);
                 let refused = error.kind == ErrorKind::Unreachable;
                 selector.handle_failure(clock.now(), parent.address, refused);
                 sleep(RETRY_INTERVAL).await;
