The age a store publishes covers what its quorum accepted, not only contact

Callers below a store (registries, proxies) could be told a state that is 100 ms old and lacks what was acknowledged before.

Cause: the published age was that of contact: a quorum has answered something. A member of it may have accepted a round that was chosen and acknowledged while this replica had not learned it, for instance when the announcement was lost.

Change: a reply names the highest round that its sender accepted or knows chosen (`latest`, left out by earlier versions); a member counts as of a time only once that round is learned here. This replica itself counts as of when it accepted what it does not know to be chosen. Contact for commands stays as it was.

--- a/crates/config-store/src/acceptor.rs
+++ b/crates/config-store/src/acceptor.rs
@@ -49,6 +49,9 @@
         }
         self.promise(ballot);
         self.apply_chosen(base, missing);
+        if self.state.accepted.is_none() {
+            self.freshness.accepted_since = now;
+        }
         self.state.accepted = Some(AcceptedProposal { ballot, items });
         self.proposer.recovery_deadline = Some(self.draw_recovery_deadline(now));
         self.effects.push(Effect::Save);
--- a/crates/config-store/src/durable_state.rs
+++ b/crates/config-store/src/durable_state.rs
@@ -54,6 +54,11 @@
         self.promised.max(self.chosen)
     }
 
+    /// Returns the highest round accepted or known to be chosen.
+    pub fn latest_ballot(&self) -> Ballot {
+        self.accepted.as_ref().map_or(self.chosen, |accepted| accepted.ballot.max(self.chosen))
+    }
+
     /// Returns the last chosen membership, if any.
     pub fn membership(&self) -> Option<Membership> {
         Membership::from_items(&self.items)
--- a/crates/config-store/src/learner.rs
+++ b/crates/config-store/src/learner.rs
@@ -84,7 +84,9 @@
         self.effects.push(Effect::Save);
         self.membership = self.state.membership();
         let membership = self.membership.as_ref();
-        self.peers.retain_contacts(|member| membership.is_some_and(|membership| membership.contains(member)));
+        let is_member = |member| membership.is_some_and(|membership| membership.contains(member));
+        self.peers.retain_contacts(is_member);
+        self.freshness.retain(is_member);
         let was_replaced = was_member && self.status() == MembershipStatus::Learner;
         self.change.set_successor(self.membership.clone().filter(|_| was_replaced));
     }
--- a/crates/config-store/src/lib.rs
+++ b/crates/config-store/src/lib.rs
@@ -23,6 +23,7 @@
 mod disk_supervisor;
 mod durable_state;
 mod effect;
+mod freshness;
 mod learner;
 mod learner_state;
 mod member;
--- a/crates/config-store/src/messages.rs
+++ b/crates/config-store/src/messages.rs
@@ -126,6 +126,10 @@
     /// The version of the membership known to the replying replica, if it is a member of that membership.
     #[serde(rename = "group")]
     pub membership_version: Option<u64>,
+    /// The highest round that the replying replica has accepted or knows to be chosen; `None` from replicas of an earlier
+    /// version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub latest: Option<Ballot>,
     /// The response.
     #[serde(rename = "answer")]
     pub response: PeerResponse,
--- a/crates/config-store/src/peers.rs
+++ b/crates/config-store/src/peers.rs
@@ -21,17 +21,42 @@
     /// Returns the latest time at which a quorum was certainly reachable: each of its members has answered a request
     /// sent at that time or later.
     pub(crate) fn quorum_contact_at(&self, now: Timestamp) -> Timestamp {
-        let Some(membership) = &self.membership else { return Timestamp::DISTANT_PAST };
-        let contact = |member: Member| {
+        self.reached_by_quorum(|member| {
             if member.address == self.address {
                 now
             } else {
                 self.peers.last_contact(member).unwrap_or(Timestamp::DISTANT_PAST)
             }
-        };
-        let mut contacts: Vec<Timestamp> = membership.iter().map(contact).collect();
-        contacts.sort_unstable_by(|a, b| b.total_cmp(a));
-        contacts.get(membership.members.len() / 2).copied().unwrap_or(Timestamp::DISTANT_PAST)
+        })
+    }
+
+    /// Returns the latest time that at least a quorum of the members reaches; `time_of` gives the time of each member.
+    fn reached_by_quorum(&self, time_of: impl Fn(Member) -> Timestamp) -> Timestamp {
+        let Some(membership) = &self.membership else { return Timestamp::DISTANT_PAST };
+        let mut times: Vec<Timestamp> = membership.iter().map(time_of).collect();
+        times.sort_unstable_by(|a, b| b.total_cmp(a));
+        times.get(membership.members.len() / 2).copied().unwrap_or(Timestamp::DISTANT_PAST)
+    }
+
+    /// Returns the latest time of which it is certain that everything acknowledged until then is in this replica's state.
+    fn state_complete_at(&self, now: Timestamp) -> Timestamp {
+        let chosen = self.state.chosen;
+        self.reached_by_quorum(|member| {
+            if member.address != self.address {
+                self.freshness.complete_at(member, chosen)
+            } else if self.state.accepted.is_some() {
+                self.freshness.accepted_since
+            } else {
+                now
+            }
+        })
+    }
+
+    /// Returns the age of this replica's state in milliseconds: everything acknowledged earlier is contained in it. Returns
+    /// `None` if contact with a quorum has expired or this replica is not a member.
+    pub fn state_age_ms(&self, now: Timestamp) -> Option<f64> {
+        self.contact_age_ms(now)?;
+        Some(now.millis_since(self.state_complete_at(now)))
     }
 
     /// Returns how long ago a quorum was certainly reachable from this member, in milliseconds. Returns `None` if the
--- a/crates/config-store/src/service/replica.rs
+++ b/crates/config-store/src/service/replica.rs
@@ -125,7 +125,7 @@
         }
     }
 
-    /// Publishes new items of the register, and the age of the last contact with a quorum.
+    /// Publishes new items of the register, and the age of its state.
     fn publish(&self) {
         let store = self.store.borrow();
         let items = &store.state().items;
@@ -134,7 +134,7 @@
             self.published_change.set(items.last_change());
             self.published.merge(newer);
         }
-        if let Some(age_ms) = store.contact_age_ms(self.clock.now()) {
+        if let Some(age_ms) = store.state_age_ms(self.clock.now()) {
             self.published.record_contact(age_ms);
         }
     }
--- a/crates/config-store/src/store.rs
+++ b/crates/config-store/src/store.rs
@@ -19,6 +19,7 @@
 
 use crate::durable_state::{DurableState, Watermark};
 use crate::effect::Effect;
+use crate::freshness::Freshness;
 use crate::learner_state::Learner;
 use crate::member::Member;
 use crate::membership::Membership;
@@ -71,6 +72,7 @@
     pub(crate) learner: Learner,
     pub(crate) change: MembershipChange,
     pub(crate) peers: PeerTracker,
+    pub(crate) freshness: Freshness,
     pub(crate) effects: Vec<Effect>,
 }
 
@@ -98,6 +100,7 @@
             learner: Learner::default(),
             change: MembershipChange::default(),
             peers: PeerTracker::new(rng.u64(..) >> 8),
+            freshness: Freshness::new(),
             rng,
             state,
             effects: Vec::new(),
@@ -176,6 +179,7 @@
         PeerReply {
             incarnation: self.state.incarnation,
             membership_version: membership.map(|membership| membership.version),
+            latest: Some(self.state.latest_ballot()),
             response,
         }
     }
@@ -235,6 +239,7 @@
         });
         if is_contact && !matches!(reply.response, PeerResponse::NotAMember) {
             self.peers.record_contact(member, request.sent_at);
+            self.freshness.record_reply(member, request.sent_at, reply.latest, self.state.chosen);
         }
         self.handle_reply(now, request.to, request.ballot, number, reply);
     }
--- a/crates/config-store/tests/fleet/cluster.rs
+++ b/crates/config-store/tests/fleet/cluster.rs
@@ -147,6 +147,11 @@
         self.stores[n].as_ref()?.contact_age_ms(Timestamp::from_millis(self.now))
     }
 
+    /// Returns the age that a store publishes with its state.
+    pub fn state_age_ms(&self, n: usize) -> Option<f64> {
+        self.stores[n].as_ref()?.state_age_ms(Timestamp::from_millis(self.now))
+    }
+
     pub fn has_accepted(&self, n: usize) -> bool {
         self.stores[n].as_ref().is_some_and(|store| store.state().accepted.is_some())
     }
--- a/crates/config-store/tests/fleet/main.rs
+++ b/crates/config-store/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a simulated cluster of stores under power losses, disk losses, pauses and partitions.
 
 mod cluster;
+mod staleness;
 
 use cluster::{remove_route, routes, Cluster, Defect};
 use ivygate_config_store::{Command, Member, MembershipStatus};
--- a/crates/config-store/tests/messages.rs
+++ b/crates/config-store/tests/messages.rs
@@ -51,6 +51,9 @@
         assert_round_trip::<PeerReply>(&format!(r#"{{"incarnation":9,"group":2,"answer":{response}}}"#));
     }
     assert_round_trip::<PeerReply>(r#"{"incarnation":9,"group":null,"answer":"blank"}"#);
+    assert_round_trip::<PeerReply>(
+        r#"{"incarnation":9,"group":2,"latest":{"counter":7,"by":"10.1.0.5","incarnation":9},"answer":"blank"}"#,
+    );
 }
 
 #[test]
--- a/crates/model-checker/tests/digests.rs
+++ b/crates/model-checker/tests/digests.rs
@@ -7,16 +7,16 @@
 
 /// One digest per hundred seeds.
 const DIGESTS: [u64; 10] = [
-    0x647a_b10a_2f20_569a,
-    0x85a2_d0c0_c621_9bb3,
-    0xe80a_815a_a873_09a2,
-    0x0e9a_48a1_b8b3_a610,
-    0x87cb_90f8_0d14_b64f,
-    0xfd70_8812_e93d_159d,
-    0xbdb9_dbac_9426_b85a,
-    0xa5dd_4101_6e64_30e4,
-    0x9c29_4018_7df1_ac44,
-    0x98fe_5abd_c968_4380,
+    0x2c46_3dd3_2c0f_47df,
+    0xc921_b31f_a26e_795f,
+    0x786a_e458_9cf4_9fee,
+    0x8617_6f64_d965_9766,
+    0x0b37_0c01_db58_ff4f,
+    0xaac7_ad71_5cab_7304,
+    0x5b5c_d54d_e4fc_de16,
+    0x94ae_11e4_9350_10cc,
+    0x90e5_0ed9_6989_cb18,
+    0x30b8_8dc1_5d12_6e0c,
 ];
 
 fn digest_of_hundred_seeds(from: u64) -> u64 {
