--- a/crates/cluster/src/contact.rs
+++ b/crates/cluster/src/contact.rs
@@ -28,6 +28,14 @@
         }
     }
 
+    /// Returns whether this contact is newer than another by at least `step_ms` milliseconds.
+    pub fn is_newer_by(&self, other: &Self, step_ms: f64) -> bool {
+        match (self.last, other.last) {
+            (Some(last), Some(other)) => last.millis_since(other) >= step_ms,
+            (last, _) => last.is_some(),
+        }
+    }
+
     /// Returns the age of the last contact in milliseconds; one day if there was none.
     pub fn age_ms(&self, now: Timestamp) -> f64 {
         self.last.map_or(NEVER_MS, |last| now.millis_since(last).clamp(0.0, NEVER_MS))
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod node;
 mod parent_selector;
+mod replica;
 mod replication;
 mod ring;
 
@@ -17,5 +18,6 @@
 pub use membership::store_members;
 pub use node::{Node, Proximity, Role};
 pub use parent_selector::{Parent, ParentSelector};
-pub use replication::{run_replication, PullRequest, PullResponse, PullSource, StateReplica, PULL_PATH};
+pub use replica::{PullRequest, PullResponse, StateReplica};
+pub use replication::{run_replication, PullSource, PULL_PATH};
 pub use ring::{ring_position, watchers};
--- a/crates/cluster/tests/messages.rs
+++ b/crates/cluster/tests/messages.rs
@@ -13,6 +13,7 @@
 #[test]
 fn pulls_keep_their_wire_format() {
     assert_round_trip::<PullRequest>(r#"{"life":5,"since":40,"hold":0.6,"tables":1023}"#);
+    assert_round_trip::<PullRequest>(r#"{"life":5,"since":40,"hold":0.6,"tables":1023,"digests":[7,0]}"#);
     assert_round_trip::<PullResponse>(
         r#"{"life":5,"change":42,"age":120.5,"heldMs":600.25,"items":[{"t":"duties","k":"warden","v":3,"b":{"holder":"10.1.0.5"}},{"t":"servers","k":"i-1","v":4294967297,"b":null}]}"#,
     );
--- a/crates/control-state/src/items.rs
+++ b/crates/control-state/src/items.rs
@@ -125,6 +125,18 @@
         wanted.fold(0, |digest, table| digest ^ self.digests[table as usize])
     }
 
+    /// Returns the digest of each table, in the order of the tables.
+    pub fn table_digests(&self) -> Vec<u64> {
+        self.digests.to_vec()
+    }
+
+    /// Returns the tables whose items equal those with the given digests, which are in the order of the tables.
+    pub fn equal_tables(&self, digests: &[u64]) -> Tables {
+        let pairs = Table::ALL.into_iter().zip(digests);
+        let equal = pairs.filter(|(table, digest)| self.digests[*table as usize] == **digest);
+        equal.map(|(table, _)| table.set()).collect()
+    }
+
     /// Returns the items of some tables that are missing from another replica or outdated there.
     pub fn missing_from(&self, other: &Self, tables: Tables) -> Vec<Arc<Item>> {
         let is_missing = |item: &&Arc<Item>| {
--- a/crates/registry/src/cli/core_client.rs
+++ b/crates/registry/src/cli/core_client.rs
@@ -41,7 +41,13 @@
 
     /// Fetches all control state from a registry.
     pub async fn items(&self) -> Result<Items, RpcError> {
-        let pull = PullRequest { incarnation: 0, since: 0, wait_s: 0.0, tables: Tables::all().bits() };
+        let pull = PullRequest {
+            incarnation: 0,
+            since: 0,
+            wait_s: 0.0,
+            tables: Tables::all().bits(),
+            digests: Vec::new(),
+        };
         let body = serde_json::to_vec(&pull).map_err(|error| RpcError::malformed(&error))?;
         let body = self.call(Method::POST, PULL_PATH, &body).await?;
         let response = PullResponse::deserialize(&body).map_err(|error| RpcError::malformed(&error))?;
