A parent whose contact is over 2 s old is left for another one

Cause: a parent counted as in contact up to 3.5 s, longer than the lease of a proxy below it (3 s at bounds of 4 s): the proxy would stop serving before it looked for another parent.

--- a/crates/cluster/src/parent_selector.rs
+++ b/crates/cluster/src/parent_selector.rs
@@ -15,7 +15,7 @@
 /// Backoff for a parent that refused the connection. It is short because such a failure is detected quickly.
 const REFUSED_BACKOFF: Duration = Duration::from_millis(300);
 /// Contact age above which a parent counts as out of contact with the store.
-const MAX_CONTACT_AGE: Duration = Duration::from_millis(3_500);
+const MAX_CONTACT_AGE: Duration = Duration::from_millis(2_000);
 /// Maximum number of parents with recorded progress, and with recorded failures.
 const MAX_PARENTS: usize = 64;
 
