Test that an order is not forwarded when its client left before the answer was read

Looked for the cause of the known red second_order_during_a_pending_check_is_independent: the sidecar is stopped between the check and its answer, the client leaves, and the sidecar goes on with both unread.

--- a/crates/ivygate/tests/sidecar_sign_in.rs
+++ b/crates/ivygate/tests/sidecar_sign_in.rs
@@ -427,6 +427,32 @@
     assert_eq!(setup.app.request_count(), 1);
 }
 
+#[test]
+fn order_of_a_client_that_left_before_the_answer_was_read_is_not_forwarded() {
+    let may_answer = Arc::new(AtomicUsize::new(1));
+    let answers = may_answer.clone();
+    let setup = start("order", "within 8s;", move |_| {
+        wait_until("the answer may come", || answers.load(Ordering::SeqCst) > 0);
+        Reply::ok("yes")
+    });
+    for round in 0..10 {
+        // Leaves an idle connection to the application, on which an order could be sent at once.
+        assert_eq!(post(&setup, "/app", "").status(), 200);
+        may_answer.store(0, Ordering::SeqCst);
+        let mut client = setup.sidecar.client();
+        client.write(b"POST /app HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nx=1");
+        let checks = 3 * round + 2;
+        wait_until("the sign-in service receives the check", || setup.accounts.request_count() == checks);
+        setup.sidecar.pause();
+        may_answer.store(1, Ordering::SeqCst);
+        std::thread::sleep(Duration::from_millis(100));
+        drop(client);
+        setup.sidecar.resume();
+        assert_eq!(post(&setup, "/app", "").status(), 200);
+        assert_eq!(setup.app.request_count(), 2 * (round + 1), "round {round}");
+    }
+}
+
 #[test]
 fn double_response_or_header_flood_forwards_nothing() {
     let twice =
--- a/crates/ivygate/tests/support/mod.rs
+++ b/crates/ivygate/tests/support/mod.rs
@@ -145,6 +145,15 @@
 }
 
 impl Sidecar {
+    /// Stops the process until it is resumed.
+    pub fn pause(&self) {
+        signal(&self.child, "-STOP");
+    }
+
+    pub fn resume(&self) {
+        signal(&self.child, "-CONT");
+    }
+
     /// Starts a sidecar with a listener, the default classes and these configuration parts.
     pub fn with(parts: &[String]) -> Self {
         Self::start(&Self::text("", parts))
