--- a/review/stand-in/deployment.rs
+++ b/review/stand-in/deployment.rs
@@ -248,6 +248,20 @@
         self.start("ivygate-config-store", host)
     }
 
+    /// Kills the processes of a core machine and starts them again with an empty disk.
+    pub fn lose_disk(&mut self, host: u8, zone: &str, delay: Duration) -> Result<(), String> {
+        for process in self.processes.iter_mut().filter(|process| process.machine == host) {
+            process.kill();
+        }
+        self.processes.retain(|process| process.machine != host);
+        fs::remove_dir_all(self.folder.join(format!("disk-{host}"))).map_err(|error| error.to_string())?;
+        self.record.line(&format!("platform: core machine {host} has lost its disk"));
+        self.write_settings(host, zone, true, false)?;
+        thread::sleep(delay);
+        self.start("ivygate-config-store", host)?;
+        self.start("ivygate-registry", host)
+    }
+
     /// Returns what a registry says of the system.
     pub fn status(&self, host: u8) -> String {
         let address = SocketAddrV4::new(self.ip(host), CONTROL_PORT);
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -5,6 +5,7 @@
 
 mod deployment;
 mod drain;
+mod founding;
 mod http;
 mod memory;
 mod net;
@@ -21,7 +22,7 @@
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: stand-in drain|memory|role|shutdown FOLDER");
+        eprintln!("usage: stand-in drain|founding|memory|role|shutdown FOLDER");
         std::process::exit(2);
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -29,6 +30,7 @@
     record.line(&format!("case {case}, trouble {}", if has_trouble { "on" } else { "off" }));
     let verdict = match case.as_str() {
         "drain" => drain::run(&record, has_trouble),
+        "founding" => founding::run(&record, has_trouble),
         "memory" => memory::run(&record, has_trouble),
         "role" => role::run(&record, has_trouble),
         "shutdown" => shutdown::run(&record, has_trouble),
