--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -4,7 +4,6 @@
 mod lab;
 
 use lab::*;
-use std::io::Write;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -27,96 +26,13 @@
 
 /// One small request on an open connection: the status, or `None` without a complete answer.
 fn ask(conn: &mut Conn, method: &str, id: &str, deadline: &str, body: &[u8]) -> Option<(u16, usize)> {
-    conn.write(&format!("{method} /leny950/2f HTTP/1.1"), &client_headers(HOST, id, deadline, KEY), body).ok()?;
+    conn.write(&format!("{method} /leny950/2f HTTP/1.1"), &client_headers(HOST, id, deadline, KEY), body)
+        .ok()?;
     let head = conn.head()?;
     let body = conn.body(&head)?;
     Some((head.status(), body.len()))
 }
 
-/// LOST: an answer that is on its way to its client is cut off after a SIGTERM, long before `graceS` is over.
-fn cut_answer(lab: &Lab, trouble: bool) -> Verdict {
-    const ANSWER_BYTES: usize = 15 << 20;
-    const BYTES_PER_S: usize = 3_500_000;
-    const CLIENTS: usize = 4;
-    for zone in ["nr-hall-a", "eb-hall-a"] {
-        lab.add_server("tile-fetch", zone, ms(90), large_on_request(ANSWER_BYTES));
-    }
-    if !lab.boot(&config("idempotent", 20.0, 2, 0.0, 0.0)) {
-        return None;
-    }
-    let edge = lab.cores + 1;
-    let (complete, broken, unready) = (AtomicUsize::new(0), AtomicUsize::new(0), AtomicUsize::new(0));
-    let last_end = Mutex::new(0.0f64);
-    std::thread::scope(|scope| {
-        for number in 0..CLIENTS {
-            let (complete, broken, unready, last_end) = (&complete, &broken, &unready, &last_end);
-            scope.spawn(move || {
-                let Ok(mut conn) = Conn::connect(lab.http(edge), SECOND) else {
-                    unready.fetch_add(1, Ordering::Relaxed);
-                    return;
-                };
-                // A client behind a slow link with a small window.
-                set_receive_buffer(&conn.stream, 64 << 10);
-                for _ in 0..3 {
-                    let id = lab.new_id();
-                    if ask(&mut conn, "GET", &id, "20000", b"").map(|answer| answer.0) != Some(200) {
-                        unready.fetch_add(1, Ordering::Relaxed);
-                        return;
-                    }
-                }
-                let id = lab.new_id();
-                lab.record.line(format!("client {number}: sends {id}, deadline 20 s"));
-                let headers = client_headers(HOST, &id, "20000", KEY);
-                let _ = conn.write("GET /leny950/large HTTP/1.1", &headers, b"");
-                let head = conn.head();
-                let length = head.as_ref().and_then(|head| head.header("content-length")?.parse::<usize>().ok());
-                let status = head.map_or(0, |head| head.status());
-                lab.record.line(format!("client {number}: head of {id}: status {status}, length {length:?}"));
-                if status != 200 || length != Some(ANSWER_BYTES) {
-                    unready.fetch_add(1, Ordering::Relaxed);
-                    return;
-                }
-                let (start, mut received) = (Instant::now(), 0);
-                while received < ANSWER_BYTES {
-                    let step = (64 << 10).min(ANSWER_BYTES - received);
-                    let came = conn.skip(step);
-                    received += came;
-                    if came < step {
-                        break;
-                    }
-                    let due = Duration::from_secs_f64(received as f64 / BYTES_PER_S as f64);
-                    std::thread::sleep(due.saturating_sub(start.elapsed()));
-                }
-                let now = lab.record.now();
-                let mut last_end = lock(last_end);
-                *last_end = last_end.max(now);
-                lab.record.line(format!("client {number}: {id} ended with {received} of {ANSWER_BYTES} bytes"));
-                let counter = if received == ANSWER_BYTES { complete } else { broken };
-                counter.fetch_add(1, Ordering::Relaxed);
-            });
-        }
-        std::thread::sleep(ms(1_000));
-        if trouble {
-            lab.record.line(format!("platform: SIGTERM to machine-{edge}; SIGKILL would follow after graceS = 6 s"));
-            lab.signal(edge, None, TERM);
-        }
-        let term_at = Instant::now();
-        while lab.runs_on(edge) && term_at.elapsed() < Duration::from_secs(6) {
-            std::thread::sleep(ms(20));
-        }
-        if trouble {
-            let at = term_at.elapsed().as_secs_f64();
-            lab.record.line(format!("machine-{edge}: {} {at:.2} s after SIGTERM", if lab.runs_on(edge) { "still runs" } else { "has ended" }));
-            lab.signal(edge, None, KILL);
-        }
-    });
-    if unready.load(Ordering::Relaxed) > 0 {
-        return None;
-    }
-    lab.record.line(format!("complete answers: {complete:?}, cut off: {broken:?}"));
-    Some(broken.load(Ordering::Relaxed) == 0)
-}
-
 /// A sound server whose answers below `/large` have this many bytes.
 fn large_on_request(bytes: usize) -> Behaviour {
     let (small, large) = (sound(vec![b'x'; 100]), sound(vec![b'x'; bytes]));
@@ -148,7 +64,9 @@
         std::thread::sleep(context.work);
         let is_first = lock(&seen).insert(id.clone());
         if trouble && is_first {
-            context.record.line(format!("server {}: its answer to {id} is lost, connection reset", context.info.id));
+            context
+                .record
+                .line(format!("server {}: its answer to {id} is lost, connection reset", context.info.id));
             return false;
         }
         let is_written = context.answer(head, conn, b"stored");
@@ -193,26 +111,26 @@
     Some(held)
 }
 
-/// Fault: uploads that come together push a proxy over its memory.
-fn memory(lab: &Lab, trouble: bool) -> Verdict {
+/// Fault: large answers to clients behind slow links push a proxy over its memory.
+fn answer_memory(lab: &Lab, trouble: bool) -> Verdict {
     const MEMORY_MB: f64 = 260.0;
-    const BODY_BYTES: usize = 60 << 20;
-    let clients = if trouble { 6 } else { 1 };
+    const ANSWER_BYTES: usize = 15 << 20;
+    const BYTES_PER_S: usize = 1_500_000;
+    let clients = if trouble { 24 } else { 2 };
     for zone in ["nr-hall-a", "eb-hall-a", "sc-hall-a"] {
-        lab.add_server("tile-fetch", zone, ms(110), sound(vec![b'x'; 100]));
+        for _ in 0..4 {
+            lab.add_server("tile-fetch", zone, ms(90), large_on_request(ANSWER_BYTES));
+        }
     }
-    if !lab.boot(&config("upload", 20.0, 2, 0.0, 0.0)) {
+    if !lab.boot(&config("idempotent", 20.0, 2, 0.0, 0.0)) {
         return None;
     }
-    let ends = Arc::new(Mutex::new(vec![0usize; lab.cores + lab.edges + 1]));
-    let served = AtomicUsize::new(0);
-    let lost = AtomicUsize::new(0);
-    let done = AtomicBool::new(false);
-    let body = vec![b'u'; BODY_BYTES];
+    let ends = Mutex::new(vec![0usize; lab.cores + lab.edges + 1]);
+    let (whole, cut) = (AtomicUsize::new(0), AtomicUsize::new(0));
     for round in 0..3 {
-        done.store(false, Ordering::Relaxed);
+        let done = AtomicBool::new(false);
         std::thread::scope(|scope| {
-            let mut uploads = Vec::new();
+            let mut reads = Vec::new();
             for edge in lab.cores + 1..=lab.cores + lab.edges {
                 // The platform kills a process that goes over `memMb` and starts it again after a short delay.
                 let (ends, done) = (&ends, &done);
@@ -222,7 +140,9 @@
                         let used = lab.memory_mb(edge);
                         peak = peak.max(used);
                         if used > MEMORY_MB {
-                            lab.record.line(format!("platform: machine-{edge} uses {used:.0} MB of {MEMORY_MB} MB: killed"));
+                            lab.record.line(format!(
+                                "platform: machine-{edge} uses {used:.0} MB of {MEMORY_MB} MB: killed"
+                            ));
                             lock(ends)[edge] += 1;
                             lab.kill(edge);
                             std::thread::sleep(ms(500));
@@ -234,20 +154,20 @@
                     lab.record.line(format!("machine-{edge}: peak of round {round} {peak:.0} MB"));
                 });
                 for number in 0..clients {
-                    let (served, lost, body) = (&served, &lost, &body);
-                    uploads.push(scope.spawn(move || {
-                        let Ok(mut conn) = Conn::connect(lab.http(edge), SECOND) else { return };
-                        let id = lab.new_id();
-                        lab.record.line(format!("client {number} -> machine-{edge}: uploads {id}, {BODY_BYTES} bytes"));
-                        let status = upload(&mut conn, &id, body);
-                        lab.record.line(format!("client {number} <- machine-{edge}: {id}: {status:?}"));
-                        let counter = if status.is_some() { served } else { lost };
+                    let (whole, cut) = (&whole, &cut);
+                    reads.push(scope.spawn(move || {
+                        std::thread::sleep(ms(100 * number));
+                        let received = read_slowly(lab, edge, ANSWER_BYTES, BYTES_PER_S);
+                        lab.record.line(format!(
+                            "client {number} at machine-{edge}: {received:?} of {ANSWER_BYTES} bytes"
+                        ));
+                        let counter = if received == Some(ANSWER_BYTES) { whole } else { cut };
                         counter.fetch_add(1, Ordering::Relaxed);
                     }));
                 }
             }
-            for upload in uploads {
-                let _ = upload.join();
+            for read in reads {
+                let _ = read.join();
             }
             done.store(true, Ordering::Relaxed);
         });
@@ -255,35 +175,115 @@
         std::thread::sleep(SECOND);
     }
     let ends = lock(&ends);
-    lab.record.line(format!("ends by machine: {ends:?}; answered uploads {served:?}, without an answer {lost:?}"));
-    if !trouble && served.load(Ordering::Relaxed) == 0 {
+    lab.record.line(format!("ends by machine: {ends:?}; whole answers {whole:?}, others {cut:?}"));
+    if !trouble && whole.load(Ordering::Relaxed) == 0 {
         return None;
     }
     // Two machines at least, three times each.
     Some(ends.iter().filter(|count| **count >= 3).count() < 2)
 }
 
-/// Uploads a body over a link of 20 MB/s: the status, or `None` without a complete answer.
-fn upload(conn: &mut Conn, id: &str, body: &[u8]) -> Option<u16> {
-    const BYTES_PER_S: usize = 20_000_000;
-    let length = body.len().to_string();
-    let mut head = "POST /leny950/2f HTTP/1.1\r\n".to_owned();
-    for (name, value) in client_headers(HOST, id, "15000", KEY) {
-        head += &format!("{name}: {value}\r\n");
+/// Reads a large answer over a slow link with a small window: the number of bytes, or `None` if no answer began.
+fn read_slowly(lab: &Lab, edge: usize, bytes: usize, bytes_per_s: usize) -> Option<usize> {
+    let mut conn = Conn::connect(lab.http(edge), SECOND).ok()?;
+    set_receive_buffer(&conn.stream, 64 << 10);
+    // A connection that is kept for several requests.
+    for _ in 0..3 {
+        ask(&mut conn, "GET", &lab.new_id(), "20000", b"")?;
     }
-    conn.stream.write_all(format!("{head}Content-Length: {length}\r\n\r\n").as_bytes()).ok()?;
-    let start = Instant::now();
-    for (number, part) in body.chunks(256 << 10).enumerate() {
-        let due = Duration::from_secs_f64((number * (256 << 10)) as f64 / BYTES_PER_S as f64);
-        std::thread::sleep(due.saturating_sub(start.elapsed()));
-        // An answer may come before the body is sent, and the connection may end.
-        if conn.stream.write_all(part).is_err() {
+    let id = lab.new_id();
+    conn.write("GET /leny950/large HTTP/1.1", &client_headers(HOST, &id, "20000", KEY), b"").ok()?;
+    conn.head().filter(|head| head.status() == 200)?;
+    let (start, mut received) = (Instant::now(), 0);
+    while received < bytes {
+        let step = (64 << 10).min(bytes - received);
+        let came = conn.skip(step);
+        received += came;
+        if came < step {
             break;
         }
+        let due = Duration::from_secs_f64(received as f64 / bytes_per_s as f64);
+        std::thread::sleep(due.saturating_sub(start.elapsed()));
     }
-    let head = conn.head()?;
-    conn.body(&head)?;
-    Some(head.status())
+    Some(received)
+}
+
+/// REFUSED: an upload on which a slow server works until the route's timeout gets a 503.
+fn refused_upload(lab: &Lab, trouble: bool) -> Verdict {
+    const UPLOADS: usize = 4;
+    const BODY_BYTES: usize = 32 << 20;
+    const BYTES_PER_S: f64 = 16e6;
+    // The trouble: one of seven servers works four times as long.
+    for (number, zone) in
+        ["eb-hall-a", "nr-hall-a", "nr-hall-a", "nr-hall-a", "sc-hall-a", "sc-hall-a", "sc-hall-a"]
+            .into_iter()
+            .enumerate()
+    {
+        let slowness = if trouble && number == 0 { 4.0 } else { 1.0 };
+        let behaviour: Behaviour = Arc::new(move |context, head, conn| {
+            let length: usize =
+                head.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+            if length < 1 << 20 {
+                return sound(vec![b'x'; 100])(context, head, conn);
+            }
+            if let Some(keep) = context.preliminary(head, conn) {
+                return keep;
+            }
+            set_receive_buffer(&conn.stream, 64 << 10);
+            // Works on the body as it comes, at its own speed.
+            let (start, mut worked_on) = (Instant::now(), conn.skip(256 << 10));
+            context.run(head);
+            let id = head.header("ivygate-attempt-id").unwrap_or_default().to_owned();
+            context
+                .record
+                .line(format!("server {}: runs {id} from its first {worked_on} bytes", context.info.id));
+            while worked_on < length {
+                let step = (64 << 10).min(length - worked_on);
+                let came = conn.skip(step);
+                worked_on += came;
+                if came < step {
+                    context.record.line(format!(
+                        "server {}: {id} given up by its sender after {worked_on} bytes",
+                        context.info.id
+                    ));
+                    return false;
+                }
+                let due = Duration::from_secs_f64(worked_on as f64 * slowness / BYTES_PER_S);
+                std::thread::sleep(due.saturating_sub(start.elapsed()));
+            }
+            context.record.line(format!("server {}: {id} done, answers 200", context.info.id));
+            context.answer(head, conn, b"stored")
+        });
+        lab.add_server("tile-fetch", zone, ms(110), behaviour);
+    }
+    if !lab.boot(&config("upload", 4.0, 2, 0.0, 0.0)) {
+        return None;
+    }
+    let body = vec![b'u'; BODY_BYTES];
+    // The edge machine in the zone of the first server.
+    let edge = lab.cores + 2;
+    let mut answers = Vec::new();
+    for _ in 0..UPLOADS {
+        let Ok(mut conn) = Conn::connect(lab.http(edge), SECOND) else { return None };
+        let id = lab.new_id();
+        lab.record.line(format!("client: uploads {id} with {BODY_BYTES} bytes to machine-{edge}, once"));
+        let status = ask(&mut conn, "POST", &id, "4000", &body).map(|answer| answer.0);
+        lab.record.line(format!("client: answer to {id}: {status:?}"));
+        answers.push((id, status));
+        std::thread::sleep(ms(500));
+    }
+    std::thread::sleep(ms(500));
+    let runs = lab.runs_by_id();
+    let mut held = true;
+    for (id, status) in &answers {
+        let count = runs.get(id).map_or(0, Vec::len);
+        lab.record.line(format!("{id}: {count} runs, answered {status:?}"));
+        held &= !(count > 0 && matches!(status, Some(429 | 503 | 408 | 421)));
+    }
+    if !trouble && answers.iter().any(|(_, status)| *status != Some(200)) {
+        return None;
+    }
+    Some(held)
 }
 
 /// EVAC: an order that the operator sent again elsewhere, and has reverted since, comes into force late.
@@ -375,7 +375,10 @@
             let begun_at = lab.record.now();
             std::thread::sleep(ms(50));
             lab.signal(1, None, CONT);
-            lab.record.line(format!("machine-1 runs again, {:.2} s after the operator gave it up", lab.record.now() - stopped_at));
+            lab.record.line(format!(
+                "machine-1 runs again, {:.2} s after the operator gave it up",
+                lab.record.now() - stopped_at
+            ));
             if !is_begun {
                 lab.order_until_taken("POST", &begin, "", Duration::from_secs(8));
                 continue;
@@ -387,7 +390,8 @@
             if !seen() {
                 continue;
             }
-            let reached = lock(&lab.runs).iter().find(|run| run.zone == zone && run.at > begun_at + 1.5).cloned();
+            let reached =
+                lock(&lab.runs).iter().find(|run| run.zone == zone && run.at > begun_at + 1.5).cloned();
             lab.record.line(format!("requests reach the evacuated zone again: {reached:?}"));
             hits += 1;
         }
@@ -409,84 +413,41 @@
     Some(true)
 }
 
-/// DRAIN: after a core machine was added and another one's processes were killed, nobody reads the platform's list any more.
-fn idle_coordinator(lab: &Lab, trouble: bool) -> Verdict {
-    let mut ids = Vec::new();
-    for zone in ["nr-hall-a", "nr-hall-a", "eb-hall-a", "eb-hall-a", "sc-hall-a", "sc-hall-a"] {
-        ids.push(lab.add_server("tile-fetch", zone, ms(20), sound(vec![b'x'; 100])));
-    }
-    // Core machines 2 to 4 start the system.
-    if !lab.boot(&config("idempotent", 3.0, 2, 0.0, 0.0)) {
-        return None;
-    }
-    lab.start_core(1, false);
-    lab.record.line("machine-1, a spare core machine, is added with an empty disk");
-    std::thread::sleep(Duration::from_secs(8));
-    lab.order(2, "GET", "/status", "", SECOND);
-    for round in 0..if trouble { 4 } else { 0 } {
-        lab.kill(2);
-        lab.record.line("machine-2: processes killed");
-        // Each is started again after a short delay of its own.
-        std::thread::sleep(ms(100));
-        lab.start(2, "ivygate-registry", false);
-        lab.record.line("machine-2: registry started");
-        std::thread::sleep(ms(600));
-        lab.start(2, "ivygate-config-store", false);
-        lab.record.line("machine-2: store started");
-        std::thread::sleep(Duration::from_secs(9));
-        let unread_s = lab.record.now() - *lock(&lab.list_read_at);
-        lab.record.line(format!("platform: its list was last read {unread_s:.1} s ago, after kill {}", round + 1));
-        if unread_s > 4.0 {
-            break;
-        }
+/// Fault: a core machine's processes are killed in the first second of the system, and no request is ever served.
+fn founder_killed(lab: &Lab, trouble: bool) -> Verdict {
+    lab.add_server("tile-fetch", "nr-hall-a", ms(20), sound(vec![b'x'; 100]));
+    lab.start_all();
+    lab.record.line("all machines start for the first time");
+    std::thread::sleep(ms(800));
+    if trouble {
+        lab.kill(1);
+        lab.record.line("machine-1: processes killed");
+        std::thread::sleep(ms(400));
+        // With its disk. The system does not start for the first time any more.
+        lab.start_core(1, false);
+        lab.record.line("machine-1: processes started");
     }
-    let stop = AtomicBool::new(false);
-    let mut verdict = None;
-    std::thread::scope(|scope| {
-        for edge in lab.cores + 1..=lab.cores + lab.edges {
-            let stop = &stop;
-            scope.spawn(move || {
-                while !stop.load(Ordering::Relaxed) {
-                    if let Ok(mut conn) = Conn::connect(lab.http(edge), SECOND) {
-                        let _ = conn.stream.set_read_timeout(Some(Duration::from_secs(3)));
-                        for _ in 0..20 {
-                            ask(&mut conn, "GET", &lab.new_id(), "3000", b"");
-                            std::thread::sleep(ms(10));
-                        }
-                    }
-                }
-            });
+    let is_taken = lab.order_until_taken(
+        "POST",
+        "/config/amend",
+        &config("idempotent", 3.0, 2, 0.0, 0.0),
+        Duration::from_secs(60),
+    );
+    let mut served = 0;
+    for edge in lab.cores + 1..=lab.cores + lab.edges {
+        if is_taken {
+            lab.wait_ready_at(edge, Duration::from_secs(10));
         }
-        // With the time since the last kill, much more than contactS = 5 s.
-        std::thread::sleep(Duration::from_secs(4));
-        let leaving = ids[0].clone();
-        for server in lock(&lab.servers).iter_mut().filter(|server| server.id == leaving) {
-            server.draining = true;
+        for _ in 0..10 {
+            let Ok(mut conn) = Conn::connect(lab.http(edge), SECOND) else { continue };
+            let id = lab.new_id();
+            let status = ask(&mut conn, "GET", &id, "3000", b"").map(|answer| answer.0);
+            lab.record.line(format!("client: {id} at machine-{edge}: {status:?}"));
+            served += usize::from(status == Some(200));
         }
-        let shown_at = lab.record.now();
-        lab.record.line(format!("platform: the list shows {leaving} as draining"));
-        std::thread::sleep(Duration::from_secs(14));
-        let drained = shown_at + 4.0;
-        let runs = lock(&lab.runs);
-        let late = runs.iter().filter(|run| run.server == leaving && run.at > drained + 0.5).count();
-        let all = runs.iter().filter(|run| run.at > drained + 0.5).count();
-        lab.record.line(format!("requests that ran later than drainS = 4 s: {all}, at {leaving} {late}"));
-        verdict = (all > 0).then_some(late == 0);
-        drop(runs);
-        // Not judged: servers that join now.
-        let new = lab.add_server("tile-fetch", "nr-hall-a", ms(20), sound(vec![b'x'; 100]));
-        lab.record.line(format!("platform: the list shows a new server {new}"));
-        std::thread::sleep(Duration::from_secs(6));
-        let at_new = lock(&lab.runs).iter().filter(|run| run.server == new).count();
-        lab.record.line(format!("requests at {new} within 6 s: {at_new}"));
-        let unread_s = lab.record.now() - *lock(&lab.list_read_at);
-        lab.record.line(format!("platform: its list was last read {unread_s:.1} s ago"));
-        stop.store(true, Ordering::Relaxed);
-    });
-    for machine in 1..=lab.cores {
-        lab.order(machine, "GET", "/config/read", "", SECOND);
     }
-    verdict
+    lab.record.line(format!("first configuration acknowledged: {is_taken}; requests served: {served}"));
+    Some(served > 0)
 }
 
 fn main() {
@@ -496,14 +457,13 @@
         std::process::exit(2);
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let (spares, cores) = if name == "idle-coordinator" { (1, 4) } else { (0, 3) };
-    let lab = Lab::new(&PathBuf::from(folder), spares, cores, 2, name == "stale-drain");
+    let lab = Lab::new(&PathBuf::from(folder), 3, 2, name == "stale-drain");
     let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
-        "cut-answer" => cut_answer(&lab, trouble),
         "upload-twice" => upload_twice(&lab, trouble),
-        "memory" => memory(&lab, trouble),
+        "founder-killed" => founder_killed(&lab, trouble),
+        "answer-memory" => answer_memory(&lab, trouble),
+        "refused-upload" => refused_upload(&lab, trouble),
         "stale-drain" => stale_drain(&lab, trouble),
-        "idle-coordinator" => idle_coordinator(&lab, trouble),
         _ => None,
     }));
     lab.finish(result.unwrap_or(None))
--- a/review/stand-in-2/lab.rs
+++ b/review/stand-in-2/lab.rs
@@ -249,12 +249,8 @@
     /// Begins the work on a request.
     pub fn run(&self, head: &Head) {
         let id = head.header("ivygate-attempt-id").unwrap_or_default().to_owned();
-        let run = Run {
-            at: self.record.now(),
-            id,
-            server: self.info.id.clone(),
-            zone: self.info.zone.clone(),
-        };
+        let run =
+            Run { at: self.record.now(), id, server: self.info.id.clone(), zone: self.info.zone.clone() };
         lock(&self.runs).push(run);
     }
 
@@ -309,16 +305,12 @@
     pub folder: PathBuf,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub servers: Arc<Mutex<Vec<ServerInfo>>>,
-    /// Time at which the platform's list was last read.
-    pub list_read_at: Arc<Mutex<f64>>,
     net: [u8; 2],
     pub cores: usize,
     pub edges: usize,
     processes: Arc<Mutex<Vec<Process>>>,
     next_server: AtomicU64,
     next_id: AtomicU64,
-    /// Core machines 1.. that are spare: they are added later.
-    spares: usize,
     /// Calls between machines go through relays that delay them like the links between zones and regions.
     has_links: bool,
 }
@@ -332,9 +324,8 @@
 const FIRST_PORT: u16 = 7740;
 
 impl Lab {
-    /// Prepares a deployment of core machines 1.., of which the first ones may be spare, and edge machines after them, and starts
-    /// the platform's list.
-    pub fn new(case: &Path, spares: usize, cores: usize, edges: usize, has_links: bool) -> Self {
+    /// Prepares a deployment of core machines 1.. and edge machines after them, and starts the platform's list.
+    pub fn new(case: &Path, cores: usize, edges: usize, has_links: bool) -> Self {
         let record = Record::new(&case.join("record.txt"));
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("ivygate-review-{pid}"));
@@ -344,7 +335,9 @@
             (1..=(cores + edges + 1) as u8).all(|n| {
                 [HTTP_PORT, READY_PORT, CTL_PORT, DIR_PORT, FIRST_PORT, FIRST_PORT + 1, FIRST_PORT + 2]
                     .iter()
-                    .all(|port| TcpListener::bind(SocketAddr::from(([127, net[0], net[1], n], *port))).is_ok())
+                    .all(|port| {
+                        TcpListener::bind(SocketAddr::from(([127, net[0], net[1], n], *port))).is_ok()
+                    })
             })
         };
         let nets = (0..200u32).map(|n| [(1 + (pid + n * 7) % 250) as u8, (1 + (pid / 250 + n) % 250) as u8]);
@@ -354,14 +347,12 @@
             folder,
             runs: Arc::default(),
             servers: Arc::default(),
-            list_read_at: Arc::default(),
             net,
             cores,
             edges,
             processes: Arc::default(),
             next_server: AtomicU64::new(1),
             next_id: AtomicU64::new(1),
-            spares,
             has_links,
         };
         lab.start_watchdog();
@@ -462,11 +453,10 @@
         if is_core {
             let _ = std::fs::create_dir_all(&disk);
         }
-        let seeds: Vec<String> = (self.spares + 1..=self.cores)
-            .take(3)
-            .map(|seed| format!("\"{}:{CTL_PORT}\"", self.ip_text(seed)))
-            .collect();
-        let zones: Vec<String> = ZONES.iter().map(|(zone, region)| format!("\"{zone}\": \"{region}\"")).collect();
+        let seeds: Vec<String> =
+            (1..=self.cores.min(3)).map(|seed| format!("\"{}:{CTL_PORT}\"", self.ip_text(seed))).collect();
+        let zones: Vec<String> =
+            ZONES.iter().map(|(zone, region)| format!("\"{zone}\": \"{region}\"")).collect();
         let first = self.first_port(machine);
         let last = first + 15;
         let (tier, serves) = if is_core { ("core", r#""ctl", "dir""#) } else { ("edge", r#""edge""#) };
@@ -521,7 +511,7 @@
     }
 
     pub fn start_all(&self) {
-        for machine in self.spares + 1..=self.cores {
+        for machine in 1..=self.cores {
             self.start_core(machine, true);
         }
         for machine in self.cores + 1..=self.cores + self.edges {
@@ -532,7 +522,8 @@
     /// Sends a signal to the processes of a machine; `program` limits it to one of them.
     pub fn signal(&self, machine: usize, program: Option<&str>, signal: i32) {
         for process in lock(&self.processes).iter_mut() {
-            let is_meant = process.machine == machine && program.is_none_or(|program| process.program == program);
+            let is_meant =
+                process.machine == machine && program.is_none_or(|program| process.program == program);
             if is_meant && matches!(process.child.try_wait(), Ok(None)) {
                 // SAFETY: a plain system call on a child that has not been waited for.
                 unsafe { kill(process.child.id() as i32, signal) };
@@ -550,18 +541,12 @@
         processes.retain(|process| process.machine != machine);
     }
 
-    /// Returns whether a machine's processes all run.
-    pub fn runs_on(&self, machine: usize) -> bool {
-        let mut processes = lock(&self.processes);
-        let mut of_machine = processes.iter_mut().filter(|process| process.machine == machine).peekable();
-        of_machine.peek().is_some() && of_machine.all(|process| matches!(process.child.try_wait(), Ok(None)))
-    }
-
     /// Resident memory of a machine's process in megabytes.
     pub fn memory_mb(&self, machine: usize) -> f64 {
         let processes = lock(&self.processes);
         let Some(process) = processes.iter().find(|process| process.machine == machine) else { return 0.0 };
-        let status = std::fs::read_to_string(format!("/proc/{}/status", process.child.id())).unwrap_or_default();
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", process.child.id())).unwrap_or_default();
         let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
         let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
         kilobytes.unwrap_or(0.0) / 1024.0
@@ -580,7 +565,8 @@
         };
         let id = info.id.clone();
         lock(&self.servers).push(info.clone());
-        let context = Arc::new(ServerContext { info, runs: self.runs.clone(), record: self.record.clone(), work });
+        let context =
+            Arc::new(ServerContext { info, runs: self.runs.clone(), record: self.record.clone(), work });
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (context, behaviour) = (context.clone(), behaviour.clone());
@@ -600,15 +586,12 @@
     fn start_platform(&self) {
         let listener = TcpListener::bind(self.platform()).expect("the platform's address");
         let servers = self.servers.clone();
-        let (read_at, record) = (self.list_read_at.clone(), self.record.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let servers = servers.clone();
-                let (read_at, record) = (read_at.clone(), record.clone());
                 std::thread::spawn(move || {
                     let mut conn = Conn::new(stream);
                     while let Some(head) = conn.head() {
-                        *lock(&read_at) = record.now();
                         let rows: Vec<String> = lock(&servers)
                             .iter()
                             .map(|server| {
@@ -651,7 +634,7 @@
         let start = Instant::now();
         let mut machine = 0;
         while start.elapsed() < limit {
-            machine = if machine <= self.spares || machine == self.cores { self.spares + 1 } else { machine + 1 };
+            machine = machine % self.cores + 1;
             if self.order(machine, method, path, body, Duration::from_secs(1)) == Some(200) {
                 return true;
             }
@@ -775,6 +758,11 @@
 }
 
 /// Headers of a client's request.
-pub fn client_headers<'a>(host: &'a str, id: &'a str, deadline_ms: &'a str, key: &'a str) -> Vec<(&'a str, &'a str)> {
+pub fn client_headers<'a>(
+    host: &'a str,
+    id: &'a str,
+    deadline_ms: &'a str,
+    key: &'a str,
+) -> Vec<(&'a str, &'a str)> {
     vec![("Host", host), ("Ivygate-Attempt-Id", id), ("Ivygate-Deadline-Ms", deadline_ms), ("X-Api-Key", key)]
 }
