--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -12,6 +12,7 @@
 mod replica;
 mod replication;
 mod ring;
+mod zone_orders;
 
 pub use contact::{contact_age_on_receipt_ms, QuorumContact};
 pub use heartbeats::HeartbeatTargets;
@@ -21,3 +22,4 @@
 pub use replica::{PullRequest, PullResponse, StateReplica};
 pub use replication::{run_replication, PullSource, PULL_PATH};
 pub use ring::{ring_position, watchers};
+pub use zone_orders::{StoreTime, ZoneOrder, ORDER_LIFETIME, STORE_CLOCK_PATH};
--- a/crates/config-store/src/commands.rs
+++ b/crates/config-store/src/commands.rs
@@ -4,7 +4,6 @@
 use crate::membership::Membership;
 use crate::messages::{Command, CommandOutcome};
 use crate::pending_command::{EvaluatedCommand, PendingCommand};
-use crate::proposer::COMMAND_TIMEOUT;
 use crate::round::Draft;
 use crate::store::Store;
 use ivygate_control_state::{apply_update, ConfigUpdate, Item, Items, Table};
@@ -18,8 +17,7 @@
 impl Store {
     /// Returns the membership that the first pending command would produce, if it replaces a member.
     pub(crate) fn first_pending_change(&self, now: Timestamp, register: &Items) -> Option<Membership> {
-        let pending =
-            self.proposer.pending.front().filter(|pending| now <= pending.since + COMMAND_TIMEOUT)?;
+        let pending = self.proposer.pending.front().filter(|pending| now <= pending.expires_at)?;
         let Command::ReplaceMember { leaving, joining } = pending.command else { return None };
         Membership::from_items(register)?.with_replacement(leaving, joining)
     }
@@ -37,9 +35,9 @@
     ) -> Vec<EvaluatedCommand> {
         let (mut evaluated, mut later) = (Vec::new(), Vec::new());
         while let Some(mut pending) = self.proposer.pending.pop_front() {
-            if now > pending.since + COMMAND_TIMEOUT {
+            if now > pending.expires_at {
                 // Its caller has retried at another replica, and may have reverted the command there.
-                self.reject_for_lack_of_quorum(pending.id);
+                self.reject_expired(pending.id);
                 continue;
             }
             let replaces_member = matches!(pending.command, Command::ReplaceMember { .. });
--- a/crates/config-store/src/membership_change.rs
+++ b/crates/config-store/src/membership_change.rs
@@ -11,6 +11,7 @@
 use crate::messages::{Ballot, Command, JoinCandidate, PeerRequest, PeerResponse};
 use crate::peers::CONTACT_TIMEOUT;
 use crate::pending_command::PendingCommand;
+use crate::proposer::COMMAND_TIMEOUT;
 use crate::store::{MembershipStatus, Store};
 use ivygate_control_state::Table;
 use ivygate_time::Timestamp;
@@ -164,6 +165,7 @@
             id: INTERNAL_COMMAND,
             command: Command::ReplaceMember { leaving, joining },
             since: now,
+            expires_at: now + COMMAND_TIMEOUT,
             first_version: None,
         });
     }
--- a/crates/config-store/src/messages.rs
+++ b/crates/config-store/src/messages.rs
@@ -210,6 +210,16 @@
     Read,
 }
 
+impl Command {
+    /// Returns whether executing the command late or twice does no harm, as its items have versions or it changes nothing.
+    pub(crate) fn is_idempotent(&self) -> bool {
+        match self {
+            Self::ApplyUpdate(_) | Self::ReplaceMember { .. } | Self::Read => true,
+            Self::DrainZone { .. } | Self::AcquireRole { .. } => false,
+        }
+    }
+}
+
 /// The outcome of a command.
 #[derive(Clone, Debug)]
 pub enum CommandOutcome {
--- a/crates/config-store/src/peer_tracker.rs
+++ b/crates/config-store/src/peer_tracker.rs
@@ -3,7 +3,7 @@
 use crate::member::Member;
 use crate::membership::MAX_MEMBERS;
 use crate::messages::Ballot;
-use ivygate_time::{millis, Timestamp};
+use ivygate_time::{millis, ArrivalClock, Timestamp};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -16,6 +16,8 @@
 /// A tick delayed by more than this shows that the process was paused. Members not heard from during a pause have not
 /// necessarily failed.
 const PAUSE_DETECTION_THRESHOLD: Duration = Duration::from_millis(600);
+/// Number of ticks kept to bound the arrival of input, which is handled as soon as it is read.
+const MAX_TURNS: usize = 2;
 /// Time after a pause during which an arriving command may have been queued throughout the pause, so that its caller
 /// may have given it up.
 const RESUME_GUARD: Duration = Duration::from_millis(150);
@@ -50,6 +52,8 @@
     pub next_ping_at: Timestamp,
     pub last_probe_at: Timestamp,
     pub last_tick_at: Option<Timestamp>,
+    /// The ticks as turns of the event loop; `None` before the first one.
+    arrivals: Option<ArrivalClock<Timestamp>>,
 
     /// The time since which the process has run without a pause.
     pub running_since: Timestamp,
@@ -68,6 +72,7 @@
             next_ping_at: Timestamp::DISTANT_PAST,
             last_probe_at: Timestamp::DISTANT_PAST,
             last_tick_at: None,
+            arrivals: None,
             running_since: Timestamp::DISTANT_FUTURE,
             resumed_at: Timestamp::DISTANT_PAST,
         }
@@ -147,6 +152,11 @@
         self.is_paused_until(now) || now < self.resumed_at + RESUME_GUARD
     }
 
+    /// Returns a time after which input read now arrived, even if the process stood still meanwhile.
+    pub fn earliest_arrival(&self, now: Timestamp) -> Timestamp {
+        self.arrivals.as_ref().and_then(|arrivals| arrivals.earliest_arrival(now)).unwrap_or(now)
+    }
+
     /// Records a tick, and detects a pause before it.
     pub fn record_tick(&mut self, now: Timestamp) {
         if self.is_paused_until(now) {
@@ -156,6 +166,10 @@
         if self.last_tick_at.replace(now).is_none() {
             self.running_since = now;
         }
+        match &mut self.arrivals {
+            Some(arrivals) => arrivals.record_turn(now),
+            None => self.arrivals = Some(ArrivalClock::new(now, MAX_TURNS)),
+        }
     }
 
     /// Returns whether a ping may be sent on behalf of a command.
--- a/crates/config-store/src/pending_command.rs
+++ b/crates/config-store/src/pending_command.rs
@@ -10,6 +10,8 @@
     pub id: CommandId,
     pub command: Command,
     pub since: Timestamp,
+    /// The time after which the command is not evaluated any more: its caller has given it up.
+    pub expires_at: Timestamp,
     /// The version that a drain produced when it was first evaluated. It is the only way to tell whether the drain came
     /// into force in a round that was abandoned.
     pub first_version: Option<u64>,
--- a/crates/config-store/src/proposer.rs
+++ b/crates/config-store/src/proposer.rs
@@ -23,7 +23,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time after which a pending command is rejected. Operators retry at another replica after a second.
+/// Time after which a pending command is rejected, unless it is an order on a zone.
 pub(crate) const COMMAND_TIMEOUT: Duration = Duration::from_millis(2_600);
 /// Bounds of the random backoff after a preempted round, which is doubled for each preemption since the last chosen
 /// round. Two round trips between the most distant regions must fit between the rounds of two proposers.
@@ -325,7 +325,7 @@
         let is_expired = |pending: &PendingCommand| {
             let has_no_quorum =
                 now > pending.since.plus_millis(timeout_ms) && contact < pending.since - MIN_PROBE_INTERVAL;
-            !is_member || now > pending.since + COMMAND_TIMEOUT || has_no_quorum
+            !is_member || now > pending.expires_at || has_no_quorum
         };
         let pending = std::mem::take(&mut self.proposer.pending);
         let (expired, pending): (Vec<_>, Vec<_>) = pending.into_iter().partition(is_expired);
@@ -335,6 +335,11 @@
         }
     }
 
+    /// Rejects a command whose caller has given it up by now.
+    pub(crate) fn reject_expired(&mut self, id: CommandId) {
+        self.complete(id, Err(RpcError::new(ErrorKind::NoQuorum, "the command was not executed in time")));
+    }
+
     pub(crate) fn reject_for_lack_of_quorum(&mut self, id: CommandId) {
         self.complete(id, Err(RpcError::new(ErrorKind::NoQuorum, "no quorum of the store can be reached")));
     }
--- a/crates/config-store/src/proposer_state.rs
+++ b/crates/config-store/src/proposer_state.rs
@@ -38,14 +38,27 @@
     }
 
     /// Enqueues a command. Returns `false` if too many commands are pending.
-    pub fn enqueue(&mut self, now: Timestamp, id: CommandId, command: Command) -> bool {
+    pub fn enqueue(
+        &mut self,
+        now: Timestamp,
+        id: CommandId,
+        command: Command,
+        expires_at: Timestamp,
+    ) -> bool {
         if self.pending.len() >= MAX_PENDING_COMMANDS {
             return false;
         }
-        self.pending.push_back(PendingCommand { id, command, since: now, first_version: None });
+        self.pending.push_back(PendingCommand { id, command, since: now, expires_at, first_version: None });
         true
     }
 
+    /// Removes a command that waits for a round. Returns whether it did.
+    pub fn withdraw(&mut self, id: CommandId) -> bool {
+        let before = self.pending.len();
+        self.pending.retain(|pending| pending.id != id || pending.command.is_idempotent());
+        self.pending.len() < before
+    }
+
     /// Records a ballot that was seen, so that this proposer's next ballot is higher.
     pub fn record_ballot(&mut self, ballot: Ballot) {
         self.highest_counter = self.highest_counter.max(ballot.counter);
--- a/crates/config-store/src/service/api.rs
+++ b/crates/config-store/src/service/api.rs
@@ -2,7 +2,7 @@
 
 use super::replica::Replica;
 use crate::messages::{Command, CommandOutcome, PeerEnvelope};
-use ivygate_cluster::PullRequest;
+use ivygate_cluster::{PullRequest, ZoneOrder};
 use ivygate_control_state::{config_document, ConfigUpdate};
 use ivygate_rpc::{json_response, ErrorKind, RouteMatcher, RpcError, RpcRequest, RpcResponse};
 use serde::{Deserialize, Serialize};
@@ -20,6 +20,7 @@
     FinishDrain,
     AcquireRole,
     Status,
+    Clock,
 }
 
 /// A registry's request for a singleton role.
@@ -53,6 +54,7 @@
             ])],
         ),
         Segment("status", vec![End("GET", Endpoint::Status)]),
+        Segment("clock", vec![End("GET", Endpoint::Clock)]),
     ]
 }
 
@@ -80,10 +82,11 @@
             Endpoint::Pull => json_response(self.handle_pull(&request).await),
             Endpoint::ApplyUpdate => json_response(self.apply_update(&request).await),
             Endpoint::ReadConfig => json_response(self.read_config().await),
-            Endpoint::BeginDrain => json_response(self.drain_zone(zone(), true).await),
-            Endpoint::FinishDrain => json_response(self.drain_zone(zone(), false).await),
+            Endpoint::BeginDrain => json_response(self.drain_zone(&request, zone(), true).await),
+            Endpoint::FinishDrain => json_response(self.drain_zone(&request, zone(), false).await),
             Endpoint::AcquireRole => json_response(self.acquire_role(&request).await),
             Endpoint::Status => json_response(Ok(self.replica.status())),
+            Endpoint::Clock => json_response(Ok(self.replica.clock_time())),
         }
     }
 
@@ -109,8 +112,14 @@
         }
     }
 
-    async fn drain_zone(&self, zone: &str, drained: bool) -> Result<(), RpcError> {
-        self.replica.submit(Command::DrainZone { zone: zone.to_owned(), drained }).await.map(drop)
+    async fn drain_zone(&self, request: &RpcRequest, zone: &str, drained: bool) -> Result<(), RpcError> {
+        let command = Command::DrainZone { zone: zone.to_owned(), drained };
+        if request.body.is_empty() {
+            return self.replica.submit(command).await.map(drop);
+        }
+        let ZoneOrder { deadline } = request.json()?;
+        let deadline = self.replica.deadline_in_this_run(deadline)?;
+        self.replica.submit_until(command, deadline).await.map(drop)
     }
 
     /// Returns the epoch acquired by this command. The epoch in force may already belong to a later command.
--- a/crates/config-store/src/service/replica.rs
+++ b/crates/config-store/src/service/replica.rs
@@ -6,7 +6,7 @@
 use crate::effect::Effect;
 use crate::messages::{Command, CommandId, CommandOutcome, PeerEnvelope, PeerReply, PeerRequest, PEER_PATH};
 use crate::store::{MembershipStatus, Store};
-use ivygate_cluster::StateReplica;
+use ivygate_cluster::{StateReplica, StoreTime};
 use ivygate_control_state::Tables;
 use ivygate_rpc::{BootstrapSettings, ErrorKind, RpcClient, RpcError};
 use ivygate_time::{MonotonicClock, Timestamp};
@@ -41,6 +41,8 @@
     published: Rc<StateReplica>,
     /// The number of the last published change of the register.
     published_change: Cell<u64>,
+    /// Identifies this run of the process and its clock.
+    run: u64,
     submitters: RefCell<HashMap<CommandId, oneshot::Sender<CommandResult>>>,
     next_command: Cell<CommandId>,
     last_status: Cell<MembershipStatus>,
@@ -67,6 +69,7 @@
             folder,
             published,
             published_change: Cell::new(0),
+            run: fastrand::u64(..),
             submitters: RefCell::default(),
             next_command: Cell::new(1),
         })
@@ -163,18 +166,39 @@
     /// # Errors
     /// The error of the command, or of the disk if it has failed.
     pub async fn submit(self: &Rc<Self>, command: Command) -> CommandResult {
+        self.submit_until(command, Timestamp::DISTANT_FUTURE).await
+    }
+
+    /// Submits a command that must not be evaluated after `deadline`, and waits for its result. If the caller stops waiting, the
+    /// command is withdrawn from the store.
+    ///
+    /// # Errors
+    /// The error of the command, or of the disk if it has failed.
+    pub async fn submit_until(self: &Rc<Self>, command: Command, deadline: Timestamp) -> CommandResult {
         let id = self.next_command.get();
         self.next_command.set(id + 1);
         let (sender, receiver) = oneshot::channel();
         self.submitters.borrow_mut().insert(id, sender);
-        if let Err(error) = self.step(|store, now| store.submit(now, id, command)) {
-            self.submitters.borrow_mut().remove(&id);
-            return Err(error);
-        }
+        let _submission = Submission { replica: self.clone(), id };
+        self.step(|store, now| store.submit_until(now, id, command, deadline))?;
         let dropped = || RpcError::new(ErrorKind::Timeout, "the command was discarded before it completed");
         receiver.await.unwrap_or_else(|_| Err(dropped()))
     }
 
+    /// Returns the time of the replica's clock.
+    pub fn clock_time(&self) -> StoreTime {
+        StoreTime::new(self.run, self.clock.now())
+    }
+
+    /// Returns a deadline on the replica's clock.
+    ///
+    /// # Errors
+    /// `NotReady` if the deadline is one on the clock of an earlier run of this store.
+    pub fn deadline_in_this_run(&self, deadline: StoreTime) -> Result<Timestamp, RpcError> {
+        let restarted = || RpcError::new(ErrorKind::NotReady, "the store has been restarted");
+        deadline.in_run(self.run).ok_or_else(restarted)
+    }
+
     /// Reopens a failed disk if due, ticks the store, and logs a change of its status.
     pub fn tick(self: &Rc<Self>) {
         self.reopen_disk();
@@ -229,6 +253,20 @@
     }
 }
 
+/// Caller that waits for the result of a command. Dropping it withdraws the command if there is no result yet.
+struct Submission {
+    replica: Rc<Replica>,
+    id: CommandId,
+}
+
+impl Drop for Submission {
+    fn drop(&mut self) {
+        if self.replica.submitters.borrow_mut().remove(&self.id).is_some() {
+            self.replica.store.borrow_mut().withdraw(self.id);
+        }
+    }
+}
+
 /// Returns the time to wait for the reply to a request.
 fn reply_timeout(request: &PeerRequest) -> Duration {
     match request {
--- a/crates/config-store/src/store.rs
+++ b/crates/config-store/src/store.rs
@@ -26,7 +26,9 @@
 use crate::membership_change_state::MembershipChange;
 use crate::messages::{Ballot, Command, CommandId, CommandOutcome, PeerReply, PeerRequest, PeerResponse};
 use crate::peer_tracker::PeerTracker;
+use crate::proposer::COMMAND_TIMEOUT;
 use crate::proposer_state::Proposer;
+use ivygate_cluster::ORDER_LIFETIME;
 use ivygate_control_state::Table;
 use ivygate_rpc::{ErrorKind, RpcError};
 use ivygate_time::Timestamp;
@@ -141,18 +143,27 @@
 
     /// Submits a command. Its result is reported by an [`Effect::Complete`] with the same id.
     pub fn submit(&mut self, now: Timestamp, id: CommandId, command: Command) {
+        self.submit_until(now, id, command, Timestamp::DISTANT_FUTURE);
+    }
+
+    /// Submits a command that must not be evaluated after `deadline`. The time that the process may have stood still since the
+    /// command arrived counts towards the lifetime of an order on a zone.
+    pub fn submit_until(&mut self, now: Timestamp, id: CommandId, command: Command, deadline: Timestamp) {
         if !self.is_member() {
             let error = RpcError::new(ErrorKind::NotReady, "this replica is not a member of the store");
             return self.complete(id, Err(error));
         }
-        let is_unversioned = matches!(command, Command::DrainZone { .. } | Command::AcquireRole { .. });
-        if is_unversioned && self.peers.may_hold_stale_input(now) {
+        if !command.is_idempotent() && self.peers.may_hold_stale_input(now) {
             // Such a command carries no version that would show whether it is outdated. `NotReady` would cause it to be
             // forwarded to another replica.
             let error = RpcError::new(ErrorKind::NoQuorum, "the process has just resumed after a pause");
             return self.complete(id, Err(error));
         }
-        if !self.proposer.enqueue(now, id, command) {
+        let expires_at = deadline.min(self.lifetime_end(now, &command));
+        if now > expires_at {
+            return self.reject_expired(id);
+        }
+        if !self.proposer.enqueue(now, id, command, expires_at) {
             return self
                 .complete(id, Err(RpcError::new(ErrorKind::Timeout, "too many commands are pending")));
         }
@@ -162,6 +173,20 @@
         }
     }
 
+    fn lifetime_end(&self, now: Timestamp, command: &Command) -> Timestamp {
+        match command {
+            Command::DrainZone { .. } => self.peers.earliest_arrival(now) + ORDER_LIFETIME,
+            _ => now + COMMAND_TIMEOUT,
+        }
+    }
+
+    /// Withdraws a command whose caller does not wait for it any more, unless it is idempotent or is being executed.
+    pub fn withdraw(&mut self, id: CommandId) {
+        if self.proposer.withdraw(id) {
+            tracing::debug!(command = id, "command withdrawn, its caller has left");
+        }
+    }
+
     pub(crate) fn complete(&mut self, command: CommandId, result: Result<CommandOutcome, RpcError>) {
         self.effects.push(Effect::Complete { command, result });
     }
--- a/crates/config-store/tests/fleet/main.rs
+++ b/crates/config-store/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod staleness;
+mod zone_orders;
 
 use cluster::{remove_route, routes, Cluster, Defect};
 use ivygate_config_store::{Command, Member, MembershipStatus};
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -70,7 +70,7 @@
     let proxy = proxy.clone();
     let handler = move |_| -> std::pin::Pin<Box<dyn std::future::Future<Output = RpcResponse>>> {
         let status = if proxy.is_serving() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        Box::pin(std::future::ready(RpcResponse { status, body: Vec::new() }))
+        Box::pin(std::future::ready(RpcResponse::new(status, Vec::new())))
     };
     serve(address, Rc::new(handler))
 }
--- a/crates/registry/src/service/api.rs
+++ b/crates/registry/src/service/api.rs
@@ -4,6 +4,7 @@
 use super::node::{RegistryNode, PEER_TIMEOUT};
 use crate::messages::{AntiEntropyRequest, HeartbeatRequest, HeartbeatResponse, UsageReportRequest};
 use crate::proxy_directory::proxy_addresses;
+use crate::request_forwarding::OperatorRequest;
 use ivygate_cluster::{PullRequest, PullResponse};
 use ivygate_control_state::{Table, COORDINATOR_ROLE};
 use ivygate_rpc::{json_response, ErrorKind, RouteMatcher, RpcError, RpcRequest, RpcResponse};
@@ -33,6 +34,7 @@
                 let request = request.json::<UsageReportRequest>();
                 json_response(request.and_then(|request| self.handle_usage_report(&request)))
             }
+            Endpoint::Store(OperatorRequest::Drain) => self.order_zone(request).await,
             Endpoint::Store(operation) => self.call_store(operation, request).await,
             Endpoint::Status => json_response(Ok(self.status().await)),
         }
--- a/crates/registry/src/service/mod.rs
+++ b/crates/registry/src/service/mod.rs
@@ -10,10 +10,11 @@
 mod server_list_task;
 mod store_calls;
 mod ticks;
+mod zone_orders;
 
 use ivygate_cluster::run_replication;
 use ivygate_control_state::Tables;
-use ivygate_rpc::{serve, BootstrapSettings, ErrorKind, RpcError};
+use ivygate_rpc::{serve_recording_turns, BootstrapSettings, ErrorKind, Handler, RpcError, TurnRecorder};
 use node::{RegistryNode, StoreSource};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,10 +34,12 @@
     let public = [settings.listen.ctl, settings.listen.dir].into_iter().flatten();
     let addresses: Vec<SocketAddr> = [own].into_iter().chain(public).collect();
     let node = RegistryNode::new(settings);
+    let turns = TurnRecorder::start();
     let mut servers = Vec::new();
     for address in addresses {
         let node = node.clone();
-        servers.push(serve(address, Rc::new(move |request| Box::pin(node.clone().handle(request))))?);
+        let handler: Handler = Rc::new(move |request| Box::pin(node.clone().handle(request)));
+        servers.push(serve_recording_turns(address, handler, &turns)?);
     }
     tracing::info!(address = %own, "registry started");
     // The tasks are aborted when the set is dropped at the end.
--- a/crates/registry/src/service/store_calls.rs
+++ b/crates/registry/src/service/store_calls.rs
@@ -1,4 +1,5 @@
-//! Operators' calls to the store, which are forwarded to another machine's store if the own one cannot handle them.
+//! Operators' reads and updates of the configuration, which are forwarded to another machine's store if the own one cannot
+//! handle them.
 
 use super::node::{RegistryNode, STORE_TIMEOUT};
 use crate::request_forwarding::{OperatorRequest, PeerStore, RequestForwarding};
@@ -11,19 +12,19 @@
 use std::time::Duration;
 
 /// Response of a store, with the kind of the error that it reports or that prevented it.
-struct StoreResponse {
-    response: RpcResponse,
-    error: Option<ErrorKind>,
+pub(super) struct StoreResponse {
+    pub response: RpcResponse,
+    pub error: Option<ErrorKind>,
 }
 
 impl StoreResponse {
-    fn from_call(result: Result<(u16, Bytes), RpcError>) -> Self {
+    pub fn from_call(result: Result<(u16, Bytes), RpcError>) -> Self {
         match result {
             Ok((status, body)) => {
                 let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
                 let reported = || serde_json::from_slice(&body).ok().map(|error: RpcError| error.kind);
                 let error = if status == StatusCode::OK { None } else { reported() };
-                Self { response: RpcResponse { status, body: body.to_vec() }, error }
+                Self { response: RpcResponse::new(status, body.to_vec()), error }
             }
             Err(error) => Self { error: Some(error.kind), response: json_response::<()>(Err(error)) },
         }
@@ -32,7 +33,7 @@
 
 impl RegistryNode {
     /// Returns the stores on other machines.
-    fn peer_stores(&self) -> Vec<PeerStore> {
+    pub fn peer_stores(&self) -> Vec<PeerStore> {
         let (items, last_responses) = (self.replica.items(), self.last_responses.borrow());
         let port = self.settings.ports().store;
         let others = store_members(&items).into_iter().filter(|machine| *machine != self.settings.ip);
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -12,14 +12,18 @@
 mod route_matcher;
 mod server;
 mod settings;
+mod turn_recorder;
 
 pub use client::RpcClient;
 pub use error::{ErrorKind, RpcError};
 pub use logging::init_logging;
 pub use program::run_program;
 pub use route_matcher::{RouteMatch, RouteMatcher};
-pub use server::{json_response, serve, Handler, RpcRequest, RpcResponse, RpcServer, MAX_BODY_BYTES};
+pub use server::{
+    json_response, serve, serve_recording_turns, Handler, RpcRequest, RpcResponse, RpcServer, MAX_BODY_BYTES,
+};
 pub use settings::{
     BootstrapSettings, FailureTolerance, ListenAddresses, ResourceLimits, RuleBound, ServerListSettings,
     ServicePorts,
 };
+pub use turn_recorder::TurnRecorder;
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -2,11 +2,14 @@
 
 use crate::client::CALL_ID;
 use crate::error::{ErrorKind, RpcError};
+use crate::turn_recorder::TurnRecorder;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, LOCATION};
 use hyper::{Response, StatusCode};
-use ivygate_runtime::{listen, ClientLimits, HttpServer, IncomingRequest, RequestHandler, RECEIVE_TIMEOUT};
+use ivygate_runtime::{
+    listen, ClientLimits, HttpServer, IncomingRequest, PrecedingEvent, RequestHandler, RECEIVE_TIMEOUT,
+};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::future::Future;
@@ -14,7 +17,8 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::task::JoinHandle;
+use tokio::time::{timeout, Instant};
 
 /// Maximum size of a message body in bytes, sufficient for a configuration with tens of thousands of tenants.
 pub const MAX_BODY_BYTES: usize = 32 << 20;
@@ -35,6 +39,9 @@
     pub body: Bytes,
     /// Address of the sender.
     pub peer: SocketAddr,
+    /// Time after which the sender sent the request, if it does not pipeline. The time that the request spent on its way lies
+    /// after it; so does the time that it waited while this process stood still, if the server records turns.
+    pub sent_after: Instant,
 }
 
 impl RpcRequest {
@@ -54,6 +61,21 @@
     pub status: StatusCode,
     /// Body.
     pub body: Vec<u8>,
+    /// Path to which the sender is redirected on a new connection.
+    pub redirect: Option<String>,
+}
+
+impl RpcResponse {
+    /// Creates a response with a status and a body.
+    pub fn new(status: StatusCode, body: Vec<u8>) -> Self {
+        Self { status, body, redirect: None }
+    }
+
+    /// Creates a response that asks the sender to repeat the request on a new connection.
+    pub fn repeat_on_new_connection(path: &str) -> Self {
+        let redirect = Some(path.to_owned());
+        Self { status: StatusCode::TEMPORARY_REDIRECT, body: Vec::new(), redirect }
+    }
 }
 
 /// Function that handles requests.
@@ -66,9 +88,9 @@
         Err(error) => (error.kind.status(), serde_json::to_vec(error)),
     };
     match body {
-        Ok(body) => RpcResponse { status, body },
+        Ok(body) => RpcResponse::new(status, body),
         // Serialization fails only for maps with non-string keys, which no message contains.
-        Err(_) => RpcResponse { status: StatusCode::INTERNAL_SERVER_ERROR, body: Vec::new() },
+        Err(_) => RpcResponse::new(StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
     }
 }
 
@@ -79,13 +101,34 @@
 
 struct RpcFront {
     handler: Handler,
+    address: SocketAddr,
+    turns: Option<TurnRecorder>,
+}
+
+impl RpcFront {
+    /// Returns a time after which a request was sent.
+    fn sent_after(&self, preceding_event: PrecedingEvent) -> Instant {
+        match preceding_event {
+            PrecedingEvent::Responded(at) => at,
+            PrecedingEvent::Accepted(at) => {
+                self.turns.as_ref().map_or(at, |turns| turns.earliest_arrival(at))
+            }
+        }
+    }
+
+    fn redirect(&self, response: &mut Response<Full<Bytes>>, path: &str) {
+        if let Ok(location) = HeaderValue::try_from(format!("http://{}{path}", self.address)) {
+            response.headers_mut().insert(LOCATION, location);
+        }
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
 }
 
 impl RequestHandler for RpcFront {
     type Body = Full<Bytes>;
 
     async fn respond(&self, incoming: IncomingRequest) -> Result<Response<Full<Bytes>>, hyper::Error> {
-        let IncomingRequest { request, started_at, guard, peer, .. } = incoming;
+        let IncomingRequest { request, started_at, preceding_event, guard, peer, .. } = incoming;
         let (head, body) = request.into_parts();
         let time_left = request_timeout().saturating_sub(started_at.elapsed());
         let response = match timeout(time_left, Limited::new(body, MAX_BODY_BYTES).collect()).await {
@@ -112,12 +155,16 @@
                     query: head.uri.query().unwrap_or_default().to_owned(),
                     body: body.to_bytes(),
                     peer,
+                    sent_after: self.sent_after(preceding_event),
                 };
                 (self.handler)(request).await
             }
         };
         let mut http = Response::new(Full::new(Bytes::from(response.body)));
         *http.status_mut() = response.status;
+        if let Some(path) = &response.redirect {
+            self.redirect(&mut http, path);
+        }
         http.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if let Some(call_id) = head.headers.get(CALL_ID) {
             http.headers_mut().insert(CALL_ID, call_id.clone());
@@ -129,7 +176,7 @@
 /// Running RPC server.
 pub struct RpcServer {
     clients: Rc<HttpServer<RpcFront>>,
-    accepting: tokio::task::JoinHandle<()>,
+    accepting: JoinHandle<()>,
 }
 
 impl RpcServer {
@@ -144,12 +191,28 @@
 /// # Errors
 /// Returns `Configuration` if the process cannot listen on the address.
 pub fn serve(address: SocketAddr, handler: Handler) -> Result<RpcServer, RpcError> {
+    start(address, RpcFront { handler, address, turns: None })
+}
+
+/// Starts a server that counts the time for which this process stood still towards the age of requests.
+///
+/// # Errors
+/// Returns `Configuration` if the process cannot listen on the address.
+pub fn serve_recording_turns(
+    address: SocketAddr,
+    handler: Handler,
+    turns: &TurnRecorder,
+) -> Result<RpcServer, RpcError> {
+    start(address, RpcFront { handler, address, turns: Some(turns.clone()) })
+}
+
+fn start(address: SocketAddr, front: RpcFront) -> Result<RpcServer, RpcError> {
     let listener = listen(address).map_err(|error| {
         RpcError::new(ErrorKind::Configuration, format!("cannot listen on {address}: {error}"))
     })?;
     let mut limits = ClientLimits::new(MAX_CONNECTIONS);
     limits.receive_timeout = request_timeout();
-    let clients = HttpServer::new(Rc::new(RpcFront { handler }), limits);
+    let clients = HttpServer::new(Rc::new(front), limits);
     let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
     Ok(RpcServer { clients, accepting })
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -26,7 +26,8 @@
 pub use request_body::{BodyError, RemainingBody, RequestBody};
 pub use send_guard::SendGuard;
 pub use server::{
-    listen, ClientLimits, HttpServer, IncomingRequest, RequestGuard, RequestHandler, RECEIVE_TIMEOUT,
+    listen, ClientLimits, HttpServer, IncomingRequest, PrecedingEvent, RequestGuard, RequestHandler,
+    RECEIVE_TIMEOUT,
 };
 pub use server_list::{ListedServer, ListedServerState, ServerListUpdate};
 pub use stall::{StallTimer, Stalled};
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -120,6 +120,8 @@
     pub peer_ip: Arc<str>,
     /// Time at which its first byte was received.
     pub started_at: Instant,
+    /// Last event on the connection before it.
+    pub preceding_event: PrecedingEvent,
     /// The server is shutting down.
     pub shutting_down: bool,
     /// Error in the framing of the request, for which it must be rejected. Only checked with
@@ -129,6 +131,16 @@
     pub guard: RequestGuard,
 }
 
+/// Last event on a connection before a request. A client that does not pipeline sent the request after it, so the event bounds
+/// the request's age even if the request was held up on its way or waited while this process stood still.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PrecedingEvent {
+    /// The connection was accepted. It may have been established earlier.
+    Accepted(Instant),
+    /// The previous request was handled; its response was sent afterwards.
+    Responded(Instant),
+}
+
 /// Guard of a request that is in progress on its connection. Dropping it marks the request as ended.
 pub struct RequestGuard(Rc<Client>);
 
@@ -143,6 +155,7 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.0.requests.set(self.0.requests.get().saturating_add(1));
+        self.0.preceding_event.set(PrecedingEvent::Responded(Instant::now()));
         self.0.enter(Phase::Idle);
     }
 }
@@ -178,6 +191,7 @@
     since: Cell<Instant>,
     /// Number of requests that have ended.
     requests: Cell<u32>,
+    preceding_event: Cell<PrecedingEvent>,
     /// Notified when the connection is to be closed as soon as it has no open request.
     close: Notify,
     /// The connection is being closed to make room.
@@ -374,6 +388,7 @@
             phase: Cell::new(Phase::Idle),
             since: Cell::new(Instant::now()),
             requests: Cell::new(0),
+            preceding_event: Cell::new(PrecedingEvent::Accepted(Instant::now())),
             close: Notify::new(),
             is_closing: Cell::new(false),
             framing_results: RefCell::default(),
@@ -403,6 +418,7 @@
                     peer,
                     peer_ip,
                     started_at,
+                    preceding_event: client.preceding_event.get(),
                     shutting_down,
                     framing_error,
                     guard: RequestGuard(client),
--- a/crates/time/src/lib.rs
+++ b/crates/time/src/lib.rs
@@ -13,6 +13,10 @@
 //! assert_eq!(deadline.millis_since(started), 250.0);
 //! ```
 
+mod arrival;
+
+pub use arrival::ArrivalClock;
+
 use std::cmp::Ordering;
 use std::ops::{Add, Sub};
 use std::time::{Duration, Instant};
