An order on a zone that changes nothing is written before it is acknowledged

What callers saw: nothing yet; found while asking who else believes a given-up order to be gone. With the zone evacuated, an order to take that back is accepted by one store, which is cut off. The operator gives it up and evacuates the zone again at another store: it is so already, so this was acknowledged without a write. The first order is recovered later, and undoes it.

Cause: a round without items ends after its promises, and leaves lower proposals to be recovered.

Change: a round with an order on a zone is proposed even if it changes nothing, so every lower proposal is superseded once it is chosen. It costs a write at a quorum for an order that is repeated.

--- a/crates/config-store/src/proposer.rs
+++ b/crates/config-store/src/proposer.rs
@@ -156,7 +156,7 @@
             return self.prepare_also(now, preparation, other);
         }
         let commands = self.evaluate_commands(now, preparation.since, &promised_by, &mut draft);
-        if draft.items.is_empty() && !is_recovery {
+        if draft.items.is_empty() && !is_recovery && !Self::contains_zone_order(&commands) {
             return self.complete_without_items(now, preparation.since, commands);
         }
         self.start_accepting(now, preparation, draft, commands);
@@ -200,6 +200,13 @@
         self.send_prepares(now, ballot, joining_members);
     }
 
+    /// Returns whether the commands include an order on a zone. Such a round is proposed even if it changes nothing: an
+    /// opposite order accepted earlier by a few acceptors could be recovered otherwise, and come into force after this one
+    /// is acknowledged.
+    fn contains_zone_order(commands: &[EvaluatedCommand]) -> bool {
+        commands.iter().any(|evaluated| matches!(evaluated.pending.command, Command::DrainZone { .. }))
+    }
+
     /// Ends a round that changes nothing. Its result reflects the time at which the promises were given. A command that
     /// arrived after the round began may be newer than the promises, so it waits for the next round.
     fn complete_without_items(&mut self, now: Timestamp, start: Timestamp, commands: Vec<EvaluatedCommand>) {
--- a/crates/config-store/tests/fleet/zone_orders.rs
+++ b/crates/config-store/tests/fleet/zone_orders.rs
@@ -64,6 +64,36 @@
     assert!(exercised > 50, "the order was sent elsewhere and reverted {exercised} times only");
 }
 
+/// Guards against an order that was accepted somewhere but not chosen, and is recovered after a later order, which changed
+/// nothing, was acknowledged.
+#[test]
+fn acknowledged_order_that_changes_nothing_supersedes_earlier_ones() {
+    for seed in 0..100 {
+        let mut cluster = Cluster::founded(seed, Defect::None);
+        assert!(order_and_wait(&mut cluster, 2, true), "seed {seed}");
+        cluster.advance(1_000.0);
+        // The end of the drain is accepted by its proposer alone, which is then cut off.
+        cluster.submit(0, order(false));
+        while !cluster.has_accepted(0) && cluster.now < 60_000.0 {
+            cluster.advance(1.0);
+        }
+        cluster.isolate(&[0]);
+        if (1..6).any(|n| cluster.has_accepted(n)) || !is_drained(&cluster, 2) {
+            continue;
+        }
+        cluster.advance(OPERATOR_TIMEOUT);
+        // The operator changes its mind: the zone shall stay drained.
+        assert!(order_and_wait(&mut cluster, 2, true), "seed {seed}");
+        cluster.advance(1_000.0);
+        cluster.blocked_links.clear();
+        cluster.advance(6_000.0);
+        assert!(
+            (0..6).all(|n| is_drained(&cluster, n)),
+            "seed {seed}: an order that was given up came into force"
+        );
+    }
+}
+
 /// An order that is sent again after its answer was lost is acknowledged, at the same store and at another one.
 #[test]
 fn order_sent_again_after_a_lost_answer_is_acknowledged() {
