--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -52,7 +52,7 @@
     /// Address for client requests; `None` if it serves no clients.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub http: Option<SocketAddr>,
-    /// `true` if it is ready to serve.
+    /// `true` if it is ready to serve; for a registry, if it can acquire the coordinator role.
     #[serde(default)]
     pub ready: bool,
     /// `true` if it is shutting down.
--- a/crates/registry/src/coordinator.rs
+++ b/crates/registry/src/coordinator.rs
@@ -16,6 +16,10 @@
 const ACQUISITION_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Pause after a failed acquisition.
 const ACQUISITION_BACKOFF: Duration = Duration::from_millis(300);
+/// Time of failed acquisitions after which a registry is not ready for the role, so that another one requests it.
+const READINESS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time after the last failed acquisition after which a registry that was not ready tries again.
+const READINESS_BACKOFF: Duration = Duration::from_millis(5_000);
 
 /// State of the role at one registry.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -38,28 +42,45 @@
     own_ip: Ipv4Addr,
     started_at: Option<Timestamp>,
     state: RoleState,
+    /// Failed acquisitions since the last granted one.
+    failures: Option<FailedAcquisitions>,
+}
+
+/// Acquisitions that failed in a row.
+#[derive(Clone, Copy, Debug)]
+struct FailedAcquisitions {
+    first_at: Timestamp,
+    last_at: Timestamp,
 }
 
 impl Coordinator {
     /// Creates the state of a registry that has not requested the role.
     pub fn new(own_ip: Ipv4Addr) -> Self {
         let state = RoleState::NotHeld { retry_at: Timestamp::DISTANT_PAST };
-        Self { own_ip, started_at: None, state }
+        Self { own_ip, started_at: None, state, failures: None }
+    }
+
+    /// Returns whether this registry can acquire the role as far as it knows. Its acquisitions may fail while it is live, for
+    /// example because its machine's store is not a member or cannot write its disk.
+    pub fn is_ready(&self, now: Timestamp) -> bool {
+        self.failures.is_none_or(|failures| {
+            now < failures.first_at + READINESS_TIMEOUT || now > failures.last_at + READINESS_BACKOFF
+        })
     }
 
     /// Returns whether the registry should request the role now, and records the request.
     ///
-    /// The first live registry by address should hold the role. An epoch held by an earlier incarnation of this registry does
-    /// not count. `store_members` are the machines of the store's members.
+    /// The first candidate should hold the role. An epoch held by an earlier incarnation of this registry does not count.
+    /// `store_members` are the machines of the store's members.
     pub fn should_acquire(
         &mut self,
         now: Timestamp,
         items: &Items,
-        live_registries: &[Ipv4Addr],
+        candidates: &[Ipv4Addr],
         store_members: &[Ipv4Addr],
     ) -> bool {
         let started_at = *self.started_at.get_or_insert(now);
-        let is_first = live_registries.first() == Some(&self.own_ip);
+        let is_first = candidates.first() == Some(&self.own_ip);
         // During discovery only the first of all store members can be sure that no other registry comes before it.
         let is_first_member =
             store_members.contains(&self.own_ip) && store_members.iter().all(|member| *member >= self.own_ip);
@@ -84,6 +105,7 @@
         }
         let is_in_time = now <= requested_at + ACQUISITION_TIMEOUT;
         self.state = if is_in_time {
+            self.failures = None;
             RoleState::Held { epoch, writes: 0 }
         } else {
             RoleState::NotHeld { retry_at: now }
@@ -94,9 +116,16 @@
     pub fn handle_failure(&mut self, requested_at: Timestamp, now: Timestamp) {
         if self.state == (RoleState::Acquiring { since: requested_at }) {
             self.state = RoleState::NotHeld { retry_at: now + ACQUISITION_BACKOFF };
+            self.record_failure(now);
         }
     }
 
+    fn record_failure(&mut self, now: Timestamp) {
+        let is_recent = |failures: &FailedAcquisitions| now <= failures.last_at + READINESS_BACKOFF;
+        let first_at = self.failures.filter(is_recent).map_or(now, |failures| failures.first_at);
+        self.failures = Some(FailedAcquisitions { first_at, last_at: now });
+    }
+
     /// Returns the epoch under which the role is held, or was held until a higher epoch appeared; 0 without one.
     pub fn epoch(&self) -> u64 {
         match self.state {
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -88,8 +88,41 @@
     /// Returns whether the registry should request the coordinator role now. `store_members` are the machines of the store's
     /// members.
     pub fn should_acquire_role(&mut self, now: Timestamp, items: &Items, store_members: &[Ipv4Addr]) -> bool {
-        let registries = self.live_registries(items);
-        self.coordinator.should_acquire(now, items, &registries, store_members)
+        let candidates = self.role_candidates(now, items, store_members);
+        self.coordinator.should_acquire(now, items, &candidates, store_members)
+    }
+
+    /// Returns the registries that may hold the coordinator role, in order: those that can acquire it as far as they know. A
+    /// registry that is merely live must not keep the others from the role.
+    fn role_candidates(&self, now: Timestamp, items: &Items, store_members: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+        let live = self.live_registries(items);
+        let unready = self.unready_registries(now, items);
+        let is_ready = |registry: &Ipv4Addr| !unready.contains(registry);
+        let is_member = |registry: &Ipv4Addr| store_members.contains(registry);
+        let select = |condition: &dyn Fn(&Ipv4Addr) -> bool| -> Vec<Ipv4Addr> {
+            live.iter().copied().filter(condition).collect()
+        };
+        let by_preference = [
+            select(&|registry| is_member(registry) && is_ready(registry)),
+            select(&is_ready),
+            select(&is_member),
+        ];
+        by_preference.into_iter().find(|candidates| !candidates.is_empty()).unwrap_or(live)
+    }
+
+    /// Returns the registries that are not ready for the coordinator role: the others by their own word, and this one as of
+    /// now.
+    fn unready_registries(&self, now: Timestamp, items: &Items) -> Vec<Ipv4Addr> {
+        let nodes = Node::all(items, Role::Registry).into_iter().filter(|node| !node.ready);
+        let mut unready: Vec<Ipv4Addr> = nodes.map(|node| node.ip).collect();
+        unready.retain(|registry| *registry != self.own_ip);
+        unready.extend((!self.is_ready(now)).then_some(self.own_ip));
+        unready
+    }
+
+    /// Returns whether this registry can acquire the coordinator role as far as it knows. Its node item tells the others.
+    pub fn is_ready(&self, now: Timestamp) -> bool {
+        self.coordinator.is_ready(now)
     }
 
     /// Handles the epoch granted for the acquisition requested at `requested_at`.
--- a/crates/registry/src/service/heartbeats.rs
+++ b/crates/registry/src/service/heartbeats.rs
@@ -57,6 +57,16 @@
         }
     }
 
+    /// Publishes whether this registry is ready for the coordinator role, if that has changed.
+    pub fn publish_readiness(self: &Rc<Self>) {
+        let is_ready = self.registry.borrow().is_ready(self.now());
+        if self.is_ready.replace(is_ready) != is_ready {
+            tracing::info!(is_ready, "readiness for the coordinator role changed");
+            self.version.set(self.version.get() + 1);
+            self.send_heartbeat();
+        }
+    }
+
     /// Notifies the watchers that this registry is shutting down.
     pub fn announce_shutdown(self: &Rc<Self>) {
         self.is_leaving.set(true);
--- a/crates/registry/src/service/node.rs
+++ b/crates/registry/src/service/node.rs
@@ -32,6 +32,8 @@
     /// Version of its own item.
     pub version: Cell<u64>,
     pub is_leaving: Cell<bool>,
+    /// Readiness for the coordinator role, as last published.
+    pub is_ready: Cell<bool>,
     /// Quota allocator of the last epoch in which shares were granted here.
     pub allocator: RefCell<Option<QuotaAllocator>>,
     clock: MonotonicClock,
@@ -50,6 +52,7 @@
             replica: StateReplica::new(fastrand::u64(1..)),
             version: Cell::new(1),
             is_leaving: Cell::new(false),
+            is_ready: Cell::new(true),
             allocator: RefCell::default(),
             clock: MonotonicClock::start(),
             last_responses: RefCell::default(),
@@ -90,7 +93,7 @@
             zone: self.settings.az.clone(),
             region: self.settings.region.clone(),
             http: None,
-            ready: true,
+            ready: self.is_ready.get(),
             leaving: self.is_leaving.get(),
             lost: false,
         }
--- a/crates/registry/src/service/ticks.rs
+++ b/crates/registry/src/service/ticks.rs
@@ -22,6 +22,7 @@
             }
             self.update_soft_state();
             self.acquire_role_if_due();
+            self.publish_readiness();
             let own_version = self.replica.items().version(Table::Nodes, &self.own_node().name());
             self.exceed_version(own_version);
         }
