--- a/crates/ivygate/tests/sidecar_pools.rs
+++ b/crates/ivygate/tests/sidecar_pools.rs
@@ -46,8 +46,9 @@
     assert_eq!((answer.status(), total_seen(&apps)), (502, 1));
 }
 
+/// A server may begin to work on an order as soon as it has its head.
 #[test]
-fn order_is_retried_if_the_connection_fails_before_its_last_byte() {
+fn order_is_not_retried_once_a_byte_of_it_was_sent() {
     // A small receive buffer, so that a large body cannot be written completely to a server that does not read.
     let listener =
         socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
@@ -72,7 +73,7 @@
     let parts = [pool("app", extra, &[(address, "north")]), route("app", "order")];
     let sidecar = Sidecar::with(&parts);
     let answer = sidecar.post("/app", "", &"x".repeat(16 << 20));
-    assert_eq!((answer.status(), app.accepted(), complete.load(Ordering::SeqCst)), (200, 2, 1));
+    assert_eq!((answer.status(), app.accepted(), complete.load(Ordering::SeqCst)), (502, 1, 0));
 }
 
 #[test]
--- a/crates/runtime/src/driver/attempts.rs
+++ b/crates/runtime/src/driver/attempts.rs
@@ -2,11 +2,11 @@
 
 use super::timers::{Timer, TimerKey};
 use super::{Driver, FinalResponse, State};
-use crate::request_body::SendProgress;
 use crate::server_list::ListedServerState;
 use crate::upstream::{AttemptEnd, AttemptProgress};
 use ivygate_gateway::{AttemptResult, Event, Outcome, RequestId, ServerId};
 use ivygate_time::{Millis, Timestamp};
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::task::AbortHandle;
 
@@ -60,9 +60,9 @@
                     }
                 }
                 let name = known.map(|(_, name)| name).unwrap_or_default();
-                let request = |progress: &Rc<SendProgress>| {
+                let request = |source_failed: &Rc<Cell<bool>>| {
                     let time_left = driver.time_left_to_send(server, give_up_at);
-                    time_left.map(|time_left| outgoing.for_attempt(time_left, &name, progress))
+                    time_left.map(|time_left| outgoing.for_attempt(time_left, &name, source_failed))
                 };
                 driver.wait_for_resume().await;
                 let end = match address {
@@ -110,8 +110,8 @@
     ) {
         let Some(attempt) = state.running_attempt(id, number) else { return };
         attempt.task.abort();
-        // A request that was not written completely cannot have run, so it may be sent again or refused even
-        // if it must not run twice.
+        // A request of which no byte was written cannot have run, so it may be sent again or rejected even if it
+        // must not run twice.
         let outcome = if attempt.progress.may_have_run() { outcome } else { Outcome::NeverSent };
         self.apply_attempt_end(state, id, number, AttemptEnd::without_response(outcome), now);
     }
--- a/crates/runtime/src/driver/messages.rs
+++ b/crates/runtime/src/driver/messages.rs
@@ -1,6 +1,6 @@
 //! Requests, final responses, and the recorder of attempts.
 
-use crate::request_body::{AttemptBody, RequestBody, SendProgress};
+use crate::request_body::{AttemptBody, RequestBody};
 use crate::streamed::Streamed;
 use crate::upstream::ServerResponse;
 use bytes::Bytes;
@@ -8,6 +8,7 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use ivygate_gateway::{RejectReason, RequestId, Zones};
 use ivygate_time::{Millis, Timestamp};
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -72,9 +73,9 @@
         &self,
         time_left: Millis,
         server: &str,
-        progress: &Rc<SendProgress>,
+        source_failed: &Rc<Cell<bool>>,
     ) -> Request<AttemptBody> {
-        let mut request = Request::new(self.body.for_attempt(progress));
+        let mut request = Request::new(self.body.for_attempt(source_failed));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
--- a/crates/runtime/src/request_body.rs
+++ b/crates/runtime/src/request_body.rs
@@ -80,37 +80,25 @@
 
     /// Returns the body for one attempt. The remaining part comes back if the attempt ends before it has
     /// polled it.
-    pub(crate) fn for_attempt(self: &Rc<Self>, progress: &Rc<SendProgress>) -> AttemptBody {
-        let body = AttemptBody {
+    pub(crate) fn for_attempt(self: &Rc<Self>, source_failed: &Rc<Cell<bool>>) -> AttemptBody {
+        AttemptBody {
             buffered: self.buffered.clone(),
             trailers: self.trailers.clone(),
             remaining: self.remaining.borrow_mut().take(),
             source: self.clone(),
-            progress: progress.clone(),
-        };
-        if body.is_end_stream() {
-            progress.is_complete.set(true);
+            source_failed: source_failed.clone(),
         }
-        body
     }
 }
 
-/// Progress of handing a body over for writing.
-#[derive(Default)]
-pub(crate) struct SendProgress {
-    /// The last frame has been handed over.
-    pub is_complete: Cell<bool>,
-    /// Receiving the body failed, which is no fault of the server.
-    pub source_failed: Cell<bool>,
-}
-
 /// Body of one attempt.
 pub(crate) struct AttemptBody {
     buffered: Bytes,
     trailers: Option<HeaderMap>,
     remaining: Option<RemainingBody>,
     source: Rc<RequestBody>,
-    progress: Rc<SendProgress>,
+    /// Set once receiving the body from the client has failed.
+    source_failed: Rc<Cell<bool>>,
 }
 
 impl Body for AttemptBody {
@@ -124,20 +112,16 @@
         let this = &mut *self;
         if !this.buffered.is_empty() {
             let data = this.buffered.split_to(this.buffered.len().min(MAX_FRAME_BYTES));
-            this.progress.is_complete.set(this.is_end_stream());
             return Poll::Ready(Some(Ok(Frame::data(data))));
         }
         if let Some(remaining) = &mut this.remaining {
             this.source.is_consumed.set(true);
             let frame = std::task::ready!(remaining.as_mut().poll_frame(cx));
-            match &frame {
-                Some(Ok(_)) => this.progress.is_complete.set(remaining.is_end_stream()),
-                Some(Err(_)) => this.progress.source_failed.set(true),
-                None => this.progress.is_complete.set(true),
+            if matches!(frame, Some(Err(_))) {
+                this.source_failed.set(true);
             }
             return Poll::Ready(frame);
         }
-        this.progress.is_complete.set(true);
         Poll::Ready(this.trailers.take().map(|trailers| Ok(Frame::trailers(trailers))))
     }
 
--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to app servers, and attempts on them. Each connection carries one request at a time.
 
 use crate::clock::duration_from_millis;
-use crate::request_body::{AttemptBody, SendProgress};
+use crate::request_body::AttemptBody;
 use crate::streamed::Streamed;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -120,22 +120,28 @@
 pub struct AttemptProgress {
     /// Number of bytes written to its connection, and that number before this attempt.
     written: RefCell<Option<(Rc<Cell<u64>>, u64)>>,
-    /// Progress of handing over its body.
-    pub(crate) body: Rc<SendProgress>,
+    /// Receiving its body from the client failed, which is no fault of the server.
+    pub(crate) source_failed: Rc<Cell<bool>>,
     /// Its start has been recorded.
     pub(crate) is_recorded: Cell<bool>,
 }
 
 impl AttemptProgress {
-    /// Returns whether the request may have run: its body has been handed over completely, and some byte has
-    /// been written since the attempt began.
+    /// Returns whether the request may have run: some byte of it has been written. A server may begin to work on
+    /// a request as soon as it has the head, so how much of the body has been written proves nothing.
     pub fn may_have_run(&self) -> bool {
-        self.body.is_complete.get() && self.has_written()
+        self.written.borrow().as_ref().is_some_and(|(written, before)| written.get() > *before)
     }
 
-    /// Returns whether any byte has been written since the attempt began.
-    fn has_written(&self) -> bool {
-        self.written.borrow().as_ref().is_some_and(|(written, before)| written.get() > *before)
+    /// Returns the outcome if the connection is lost without a response.
+    fn outcome_of_lost_connection(&self) -> Outcome {
+        match (self.may_have_run(), self.source_failed.get()) {
+            (true, false) => Outcome::Reset,
+            // The client failed to send its body, which does not count against the server's health.
+            (true, true) => Outcome::Unusable,
+            (false, true) => Outcome::NeverSent,
+            (false, false) => Outcome::ConnectFailed,
+        }
     }
 
     fn begin(&self, written: &Rc<Cell<u64>>) {
@@ -361,7 +367,7 @@
         progress: &AttemptProgress,
         at_most_once: bool,
         sent_before: bool,
-        request: impl Fn(&Rc<SendProgress>) -> Option<Request<AttemptBody>>,
+        request: impl Fn(&Rc<Cell<bool>>) -> Option<Request<AttemptBody>>,
     ) -> AttemptEnd {
         loop {
             // A request that must not run twice takes a new connection if servers close idle connections
@@ -379,7 +385,7 @@
             };
             // The request is asked for only now, since meanwhile the client may have left, the server may be
             // draining, or the time may be up.
-            let Some(request) = request(&progress.body) else {
+            let Some(request) = request(&progress.source_failed) else {
                 return AttemptEnd::without_response(Outcome::NeverSent);
             };
             progress.begin(&connection.written);
@@ -392,14 +398,12 @@
             let outcome = match result {
                 Ok(end) => return end,
                 Err(ExchangeError::InvalidResponse) => Outcome::Unusable,
-                // The client failed to send its body, which is no fault of the server: it never had the
-                // complete request.
-                Err(ExchangeError::ConnectionLost) if progress.body.source_failed.get() => Outcome::NeverSent,
-                Err(ExchangeError::ConnectionLost) if progress.may_have_run() => Outcome::Reset,
-                // Not a byte was written, so another connection does not send the request a second time.
-                Err(ExchangeError::ConnectionLost) if is_reused && !progress.has_written() => continue,
-                Err(ExchangeError::ConnectionLost) => Outcome::ConnectFailed,
+                Err(ExchangeError::ConnectionLost) => progress.outcome_of_lost_connection(),
             };
+            if is_reused && outcome == Outcome::ConnectFailed {
+                // Not a byte was written, so another connection does not send the request a second time.
+                continue;
+            }
             return AttemptEnd::without_response(outcome);
         }
     }
--- a/crates/runtime/tests/peers.rs
+++ b/crates/runtime/tests/peers.rs
@@ -3,12 +3,14 @@
 
 mod stub;
 
-use ivygate_test_servers::{read_message, reset_on_close, wait_until, ScriptedServer};
-use std::io::{BufReader, Write};
+use ivygate_test_servers::{read_head, read_message, reset_on_close, wait_until, ScriptedServer};
+use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::Mutex;
 use std::time::Duration;
-use stub::{attempt_id, driver, response, send, send_with_timeout, serve, status_and_id, Runs, SEAL_HEADER};
+use stub::{
+    attempt_id, driver, response, send, send_body, send_with_timeout, serve, status_and_id, Runs, SEAL_HEADER,
+};
 
 const NOT_RUN_HEADER: &str = "Ivygate-Not-Run: full\r\n";
 
@@ -246,6 +248,47 @@
     }
 }
 
+/// Sends an unsafe request with a body that is larger than all buffers, to a server that runs it from the first part of the
+/// body and then runs `end`. Returns the status for the client and how often the request ran.
+fn run_before_the_body_is_complete(end: fn(&mut BufReader<TcpStream>)) -> (u16, usize) {
+    const BODY_BYTES: usize = 32 << 20;
+    const FIRST_PART_BYTES: usize = 256 << 10;
+    const TIMEOUT_MS: f64 = 1_500.0;
+    let runs = Runs::default();
+    let ran = runs.clone();
+    let server = ScriptedServer::start(move |stream, number| {
+        if number > 0 {
+            return serve(stream, &ran);
+        }
+        let head = read_head(stream).expect("a request");
+        stream.read_exact(&mut vec![0; FIRST_PART_BYTES]).expect("a part of the body");
+        ran.add(&attempt_id(&head));
+        end(stream);
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let (status, _) = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let driver = driver(server.address);
+        status_and_id(&send_body(&driver, "once", "a", vec![b'x'; BODY_BYTES].into(), TIMEOUT_MS).await)
+    });
+    (status, runs.count("a"))
+}
+
+/// Guards against sending an upload to a second server after the first one ran it before the whole body had come, and its
+/// response was lost (review/4).
+#[test]
+fn unsafe_request_that_runs_before_its_body_is_complete_is_not_retried_after_a_reset() {
+    let outcome = run_before_the_body_is_complete(|stream| reset_on_close(stream.get_ref()));
+    assert_eq!(outcome, (502, 1));
+    assert_eq!(run_before_the_body_is_complete(|_| {}), (502, 1), "after a close");
+}
+
+/// Guards against promising that an upload did not run although a server was working on it when the time was up (review/5).
+#[test]
+fn unsafe_request_that_runs_before_its_body_is_complete_is_not_rejected_after_a_timeout() {
+    let outcome = run_before_the_body_is_complete(|_| std::thread::sleep(Duration::from_secs(3)));
+    assert_eq!(outcome, (504, 1));
+}
+
 #[test]
 fn safe_request_is_retried_and_gets_its_own_response() {
     let scripts: [Script; 4] = [
--- a/crates/runtime/tests/stub/mod.rs
+++ b/crates/runtime/tests/stub/mod.rs
@@ -103,6 +103,17 @@
 
 /// Sends a request of a client that waits for `timeout`.
 pub async fn send_with_timeout(driver: &Rc<Driver>, class: &str, id: &str, timeout: Millis) -> FinalResponse {
+    send_body(driver, class, id, Bytes::from_static(b"body"), timeout).await
+}
+
+/// Sends a request with a body, of a client that waits for `timeout`.
+pub async fn send_body(
+    driver: &Rc<Driver>,
+    class: &str,
+    id: &str,
+    body: Bytes,
+    timeout: Millis,
+) -> FinalResponse {
     let mut headers = HeaderMap::new();
     headers.insert("host", HeaderValue::from_static("h"));
     headers.insert(ATTEMPT_ID, HeaderValue::from_str(id).expect("a value"));
@@ -122,7 +133,7 @@
         method: Method::POST,
         uri: "/a/b".parse().expect("a path"),
         headers,
-        body: Rc::new(RequestBody::buffered(Bytes::from_static(b"body"))),
+        body: Rc::new(RequestBody::buffered(body)),
         set_attempt_headers: None,
     };
     let deadline = driver.now().plus_millis(timeout);
