--- a/crates/control-state/src/config.rs
+++ b/crates/control-state/src/config.rs
@@ -20,6 +20,8 @@
     pub backends: HashMap<String, Backend>,
     /// Limits on clients, if set.
     pub limits: Option<ClientLimits>,
+    /// `true` if a tenant is configured or was at any time. Removed tenants leave tombstones, which are durable.
+    pub has_had_tenants: bool,
 }
 
 fn parse_table<T: serde::de::DeserializeOwned + Validate>(
@@ -40,6 +42,7 @@
             tenants: parse_table(items, Table::Tenants)?,
             backends: parse_table(items, Table::Backends)?,
             limits: parse_table(items, Table::Limits)?.into_values().next(),
+            has_had_tenants: items.all(Table::Tenants.set()).next().is_some(),
         })
     }
 }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -19,7 +19,7 @@
 /// Client request resolved against one version of the configuration.
 pub(crate) struct ParsedRequest {
     pub route: Rc<ResolvedRoute>,
-    /// Tenant of the request; `None` on a public route without a key, and if no tenants are configured.
+    /// Tenant of the request; `None` on a public route without a key, and if there was never a tenant.
     pub tenant: Option<Rc<ResolvedTenant>>,
     pub attempt_id: String,
     /// Time for which the client waits for the response, in milliseconds.
@@ -59,14 +59,15 @@
     route.cloned().ok_or_else(|| Rejection::new(StatusCode::NOT_FOUND, "no route is for this"))
 }
 
-/// Returns the tenant of a request by its API key. No key is needed on public routes or if no tenants are configured.
+/// Returns the tenant of a request by its API key. No key is needed on public routes, or if there was never a tenant: once the
+/// last one is removed, routes that are not public take no requests.
 fn authenticate(
     snapshot: &RoutingSnapshot,
     route: &ResolvedRoute,
     headers: &HeaderMap,
 ) -> Result<Option<Rc<ResolvedTenant>>, Rejection> {
     let unknown_key = || Rejection::new(StatusCode::UNAUTHORIZED, "the key is not known");
-    if !snapshot.has_tenants {
+    if !snapshot.requires_keys {
         return Ok(None);
     }
     let key = single_value(headers, API_KEY.as_str()).map_err(|_| unknown_key())?;
--- a/crates/proxy/src/routing_snapshot.rs
+++ b/crates/proxy/src/routing_snapshot.rs
@@ -41,8 +41,8 @@
     /// Routes by host, the longest prefix first.
     routes: HashMap<String, Vec<Rc<ResolvedRoute>>>,
     tenants_by_key: HashMap<String, Rc<ResolvedTenant>>,
-    /// `true` if any tenants are configured.
-    pub has_tenants: bool,
+    /// `true` if requests on routes that are not public need the key of a tenant.
+    pub requires_keys: bool,
     /// Configuration of this version.
     pub config: Config,
 }
@@ -105,7 +105,7 @@
                 tenants_by_key.insert(key.clone(), resolved.clone());
             }
         }
-        Self { routes, tenants_by_key, has_tenants: !config.tenants.is_empty(), config }
+        Self { routes, tenants_by_key, requires_keys: config.has_had_tenants, config }
     }
 
     /// Finds the route of a request, which is the one of its host with the longest matching path prefix.
--- a/crates/proxy/tests/resending.rs
+++ b/crates/proxy/tests/resending.rs
@@ -7,11 +7,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use stub::{client, encode_response, id, request, server, start_proxy, write, Runs, SEALED};
+use stub::{client, control_state, encode_response, id, request, server, start_proxy, write, Runs, SEALED};
 
 /// Starts a proxy in front of a server and returns its address for clients.
 fn proxy(server: SocketAddr) -> SocketAddr {
-    start_proxy(server, &["retryRatio=1.0", "retryExtra=100"], Arc::default())
+    start_proxy(control_state(server), &["retryRatio=1.0", "retryExtra=100"], Arc::default())
 }
 
 #[test]
--- a/crates/proxy/tests/staleness.rs
+++ b/crates/proxy/tests/staleness.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use stub::{client, encode_response, request, server, start_proxy, SEALED};
+use stub::{client, control_state, encode_response, request, server, start_proxy, SEALED};
 
 const BOUND: Duration = Duration::from_millis(2_500);
 const BOUNDS: [&str; 4] = ["retryRatio=1.0", "retryExtra=100", "evacS=2.5", "applyS=3.0"];
@@ -15,7 +15,7 @@
 fn proxy_without_contact_within_the_bound_sends_nothing_to_servers() {
     let is_silent = Arc::new(AtomicBool::new(false));
     let (server, runs) = server(|id, _| (encode_response("200 OK", id, SEALED), false));
-    let proxy = start_proxy(server.address, &BOUNDS, is_silent.clone());
+    let proxy = start_proxy(control_state(server.address), &BOUNDS, is_silent.clone());
     assert_eq!(client(proxy).ask(&request("often", "before")).status(), 200);
     is_silent.store(true, Ordering::SeqCst);
     let silent_since = Instant::now();
--- a/crates/proxy/tests/stub/mod.rs
+++ b/crates/proxy/tests/stub/mod.rs
@@ -21,12 +21,12 @@
     Ipv4Addr::new(127, 64 | high & 63, low, number)
 }
 
-fn item(table: Table, name: &str, body: serde_json::Value) -> Arc<Item> {
+pub fn item(table: Table, name: &str, body: serde_json::Value) -> Arc<Item> {
     Arc::new(Item::new(table, name, 1, Some(body)))
 }
 
 /// Returns the control state of the stub registry: routes `/once/` and `/often/` of one service with one server.
-fn control_state(server: SocketAddr) -> Vec<Arc<Item>> {
+pub fn control_state(server: SocketAddr) -> Vec<Arc<Item>> {
     let route = |kind: &str, prefix: &str| {
         json!({"vhost": "h.example", "pathPrefix": prefix, "kind": kind, "backend": "s", "tries": 4,
                "timeoutS": 20, "targetS": 5, "public": true})
@@ -75,9 +75,9 @@
     let _ = serve(SocketAddr::from((ip, 7741)), handler).expect("it listens");
 }
 
-/// Starts a proxy in front of a server with the given bounds of the operating rules, and returns its address for clients. Its
+/// Starts a proxy with a control state and the given bounds of the operating rules, and returns its address for clients. Its
 /// registry does not answer while `is_silent`.
-pub fn start_proxy(server: SocketAddr, bounds: &[&str], is_silent: Arc<AtomicBool>) -> SocketAddr {
+pub fn start_proxy(items: Vec<Arc<Item>>, bounds: &[&str], is_silent: Arc<AtomicBool>) -> SocketAddr {
     let ip = own_address();
     let http = SocketAddr::from((ip, 7800));
     let text = json!({"hostname": "edge-1", "ip": ip, "az": "north", "region": "r",
@@ -87,7 +87,7 @@
     std::thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         tokio::task::LocalSet::new().block_on(&runtime, async {
-            registry(ip, control_state(server), is_silent);
+            registry(ip, items, is_silent);
             ivygate_proxy::run(settings).await.expect("it runs");
         });
     });
