--- a/crates/runtime/src/upstream.rs
+++ b/crates/runtime/src/upstream.rs
@@ -1,30 +1,33 @@
 //! Connections to app servers, and attempts on them. Each connection carries one request at a time.
 
+mod connection;
+mod platform;
+mod response;
+
+pub use connection::has_unread_input;
+pub(crate) use connection::ServerConnection;
+
 use crate::clock::duration_from_millis;
 use crate::request_body::AttemptBody;
 use crate::streamed::Streamed;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{Connection, SendRequest};
-use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use connection::{drive_while, CountingStream, OpenConnectionGuard};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use ivygate_gateway::{ConnectionSettings, Load, Outcome, ServerId};
 use ivygate_time::Millis;
-use serde::Deserialize;
-use socket2::SockRef;
+use platform::platform_attempt_end;
+use response::{read_response, ExchangeError};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::{poll_fn, Future};
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -40,10 +43,6 @@
 const RESET_RATE_WEIGHT: f64 = 0.05;
 /// From this rate of resets on, a request that must not run twice is sent on a new connection.
 const MAX_RESET_RATE: f64 = 0.04;
-/// Highest plausible usage, in percent; greater values are ignored as errors.
-const MAX_USAGE_PERCENT: f64 = 100_000.0;
-/// Highest plausible number of requests that a server reports to have; greater values are ignored as errors.
-const MAX_REPORTED_REQUESTS: f64 = 100_000.0;
 /// Idle timeout as a fraction of the server's: a request written while the server closes the connection ends
 /// in a reset.
 const IDLE_TIMEOUT_RATIO: f64 = 0.6;
@@ -54,9 +53,6 @@
 /// Connect timeout if the settings give none.
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-const API_USAGE: HeaderName = HeaderName::from_static("api-usage");
-const SRV_LOAD: HeaderName = HeaderName::from_static("srv-load");
-
 /// Result of an attempt.
 pub struct AttemptEnd {
     /// Outcome, as the response policy classifies it.
@@ -104,15 +100,6 @@
             response: None,
         }
     }
-
-    /// Reads the usage and load headers of a response. A malformed one is ignored: these are hints, and the
-    /// response itself is complete.
-    fn read_hints(&mut self, headers: &HeaderMap) {
-        let usage = headers.get(API_USAGE).and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse().ok());
-        self.metered_percent = usage.filter(|u: &f64| (0.0..=MAX_USAGE_PERCENT).contains(u));
-        let load = headers.get(SRV_LOAD).and_then(|v| serde_json::from_slice(v.as_bytes()).ok());
-        self.load = load.map_or_else(Load::default, LoadReport::load);
-    }
 }
 
 /// Progress of an attempt, which determines its outcome if it is given up.
@@ -251,55 +238,6 @@
     since: Instant,
 }
 
-/// A connection to a server. It is polled by its user, so nothing is left running when it is dropped.
-pub(crate) struct ServerConnection {
-    sender: SendRequest<AttemptBody>,
-    /// `None` once it has ended.
-    driver: Option<Connection<TokioIo<CountingStream>, AttemptBody>>,
-    written: Rc<Cell<u64>>,
-    /// No request is open, so any unread input is an error.
-    expects_silence: Rc<Cell<bool>>,
-    address: SocketAddr,
-    /// Idle timeout, by the limits and by the server's last `Keep-Alive` header.
-    idle_timeout: Duration,
-}
-
-impl ServerConnection {
-    /// Returns whether another request may be written: the server has not closed the connection, and all that
-    /// it has sent was read. Does not wait, and asks the system instead of tokio, whose readiness may be out
-    /// of date and whose task budget may be used up.
-    async fn is_reusable(&mut self) -> bool {
-        self.expects_silence.set(true);
-        let drive_once = poll_fn(|cx| {
-            self.drive(cx);
-            Poll::Ready(())
-        });
-        tokio::task::unconstrained(drive_once).await;
-        self.expects_silence.set(false);
-        self.is_ready()
-    }
-
-    /// Returns whether the connection is open and waits for a request.
-    pub(crate) fn is_ready(&self) -> bool {
-        self.is_open() && self.sender.is_ready()
-    }
-
-    /// Reads and writes without blocking.
-    pub(crate) fn drive(&mut self, cx: &mut Context<'_>) {
-        if let Some(driver) = &mut self.driver {
-            // An error also shows in the response.
-            if Pin::new(driver).poll(cx).is_ready() {
-                self.driver = None;
-            }
-        }
-    }
-
-    /// Returns whether the connection has not ended, as far as is known.
-    pub(crate) fn is_open(&self) -> bool {
-        self.driver.is_some()
-    }
-}
-
 impl Upstream {
     /// Creates an upstream without connections.
     pub fn new(limits: UpstreamLimits, response_policy: ResponsePolicy) -> Rc<Self> {
@@ -592,204 +530,5 @@
     matches!(error.raw_os_error(), Some(23 | 24))
 }
 
-/// Returns whether the peer has sent bytes that are still unread, or has closed its side. Asks the system,
-/// since tokio's readiness may be out of date.
-pub fn has_unread_input(stream: &TcpStream) -> bool {
-    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
-    !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-}
-
-/// Error for an exchange without a complete, valid response.
-enum ExchangeError {
-    /// The connection ended or failed.
-    ConnectionLost,
-    /// The response is malformed, too long or not allowed.
-    InvalidResponse,
-}
-
-impl From<hyper::Error> for ExchangeError {
-    fn from(error: hyper::Error) -> Self {
-        // hyper reports a malformed chunk as a body error whose source has one of these kinds.
-        let is_malformed = |error: &io::Error| {
-            matches!(error.kind(), io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput)
-        };
-        let source = std::error::Error::source(&error).and_then(|e| e.downcast_ref::<io::Error>());
-        if error.is_parse() || source.is_some_and(is_malformed) {
-            ExchangeError::InvalidResponse
-        } else {
-            ExchangeError::ConnectionLost
-        }
-    }
-}
-
-/// A response that has been received completely.
-struct BufferedResponse {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-/// Waits for a future that reads from a connection, and drives the connection meanwhile.
-async fn drive_while<T>(
-    connection: &mut ServerConnection,
-    mut reading: Pin<&mut impl Future<Output = T>>,
-) -> T {
-    poll_fn(|cx| {
-        if let Poll::Ready(output) = reading.as_mut().poll(cx) {
-            return Poll::Ready(output);
-        }
-        connection.drive(cx);
-        reading.as_mut().poll(cx)
-    })
-    .await
-}
-
-/// Reads a response completely.
-async fn read_response(
-    response: Response<Incoming>,
-    max_body_bytes: usize,
-) -> Result<BufferedResponse, ExchangeError> {
-    let (parts, body) = response.into_parts();
-    let has_length = parts.headers.contains_key(CONTENT_LENGTH);
-    let mut codings = parts.headers.get_all(TRANSFER_ENCODING).iter();
-    let is_chunked = codings.next().map(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"));
-    match is_chunked {
-        // Without a length or chunks, only the end of the connection would mark the end of the body. A
-        // truncated body would then look complete, since a server that dies ends the connection too.
-        None if !has_length && !body.is_end_stream() => return Err(ExchangeError::ConnectionLost),
-        None => {}
-        // With both a length and chunks, or several codings, the end of the body would be ambiguous.
-        Some(true) if !has_length && codings.next().is_none() => {}
-        Some(_) => return Err(ExchangeError::InvalidResponse),
-    }
-    // A change of protocol was not requested.
-    if parts.status.is_informational() || body.size_hint().lower() > max_body_bytes as u64 {
-        return Err(ExchangeError::InvalidResponse);
-    }
-    let body = Limited::new(body, max_body_bytes).collect().await.map_err(|error| {
-        match error.downcast::<hyper::Error>() {
-            Ok(error) => ExchangeError::from(*error),
-            // The body exceeds the maximum length.
-            Err(_) => ExchangeError::InvalidResponse,
-        }
-    })?;
-    Ok(BufferedResponse { status: parts.status, headers: parts.headers, body: body.to_bytes() })
-}
-
-/// Classifies a response of the platform's protocol.
-fn platform_attempt_end(response: BufferedResponse) -> AttemptEnd {
-    let headers = &response.headers;
-    let is_declined = headers.get("srv-declined").is_some_and(|v| v.as_bytes() == b"1");
-    let outcome = match response.status {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if is_declined => Outcome::Rejected,
-        // The request is at fault, not the server.
-        status if status.is_client_error() => Outcome::Unusable,
-        _ => Outcome::Error,
-    };
-    let mut end = AttemptEnd::without_response(outcome);
-    end.read_hints(headers);
-    end.content_type = headers.get(CONTENT_TYPE).cloned();
-    end.body = response.body;
-    end
-}
-
-/// The fields of a server's load report that are used.
-#[derive(Deserialize)]
-struct LoadReport {
-    inflight: Option<f64>,
-    queue: Option<f64>,
-    util: Option<f64>,
-    latency_ms: Option<f64>,
-}
-
-impl LoadReport {
-    fn load(self) -> Load {
-        let up_to = |v: Option<f64>, max: f64| v.filter(|v| (0.0..=max).contains(v));
-        Load {
-            in_flight: up_to(self.inflight, MAX_REPORTED_REQUESTS),
-            queue: up_to(self.queue, MAX_REPORTED_REQUESTS),
-            // Values somewhat above 1 are measurement noise.
-            utilization: up_to(self.util, 2.0),
-            service_time: up_to(self.latency_ms, f64::MAX),
-        }
-    }
-}
-
-/// Counts a connection as open until it is dropped.
-struct OpenConnectionGuard(Rc<Cell<usize>>);
-
-impl OpenConnectionGuard {
-    fn new(open_connections: &Rc<Cell<usize>>) -> Self {
-        open_connections.set(open_connections.get() + 1);
-        Self(open_connections.clone())
-    }
-}
-
-impl Drop for OpenConnectionGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// A stream that counts the bytes written to it, and rejects input while no request is open.
-struct CountingStream {
-    stream: TcpStream,
-    written: Rc<Cell<u64>>,
-    expects_silence: Rc<Cell<bool>>,
-    _open_guard: OpenConnectionGuard,
-}
-
-impl CountingStream {
-    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &written {
-            self.written.set(self.written.get() + *bytes as u64);
-        }
-        written
-    }
-}
-
-impl AsyncRead for CountingStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        // A surplus response may have arrived that tokio has not noticed yet.
-        if self.expects_silence.get() && has_unread_input(&self.stream) {
-            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
-        }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for CountingStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(written)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 #[cfg(test)]
 mod tests;
