--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -57,7 +57,7 @@
     limits.receive_timeout = REQUEST_TIMEOUT;
     limits.idle_timeout = IDLE_TIMEOUT;
     limits.idle_timeout_after_one = IDLE_TIMEOUT_AFTER_ONE;
-    limits.read_stall_timeout = Some(READ_STALL_TIMEOUT);
+    limits.read_stall_timeout = READ_STALL_TIMEOUT;
     limits
 }
 
--- a/crates/sidecar/src/operator.rs
+++ b/crates/sidecar/src/operator.rs
@@ -74,7 +74,7 @@
 pub fn limits() -> ClientLimits {
     ClientLimits {
         strict_head_bytes: Some(MAX_HEAD_BYTES),
-        read_stall_timeout: Some(READ_STALL),
+        read_stall_timeout: READ_STALL,
         ..ClientLimits::new(Operator::MAX_CONNECTIONS)
     }
 }
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -286,7 +286,7 @@
     ClientLimits {
         max_buffer_bytes: listener.head.max(READ_BUFFER_BYTES),
         strict_head_bytes: Some(listener.head),
-        read_stall_timeout: Some(duration_from_millis(listener.read_stall)),
+        read_stall_timeout: duration_from_millis(listener.read_stall),
         receive_timeout: duration_from_millis(listener.head_within),
         idle_timeout: duration_from_millis(listener.idle),
         idle_timeout_after_one: duration_from_millis(listener.idle),
