Shares of memory are given by kind, and once for all programs

Read once more: the account took its limits by position, the bytes of a megabyte and of a share stood in proxy and rpc, the names of the kinds twice, and the deadline of a forwarded answer was worked out from a second clock. Limits are given by kind now, ResourceLimits has the share, the status uses the names of the log, and the proxy's clock gives the instant.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -14,8 +14,8 @@
 use hyper::{Request, Response, StatusCode};
 use ivygate_control_state::RequestKind;
 use ivygate_runtime::{
-    duration_from_millis, ClientRequest, DisconnectGuard, Driver, FinalResponse, Head, IncomingRequest,
-    MemoryAccount, OutgoingRequest, RequestBody, RequestHandler,
+    ClientRequest, DisconnectGuard, Driver, FinalResponse, Head, IncomingRequest, MemoryAccount,
+    OutgoingRequest, RequestBody, RequestHandler,
 };
 use ivygate_time::{Millis, Timestamp};
 use std::cell::RefCell;
@@ -96,7 +96,7 @@
         started_at: Instant,
         on_complete: impl FnOnce(),
     ) -> Result<Response<ProxyBody>, Rejection> {
-        let (arrived_at, arrival_time) = (Instant::now(), self.proxy.now());
+        let now = self.proxy.now();
         let (parts, body) = request.into_parts();
         let version = parts.version;
         let body = read_body(&self.memory, body, self.proxy.max_body_bytes(), started_at).await;
@@ -110,11 +110,11 @@
         let request = ParsedRequest::parse(&snapshot, &parts)?;
         self.acquire_quota(&request).await?;
         let target = self.choose_target(&request)?;
-        let deadline = arrival_time.plus_millis(request.wait_ms);
+        let deadline = now.plus_millis(request.wait_ms);
         let answer = self.dispatch(&target, &request, parts, body, deadline).await?;
         let min_retry_after_ms = self.record_outcome(&target, &request, &answer);
         let context = ResponseContext {
-            deadline: arrived_at + duration_from_millis(request.wait_ms),
+            deadline: self.proxy.instant(deadline),
             version,
             runs_at_most_once: runs_at_most_once(&request),
             min_retry_after_ms,
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -1,11 +1,9 @@
 //! Shares of the process's memory limit for what the proxy holds for its clients and servers.
 
 use ivygate_rpc::ResourceLimits;
-use ivygate_runtime::MemoryAccount;
+use ivygate_runtime::{MemoryAccount, MemoryUse};
 use std::sync::Arc;
 
-/// Bytes in a megabyte of the settings.
-const MEGABYTE: f64 = 1e6;
 /// Share of request bodies up to `SMALL_BODY_BYTES`.
 const SMALL_REQUESTS_RATIO: f64 = 0.03;
 /// Share of larger request bodies. At 250 MB it has room for the longest body that the configuration allows by default.
@@ -19,25 +17,22 @@
 /// Share of the connections of clients, with the heads that they send.
 const CONNECTIONS_RATIO: f64 = 0.24;
 /// Memory of a client's connection with a head that is being received, in bytes.
-const CONNECTION_BYTES: f64 = (28 << 10) as f64;
-
-fn share(limits: ResourceLimits, ratio: f64) -> usize {
-    (limits.mem_mb as f64 * MEGABYTE * ratio) as usize
-}
+const CONNECTION_BYTES: usize = 28 << 10;
 
 /// Creates the account of a process with these limits.
 pub(crate) fn memory_account(limits: ResourceLimits) -> Arc<MemoryAccount> {
-    let ratios = [
-        SMALL_REQUESTS_RATIO,
-        LARGE_REQUESTS_RATIO,
-        BUFFERED_RESPONSES_RATIO,
-        STREAMED_RESPONSES_RATIO,
-        CALLS_RATIO,
-    ];
-    MemoryAccount::new(ratios.map(|ratio| share(limits, ratio)))
+    MemoryAccount::new(|kind| {
+        limits.memory_share(match kind {
+            MemoryUse::SmallRequests => SMALL_REQUESTS_RATIO,
+            MemoryUse::LargeRequests => LARGE_REQUESTS_RATIO,
+            MemoryUse::BufferedResponses => BUFFERED_RESPONSES_RATIO,
+            MemoryUse::StreamedResponses => STREAMED_RESPONSES_RATIO,
+            MemoryUse::LargeCalls => CALLS_RATIO,
+        })
+    })
 }
 
 /// Returns the number of clients' connections for which there is memory.
 pub(crate) fn max_client_connections(limits: ResourceLimits) -> usize {
-    (share(limits, CONNECTIONS_RATIO) as f64 / CONNECTION_BYTES) as usize
+    limits.memory_share(CONNECTIONS_RATIO) / CONNECTION_BYTES
 }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -15,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// Maximum size of a request head, in bytes.
 pub(crate) const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
@@ -108,6 +109,11 @@
         self.clock.now()
     }
 
+    /// Converts a time of that clock to an instant.
+    pub fn instant(&self, at: Timestamp) -> Instant {
+        self.clock.instant(at)
+    }
+
     /// Returns the active configuration.
     pub fn snapshot(&self) -> Rc<RoutingSnapshot> {
         self.snapshot.borrow().clone()
--- a/crates/rpc/src/settings.rs
+++ b/crates/rpc/src/settings.rs
@@ -106,6 +106,15 @@
     pub nofile: u64,
 }
 
+impl ResourceLimits {
+    /// Returns a share of the memory, in bytes.
+    pub fn memory_share(&self, ratio: f64) -> usize {
+        /// Bytes in a megabyte of the settings.
+        const MEGABYTE: f64 = 1e6;
+        (self.mem_mb as f64 * MEGABYTE * ratio) as usize
+    }
+}
+
 impl Default for ResourceLimits {
     fn default() -> Self {
         Self { mem_mb: 256, nofile: 1024 }
--- a/crates/runtime/src/memory.rs
+++ b/crates/runtime/src/memory.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -19,8 +19,7 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Kind of memory use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "camelCase")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MemoryUse {
     /// Bodies of requests and calls up to [`SMALL_BODY_BYTES`], so that large ones leave room for them.
     SmallRequests,
@@ -77,6 +76,12 @@
     }
 }
 
+impl Serialize for MemoryUse {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.name())
+    }
+}
+
 /// Share of one kind of use.
 struct Share {
     limit_bytes: usize,
@@ -113,19 +118,19 @@
 }
 
 impl MemoryAccount {
-    /// Creates an account with the number of bytes of each kind, in the order of [`MemoryUse::ALL`].
-    pub fn new(limits: [usize; MemoryUse::ALL.len()]) -> Arc<Self> {
-        let share = |limit_bytes: usize| {
-            let limit_bytes = limit_bytes.min(Semaphore::MAX_PERMITS).min(u32::MAX as usize);
+    /// Creates an account; `limit_bytes` returns the number of bytes of each kind.
+    pub fn new(limit_bytes: impl Fn(MemoryUse) -> usize) -> Arc<Self> {
+        let share = |kind| {
+            let limit_bytes = limit_bytes(kind).min(Semaphore::MAX_PERMITS).min(u32::MAX as usize);
             let available = Arc::new(Semaphore::new(limit_bytes));
             Share { limit_bytes, available, refused: AtomicU64::new(0) }
         };
-        Arc::new(Self { shares: limits.map(share), last_log: Mutex::new(None) })
+        Arc::new(Self { shares: MemoryUse::ALL.map(share), last_log: Mutex::new(None) })
     }
 
     /// Creates an account without limits.
     pub fn unlimited() -> Arc<Self> {
-        Self::new([usize::MAX; MemoryUse::ALL.len()])
+        Self::new(|_| usize::MAX)
     }
 
     fn share(&self, kind: MemoryUse) -> &Share {
--- a/crates/runtime/tests/memory.rs
+++ b/crates/runtime/tests/memory.rs
@@ -8,7 +8,7 @@
 const LIMIT: usize = 1_000_000;
 
 fn account() -> Arc<MemoryAccount> {
-    MemoryAccount::new([LIMIT; 5])
+    MemoryAccount::new(|_| LIMIT)
 }
 
 fn used(account: &MemoryAccount, kind: MemoryUse) -> usize {
